Reload settings with a signal and without; run the daemon as a control replica alone

Change: a reload task that hands new replica addresses to the reducer; callers and upstream may be absent when a data folder is set.

--- a/crates/bench/src/session.rs
+++ b/crates/bench/src/session.rs
@@ -211,6 +211,7 @@
             slots: 12,
             boot: "1".into(),
             leaving: options.leaving.load(Ordering::Relaxed),
+            ..Announcement::default()
         }),
         subscriptions: state.held.clone(),
         config_page: state.page,
--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -6,9 +6,7 @@
     ControlSettings, DaemonSettings, GateSettings, LimitSettings, ListenSettings, LogSettings,
     OperatorSettings, QuotaSettings, RoutingSettings, Settings, StopSettings, UpstreamSettings,
 };
-use crate::value::{
-    address, addresses, count, http_path, name, path, ratio, size, time, yes_no,
-};
+use crate::value::{address, addresses, count, http_path, name, path, ratio, size, time, yes_no};
 use std::fs;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -87,13 +85,9 @@
         // Every section is read before any is given up, so that all findings
         // are reported together.
         let daemon = daemon(&reader);
-        let listen = listen(&reader);
-        let upstream = upstream(&reader);
-        if listen.as_ref().is_some_and(|l| l.callers.is_some()) && upstream.is_none() {
-            let keys = reader.section("upstream");
-            let wrong = "callers are taken, but there is no upstream".to_owned();
-            keys.finding("address", wrong, "IP:PORT".to_owned());
-        }
+        let alone = is_control_alone(&reader);
+        let listen = listen(&reader, alone);
+        let upstream = upstream(&reader, alone);
         let gate = gate(&reader);
         let routing = routing(&reader);
         let quota = quota(&reader);
@@ -103,21 +97,19 @@
         let stop = stop(&reader);
         let log = log(&reader);
         check_addresses(&reader, listen.as_ref(), upstream.as_ref());
-        let settings = daemon
-            .zip(listen)
-            .map(|(daemon, listen)| Self {
-                daemon,
-                listen,
-                upstream,
-                gate,
-                routing,
-                quota,
-                control,
-                operators,
-                limits,
-                stop,
-                log,
-            });
+        let settings = daemon.zip(listen).map(|(daemon, listen)| Self {
+            daemon,
+            listen,
+            upstream,
+            gate,
+            routing,
+            quota,
+            control,
+            operators,
+            limits,
+            stop,
+            log,
+        });
         reader.finish(settings)
     }
 }
@@ -133,9 +125,20 @@
     })
 }
 
-fn listen(reader: &Reader<'_>) -> Option<ListenSettings> {
+/// Returns whether the daemon is to run a control replica and nothing else: it
+/// has a data folder, and neither callers nor an upstream.
+fn is_control_alone(reader: &Reader<'_>) -> bool {
+    reader.section("control").has("data")
+        && !reader.section("listen").has("callers")
+        && !reader.section("upstream").has("address")
+}
+
+fn listen(reader: &Reader<'_>, alone: bool) -> Option<ListenSettings> {
     let mut keys = reader.section("listen");
-    let callers = keys.get("callers", address);
+    let callers = match alone {
+        true => None,
+        false => keys.require("callers", "IP:PORT", address),
+    };
     let operators = keys.require("operators", "IP:PORT", address);
     let peers = keys.require("peers", "IP:PORT", address);
     keys.unknown_keys();
@@ -144,15 +147,18 @@
         keys.finding("peers", wrong, "the VM's own address, IP:PORT".to_owned());
     }
     Some(ListenSettings {
-        callers,
+        callers: if alone { None } else { Some(callers?) },
         operators: operators?,
         peers: peers?,
     })
 }
 
-fn upstream(reader: &Reader<'_>) -> Option<UpstreamSettings> {
+fn upstream(reader: &Reader<'_>, alone: bool) -> Option<UpstreamSettings> {
     let mut keys = reader.section("upstream");
-    let address = keys.get("address", address);
+    let address = match alone {
+        true => None,
+        false => keys.require("address", "IP:PORT", address),
+    };
     let cancel_path = keys.get("cancel-path", http_path);
     let load_path = keys.get("load-path", http_path);
     let mut report_interval = None;
--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns whether a key is given, valid or not.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.entry(key).is_some()
+    }
+
     fn entry(&self, key: &str) -> Option<&'r Entry<'a>> {
         self.section?.entries.iter().find(|e| e.key.text == key)
     }
--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -108,7 +108,11 @@
             wrong.push(format!("route {}: another one has its place", route.name));
         }
         let found = route_findings(route, &services);
-        wrong.extend(found.into_iter().map(|f| format!("route {}: {f}", route.name)));
+        wrong.extend(
+            found
+                .into_iter()
+                .map(|f| format!("route {}: {f}", route.name)),
+        );
     }
     wrong
 }
--- a/crates/conf/src/state/routing.rs
+++ b/crates/conf/src/state/routing.rs
@@ -61,7 +61,10 @@
     /// Takes a data centre out, or returns it. Doing it twice is as doing it
     /// once.
     pub fn apply_data_centre(&mut self, order: &DataCentreOrder) -> ChangeOutcome {
-        let out = self.current.out_data_centres.contains(order.data_centre.as_str());
+        let out = self
+            .current
+            .out_data_centres
+            .contains(order.data_centre.as_str());
         if out != order.out {
             let kind = match order.out {
                 true => OperationKind::DataCentreOut,
@@ -110,8 +113,10 @@
     let mut next = current.clone();
     next.version = change.version;
     next.limits = change.limits.or(current.limits);
-    next.routes.retain(|r| !change.removed_routes.contains(&r.name));
-    next.services.retain(|s| !change.removed_services.contains(&s.name));
+    next.routes
+        .retain(|r| !change.removed_routes.contains(&r.name));
+    next.services
+        .retain(|s| !change.removed_services.contains(&s.name));
     for route in &change.routes {
         match next.routes.iter_mut().find(|r| r.name == route.name) {
             Some(held) => held.clone_from(route),
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -38,7 +38,7 @@
     let mut expected = Settings::new(
         settings.daemon.clone(),
         settings.listen,
-        settings.upstream.address,
+        settings.upstream.as_ref().unwrap().address,
     );
     expected.control.replicas = vec![settings.listen.peers];
     assert_eq!(settings, expected);
@@ -57,8 +57,9 @@
     );
     assert_eq!(cfg.limits.header_bytes, 16 * 1024);
     assert_eq!(cfg.limits.body_bytes, 2 * 1024 * 1024 * 1024);
-    assert_eq!(cfg.upstream.cancel_path.as_deref(), Some("/cancel"));
-    let defaults = Settings::new(cfg.daemon.clone(), cfg.listen, cfg.upstream.address);
+    let upstream = cfg.upstream.clone().unwrap();
+    assert_eq!(upstream.cancel_path.as_deref(), Some("/cancel"));
+    let defaults = Settings::new(cfg.daemon.clone(), cfg.listen, upstream.address);
     assert_ne!(cfg.gate.cold_slots, defaults.gate.cold_slots);
     assert_eq!(cfg.gate.queue_ratio, 0.25);
     assert_ne!(cfg.routing, defaults.routing);
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -25,6 +25,7 @@
             slots,
             boot: "b".to_owned(),
             leaving: false,
+            ..Announcement::default()
         }),
         age_ms: 60_000,
         ..Heartbeat::default()
--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -66,7 +66,10 @@
     /// Notes that a request is sent.
     pub(crate) fn sent(&mut self, now: Duration) {
         while self.sent.len() >= MAX_SENT
-            || self.sent.front().is_some_and(|at| now.saturating_sub(*at) >= WINDOW)
+            || self
+                .sent
+                .front()
+                .is_some_and(|at| now.saturating_sub(*at) >= WINDOW)
         {
             self.sent.pop_front();
         }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -133,7 +133,8 @@
         announcement.slots = announcement.slots.min(MAX_SLOTS);
         self.ramp.clamp(announcement.slots);
         let start = self.restarts.announced(&announcement.boot);
-        self.cold.stated(now, Duration::from_millis(announcement.cold_ms));
+        self.cold
+            .stated(now, Duration::from_millis(announcement.cold_ms));
         let new_service = announcement.service.clone();
         let stays = !announcement.leaving;
         let old = self.announced.replace(announcement);
--- a/crates/gate/tests/scenarios.rs
+++ b/crates/gate/tests/scenarios.rs
@@ -152,6 +152,7 @@
                     slots: args.lookup_parse("slots")?.unwrap_or(6),
                     boot: args.lookup_parse("boot")?.unwrap_or("b1".into()),
                     leaving: args.lookup_parse("leaving")?.unwrap_or(false),
+                    ..Announcement::default()
                 };
                 for lost in self.gate.announce(self.now, announcement) {
                     self.running.remove(&lost);
@@ -200,6 +201,8 @@
                 let report = LoadReport {
                     in_flight: args.lookup_parse("in_flight")?.unwrap_or(0),
                     limit: args.lookup_parse("limit")?,
+                    cold: None,
+                    slow_percent: None,
                 };
                 self.gate.report(self.now, report);
             }
--- a/crates/gate/tests/shuffle.rs
+++ b/crates/gate/tests/shuffle.rs
@@ -98,6 +98,8 @@
                         .rng
                         .random_bool(0.3)
                         .then(|| self.rng.random_range(0..9)),
+                    cold: None,
+                    slow_percent: None,
                 },
             ),
             40..100 => {
@@ -129,6 +131,7 @@
                 slots: self.model.slots,
                 boot: self.model.boot.to_string(),
                 leaving: false,
+                ..Announcement::default()
             },
         );
     }
@@ -214,7 +217,7 @@
         self.model.last_busy = self.now;
         match outcome {
             Outcome::Whole(200) if held == Some(self.model.doubts) => self.model.answers += 1,
-            Outcome::Whole(_) => {}
+            Outcome::Whole(_) | Outcome::Rejected => {}
             // What broke because the gate cancelled it is no doubt.
             Outcome::Broken if self.model.cancelled.contains(&ticket) => {}
             Outcome::Broken | Outcome::Refused => self.model.doubt(),
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,7 +1,9 @@
 //! Heads of requests and responses.
 
 use bytes::{Buf, BytesMut};
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use http::{HeaderMap, Method};
 use std::fmt;
 
--- a/crates/node/examples/control_cost.rs
+++ b/crates/node/examples/control_cost.rs
@@ -68,6 +68,7 @@
                     slots: 12,
                     boot: format!("boot-{i}"),
                     leaving: false,
+                    ..Announcement::default()
                 }),
                 subscriptions: subscriptions.collect(),
                 age_ms: 1_000_000,
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -15,6 +15,7 @@
 use replicas::Replicas;
 use requests::{Outcome, Requests};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use wire::{
     Announcement, Body, ControlReply, DataCentreId, Fingerprint, Heartbeat, HeartbeatReply,
@@ -148,6 +149,11 @@
         expires.is_some_and(|expires| *expires > self.clock)
     }
 
+    /// Takes in where the settings say that control replicas are.
+    pub fn configure_replicas(&mut self, replicas: &[SocketAddr]) {
+        self.replicas.configure(replicas);
+    }
+
     /// Returns the address of the leader that last answered, if one did since
     /// this daemon turned to another replica.
     #[must_use]
--- a/crates/node/src/agent/replicas.rs
+++ b/crates/node/src/agent/replicas.rs
@@ -25,10 +25,7 @@
 
 impl Replicas {
     pub(super) fn new(configured: &[SocketAddr]) -> Self {
-        let configured: Vec<CompactString> = configured
-            .iter()
-            .map(ToCompactString::to_compact_string)
-            .collect();
+        let configured = addresses(configured);
         Self {
             target: configured.first().cloned(),
             configured,
@@ -38,6 +35,11 @@
         }
     }
 
+    /// Takes in other configured addresses; those learned stay.
+    pub(super) fn configure(&mut self, configured: &[SocketAddr]) {
+        self.configured = addresses(configured);
+    }
+
     /// Returns the replica that is talked to.
     pub(super) fn target(&self) -> Option<&CompactString> {
         self.target.as_ref()
@@ -99,3 +101,8 @@
         longest.mul_f64(rng.random::<f64>())
     }
 }
+
+fn addresses(replicas: &[SocketAddr]) -> Vec<CompactString> {
+    let replicas = replicas.iter();
+    replicas.map(ToCompactString::to_compact_string).collect()
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -26,6 +26,7 @@
 use machine::Machine;
 use reads::{Asked, Reads};
 use replica::{DiskDone, Input, Replica};
+use std::net::SocketAddr;
 use std::time::Duration;
 use suspects::Suspects;
 use wire::{Body, Heartbeat, control_request};
@@ -79,6 +80,12 @@
         }
     }
 
+    /// Takes in where the settings say that control replicas are.
+    pub fn configure_seeds(&mut self, replicas: &[SocketAddr]) {
+        let seeds = replicas.iter().map(ToString::to_string).collect();
+        self.replica.configure_seeds(seeds);
+    }
+
     /// Returns the replica.
     #[must_use]
     pub fn replica(&self) -> &Replica {
@@ -208,9 +215,7 @@
     /// voters for what is acknowledged to be kept.
     fn is_ready(&self) -> bool {
         let voters = self.replica.membership().voters.len();
-        self.leads.is_some()
-            && self.machine.config.current().version > 0
-            && voters >= self.voters
+        self.leads.is_some() && self.machine.config.current().version > 0 && voters >= self.voters
     }
 
     fn leader_hint(&self) -> String {
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -170,7 +170,9 @@
         | Reason::KeyRequired
         | Reason::KeyReused
         | Reason::AlreadyRan => None,
-        Reason::Stale | Reason::NoControl | Reason::ClaimsFull => Some(retry_after * CONTROL_FACTOR),
+        Reason::Stale | Reason::NoControl | Reason::ClaimsFull => {
+            Some(retry_after * CONTROL_FACTOR)
+        }
         Reason::Convicted => Some(verdict_ttl(Verdict::Convicted)),
         Reason::Stopping
         | Reason::PlanRate
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{admission, entry};
 use compact_str::CompactString;
+use std::net::SocketAddr;
 use wire::{Body, DaemonId, LinkKind, control_request};
 
 /// Number of an accepted connection, never used twice by a daemon.
@@ -9,6 +10,10 @@
 
 /// Something that happened.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an event is moved once, into the step"
+)]
 pub enum Event {
     /// Time has passed; comes at least every 20 ms.
     Tick {
@@ -50,6 +55,8 @@
     Initialise,
     /// A disk operation of the control replica ended.
     DiskDone(replica::DiskDone),
+    /// The settings name these addresses of control replicas now.
+    Replicas(Vec<SocketAddr>),
     /// A graceful stop begins.
     Stop,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -91,6 +91,12 @@
                 control.disk_done(now, done, tx);
             }
         }
+        Event::Replicas(replicas) => {
+            node.agent.configure_replicas(&replicas);
+            if let Some(control) = &mut node.control {
+                control.configure_seeds(&replicas);
+            }
+        }
         Event::Stop => {
             with_admission(node, now, tx, Admission::stop);
             node.entry.stop();
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -24,7 +24,7 @@
 
 fn agent(incarnation: u64) -> Agent {
     let listen = ListenSettings {
-        callers: address(7100),
+        callers: Some(address(7100)),
         operators: address(7200),
         peers: address(7300),
     };
@@ -152,6 +152,7 @@
             slots,
             boot: "b".to_owned(),
             leaving: false,
+            ..Announcement::default()
         });
         let last = ms(u64::from(slots - 1) * 20);
         let (at, _, heartbeat) = next_heartbeat(&mut agent, last);
--- a/crates/node/tests/allowance.rs
+++ b/crates/node/tests/allowance.rs
@@ -64,6 +64,7 @@
         retry_budget: None,
         depth: 1,
         held: true,
+        routed: None,
     }
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -451,7 +451,7 @@
 
 fn daemon(i: usize, is_control: bool, replicas: &[SocketAddr]) -> Daemon {
     let listen = ListenSettings {
-        callers: address(i + 1_000),
+        callers: Some(address(i + 1_000)),
         operators: address(i + 2_000),
         peers: address(i),
     };
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -159,6 +159,7 @@
         idempotent: true,
         weight: 1,
         suspected: false,
+        objective: None,
     };
     let arrived = admission::Event::Arrived(arrival);
     world.event(i, node::Event::Admission(arrived));
@@ -199,6 +200,9 @@
             s.customers,
             s.services.iter().map(|s| s.upstreams.len()).sum::<usize>(),
         ),
+        control_reply::Kind::Routing(routing) => {
+            format!("routing version={}", routing.version)
+        }
         control_reply::Kind::History(history) => {
             let entries = history.entries.iter();
             let lines: Vec<String> = entries
@@ -364,6 +368,7 @@
                 slots: u32::try_from(slots)?,
                 boot: "b1".to_owned(),
                 leaving: false,
+                ..Announcement::default()
             };
             let event = admission::Event::Announced(announced);
             self.world().event(i, node::Event::Admission(event));
@@ -513,6 +518,7 @@
                     slots: args.lookup_parse("slots")?.unwrap_or(6),
                     boot: "b1".to_owned(),
                     leaving: args.lookup_parse("leaving")?.unwrap_or(false),
+                    ..Announcement::default()
                 };
                 let event = admission::Event::Announced(announced);
                 self.world().event(i, node::Event::Admission(event));
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -39,6 +39,7 @@
         slots: args.lookup_parse("slots")?.unwrap_or(2),
         boot: args.lookup_parse("boot")?.unwrap_or("b1".into()),
         leaving: args.lookup_parse("leaving")?.unwrap_or(false),
+        ..Announcement::default()
     })
 }
 
@@ -59,6 +60,7 @@
         retry_budget: args.lookup_parse("budget")?,
         depth: args.lookup_parse("depth")?.unwrap_or(1),
         held: args.lookup_parse("held")?.unwrap_or(true),
+        routed: None,
     })
 }
 
@@ -74,6 +76,7 @@
         idempotent: args.lookup_parse("idempotent")?.unwrap_or(true),
         weight: 2,
         suspected: false,
+        objective: None,
     })
 }
 
@@ -117,7 +120,8 @@
                 routing.retry_ratio = retry.unwrap_or(routing.retry_ratio);
                 routing.hedge_ratio = hedge.unwrap_or(0.0);
                 routing.probe_bytes = probe.unwrap_or(routing.probe_bytes);
-                settings.upstream.load_path.clone_from(&load_path);
+                let upstream = settings.upstream.as_mut().unwrap();
+                upstream.load_path.clone_from(&load_path);
                 settings.gate.queue_ratio = queue;
             });
             gates.push(name.to_owned());
@@ -189,6 +193,8 @@
                 let report = LoadReport {
                     in_flight: args.lookup_parse("in_flight")?.unwrap_or(0),
                     limit: args.lookup_parse("limit")?,
+                    cold: None,
+                    slow_percent: None,
                 };
                 let event = admission::Event::Reported(report);
                 self.fleet.event(&at, Event::Admission(event));
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -137,7 +137,7 @@
         let port = 7_000 + u16::try_from(self.daemons.len()).unwrap();
         let peers = SocketAddr::from(([127, 0, 0, 1], port));
         let listen = ListenSettings {
-            callers: peers,
+            callers: Some(peers),
             operators: peers,
             peers,
         };
@@ -244,6 +244,7 @@
             retry_budget: None,
             depth: 1,
             held: false,
+            routed: None,
         };
         self.arrive(name, request);
         self.event(name, Event::Entry(entry::Event::CallerGone(id)));
@@ -267,6 +268,7 @@
                 idempotent: true,
                 weight: 1,
                 suspected: false,
+                objective: None,
             };
             for event in [
                 admission::Event::Arrived(arrival),
@@ -317,14 +319,17 @@
                 entry::Event::Ended(request, attempt, load),
             ],
             Outcome::Broken => vec![entry::Event::Broken(request, attempt, load)],
-            Outcome::Refused => vec![entry::Event::Refused(
-                request,
-                attempt,
-                Refuse {
-                    reason: wire::RefuseReason::Unreachable.into(),
+            Outcome::Refused | Outcome::Rejected => {
+                let reason = match outcome {
+                    Outcome::Refused => wire::RefuseReason::Unreachable,
+                    _ => wire::RefuseReason::Rejected,
+                };
+                let refuse = Refuse {
+                    reason: reason.into(),
                     ..Refuse::default()
-                },
-            )],
+                };
+                vec![entry::Event::Refused(request, attempt, refuse)]
+            }
         };
         for event in events {
             self.event(&sent.entry, Event::Entry(event));
@@ -530,6 +535,7 @@
             out_upstreams: upstreams,
             page: 0,
             last: true,
+            ..ConfigDelta::default()
         }
     }
 
@@ -627,6 +633,7 @@
             idempotent: attempt.idempotent,
             weight: attempt.weight,
             suspected: attempt.suspected,
+            objective: None,
         };
         let event = Event::Admission(admission::Event::Arrived(arrival));
         self.event(&attempt.upstream, event);
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -118,6 +118,7 @@
                 slots: 6,
                 boot: "b1".to_owned(),
                 leaving: false,
+                ..Announcement::default()
             };
             let event = admission::Event::Announced(announced);
             self.world.event(i, Event::Admission(event));
@@ -150,6 +151,7 @@
             retry_budget: None,
             depth: 1,
             held: true,
+            routed: None,
         };
         let event = entry::Event::Arrived(request);
         self.world.event(i, Event::Entry(event));
@@ -207,6 +209,7 @@
             idempotent: false,
             weight: 10,
             suspected: false,
+            objective: None,
         };
         let gate = call.gate.0;
         self.tickets.insert(ticket, call);
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -11,7 +11,7 @@
 
 fn daemon() -> Node {
     let listen = ListenSettings {
-        callers: SocketAddr::from(([127, 0, 0, 1], 7100)),
+        callers: Some(SocketAddr::from(([127, 0, 0, 1], 7100))),
         operators: SocketAddr::from(([127, 0, 0, 1], 7200)),
         peers: SocketAddr::from(([127, 0, 0, 1], 7300)),
     };
@@ -117,6 +117,7 @@
         retry_budget: None,
         depth: 1,
         held: true,
+        routed: None,
     }
 }
 
@@ -137,6 +138,7 @@
         slots: 6,
         boot: "b1".into(),
         leaving: false,
+        ..Announcement::default()
     };
     let effects = run(
         &mut node,
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -125,6 +125,7 @@
         service_us: args.lookup_parse("service_us")?.unwrap_or(0),
         cold: false,
         waiting: args.lookup_parse("waiting")?.unwrap_or(0),
+        ..Load::default()
     }))
 }
 
--- a/crates/plumhitchd/examples/demo.rs
+++ b/crates/plumhitchd/examples/demo.rs
@@ -135,11 +135,14 @@
             upstream: free_address(&mut port),
             settings: folder.join(format!("{}.ini", cfg.daemon.name)),
         };
-        addresses.push((cfg.listen.callers, vm.callers));
+        let (Some(callers), Some(upstream)) = (cfg.listen.callers, &cfg.upstream) else {
+            continue;
+        };
+        addresses.push((callers, vm.callers));
         addresses.push((cfg.listen.operators, vm.operators));
         addresses.push((cfg.listen.peers, free_address(&mut port)));
         let text = fs::read_to_string(&path)?
-            .replace(&cfg.upstream.address.to_string(), &vm.upstream.to_string())
+            .replace(&upstream.address.to_string(), &vm.upstream.to_string())
             .replace(
                 "/var/lib/plumhitch",
                 &format!("{}/{}", folder.display(), vm.name),
--- a/crates/plumhitchd/src/dialect.rs
+++ b/crates/plumhitchd/src/dialect.rs
@@ -2,10 +2,12 @@
 //! of the program that embeds it.
 
 use crate::handle::Handle;
+use conf::Settings;
 use http::header::{HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -110,6 +112,18 @@
     pub respond: Respond,
 }
 
+/// Reads the settings again; returns why they can't be used.
+pub type ReadSettings = Arc<dyn Fn(&Path) -> Result<Settings, String> + Send + Sync>;
+
+/// A settings file, and how it is read.
+#[derive(Clone)]
+pub struct SettingsSource {
+    /// The file.
+    pub path: PathBuf,
+    /// Reads it.
+    pub read: ReadSettings,
+}
+
 /// How a daemon speaks with those around it.
 #[derive(Clone, Default)]
 pub struct Dialect {
@@ -124,6 +138,8 @@
     pub fractional_retry_after: bool,
     /// Further listeners.
     pub endpoints: Vec<Endpoint>,
+    /// Where the settings come from, to be read again when they change.
+    pub source: Option<SettingsSource>,
 }
 
 impl std::fmt::Debug for Dialect {
--- a/crates/plumhitchd/src/endpoints.rs
+++ b/crates/plumhitchd/src/endpoints.rs
@@ -47,7 +47,10 @@
     ) {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
-        let body = match req.payload_with_max_size(self.endpoint.max_body_bytes).await {
+        let body = match req
+            .payload_with_max_size(self.endpoint.max_body_bytes)
+            .await
+        {
             Ok(body) => body.to_vec(),
             Err(err) => {
                 log::warn!("event=body_unreadable path={path} reason=\"{err}\"");
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -7,8 +7,8 @@
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use compact_str::CompactString;
-use node::entry;
 use http::Method;
+use node::entry;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::task::AbortHandle;
@@ -62,9 +62,9 @@
             end: self.held,
             weight: attempt.weight,
             suspected: attempt.suspected,
-            objective_ms: attempt.objective.map_or(0, |o| {
-                u64::try_from(o.as_millis()).unwrap_or(u64::MAX)
-            }),
+            objective_ms: attempt
+                .objective
+                .map_or(0, |o| u64::try_from(o.as_millis()).unwrap_or(u64::MAX)),
         }
     }
 }
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -7,8 +7,8 @@
 use crate::inbox::UploadError;
 use crate::runtime::Daemon;
 use bytes::BytesMut;
-use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
 use http::Method;
+use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -88,10 +88,10 @@
         () = reading => return,
         written = writing => written,
     };
-    if let Ok(mut write) = written {
-        if write.shutdown().await.is_ok() {
-            let _ = timeout(DRAIN, drain(&mut read)).await;
-        }
+    if let Ok(mut write) = written
+        && write.shutdown().await.is_ok()
+    {
+        let _ = timeout(DRAIN, drain(&mut read)).await;
     }
 }
 
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -2,8 +2,8 @@
 //! tells the reducer what its attempts bring.
 
 use super::attempt::{Attempt, Outgoing};
-use super::record::Record;
 use super::body::BodyRx;
+use super::record::Record;
 use super::upload::Upload;
 use crate::inbox::{Inbox, InboxRx, InboxTx, StreamEvent, UploadError};
 use crate::runtime::{Daemon, lock};
--- a/crates/plumhitchd/src/entry_http/held.rs
+++ b/crates/plumhitchd/src/entry_http/held.rs
@@ -26,11 +26,7 @@
 /// # Errors
 ///
 /// Returns why the body can't be read, or that it is longer than `max`.
-pub(super) async fn hold(
-    mut body: BodyRx,
-    max_held: usize,
-    max: u64,
-) -> Result<Held, UploadError> {
+pub(super) async fn hold(mut body: BodyRx, max_held: usize, max: u64) -> Result<Held, UploadError> {
     let mut first = Bytes::new();
     let mut joined = BytesMut::new();
     while let Some(bytes) = body.next().await? {
--- a/crates/plumhitchd/src/entry_http/inbound.rs
+++ b/crates/plumhitchd/src/entry_http/inbound.rs
@@ -141,7 +141,10 @@
         names.target.as_ref(),
         names.origin.as_ref(),
     ];
-    replaced.into_iter().flatten().any(|name| name.as_str() == header)
+    replaced
+        .into_iter()
+        .flatten()
+        .any(|name| name.as_str() == header)
 }
 
 fn name(
@@ -159,10 +162,7 @@
     }
 }
 
-fn required(
-    headers: &HeaderMap,
-    header: Option<&HeaderName>,
-) -> Result<CompactString, BadRequest> {
+fn required(headers: &HeaderMap, header: Option<&HeaderName>) -> Result<CompactString, BadRequest> {
     let missing = || {
         let header = header.map_or("a header", HeaderName::as_str);
         BadRequest::new(format!("{header} is missing"))
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -1,7 +1,7 @@
 //! Final answers that no upstream gave.
 
-use super::inbound::BadRequest;
 use super::answer::{Answer, AnswerBody};
+use super::inbound::BadRequest;
 use crate::inbox::UploadError;
 use crate::runtime::Daemon;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -151,7 +151,10 @@
 /// was not run is only given when it was not.
 fn status(reason: Reason, run: RunState) -> StatusCode {
     let status = status_of(reason);
-    let promises = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+    let promises = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
     match run == RunState::MayHaveRun && promises.contains(&status) {
         true => StatusCode::BAD_GATEWAY,
         false => status,
--- a/crates/plumhitchd/src/gate_http/call.rs
+++ b/crates/plumhitchd/src/gate_http/call.rs
@@ -122,7 +122,9 @@
 fn target(daemon: &Daemon) -> Option<HeaderValue> {
     daemon.dialect.headers.target.as_ref()?;
     let announced = daemon.read(|node| node.admission.announced().map(|a| a.target.clone()))?;
-    HeaderValue::from_str(&announced).ok().filter(|v| !v.is_empty())
+    HeaderValue::from_str(&announced)
+        .ok()
+        .filter(|v| !v.is_empty())
 }
 
 fn host(daemon: &Daemon) -> Option<HeaderValue> {
--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -297,7 +297,9 @@
             match self.read.read_buf(&mut self.buf).await {
                 Ok(0) => {
                     let whole = self.body.closed();
-                    return whole.map(|()| None).map_err(|_| broken("the answer broke off"));
+                    return whole
+                        .map(|()| None)
+                        .map_err(|_| broken("the answer broke off"));
                 }
                 Ok(_) => {}
                 Err(_) => return Err(broken("the connection was reset in the answer")),
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -3,16 +3,16 @@
 use super::call::{self, Piece, UploadReader};
 use super::cancel;
 use super::exchange::{self, Answer, ExchangeError};
-use super::report;
 use super::replies::Replies;
+use super::report;
 use crate::inbox::{Inbox, InboxRx, StreamEvent};
 use crate::links::{Credit, Link, Window};
 use crate::runtime::{Daemon, lock};
 use bytes::{Bytes, BytesMut};
 use gate::{Outcome, Ticket};
+use http::{Method, StatusCode};
 use node::Event;
 use node::admission::{self, Effect};
-use http::{Method, StatusCode};
 use std::io;
 use std::sync::Arc;
 use tokio::sync::mpsc;
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -16,11 +16,13 @@
 mod operators_http;
 mod options;
 mod process;
+mod reload;
 mod runtime;
 mod stop;
 
 pub use dialect::{
-    Answering, ApiRequest, ApiResponse, Dialect, Endpoint, HeaderNames, Respond,
+    Answering, ApiRequest, ApiResponse, Dialect, Endpoint, HeaderNames, ReadSettings, Respond,
+    SettingsSource,
 };
 pub use handle::Handle;
 pub use options::{main, run};
--- a/crates/plumhitchd/src/options.rs
+++ b/crates/plumhitchd/src/options.rs
@@ -1,11 +1,12 @@
 //! The command line.
 
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, SettingsSource};
 use crate::{logging, process};
 use argh::FromArgs;
 use conf::Settings;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 /// Exit code when the daemon could not start or run.
 const EXIT_FAILED: u8 = 1;
@@ -39,7 +40,15 @@
         println!("{}: no findings", options.settings.display());
         return ExitCode::SUCCESS;
     }
-    run(cfg, Dialect::default())
+    let read = |path: &Path| Settings::load(path).map_err(|f| f.lines().join("; "));
+    let dialect = Dialect {
+        source: Some(SettingsSource {
+            path: options.settings,
+            read: Arc::new(read),
+        }),
+        ..Dialect::default()
+    };
+    run(cfg, dialect)
 }
 
 /// Runs a daemon with checked settings until it is told to stop, for a program
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -1,9 +1,9 @@
 //! The daemon's process, from its start to its graceful stop.
 
+use crate::dialect::{Dialect, Endpoint};
 use crate::operators_http::Token;
 use crate::runtime::{self, Daemon};
-use crate::dialect::{Dialect, Endpoint};
-use crate::{disk, endpoints, entry_http, gate_http, links, operators_http, stop};
+use crate::{disk, endpoints, entry_http, gate_http, links, operators_http, reload, stop};
 use conf::Settings;
 use std::io;
 use std::net::SocketAddr;
@@ -59,6 +59,7 @@
 }
 
 async fn serve(cfg: Settings, dialect: Dialect) -> io::Result<()> {
+    let reloads = reload::signals()?;
     let peers = listen(cfg.listen.peers)?;
     let callers = cfg.listen.callers.map(listen).transpose()?;
     let operators = listen(cfg.listen.operators)?;
@@ -74,6 +75,7 @@
     tokio::spawn(links::serve(daemon.clone(), peers));
     tokio::spawn(runtime::tick(daemon.clone()));
     tokio::spawn(gate_http::poll(daemon.clone()));
+    tokio::spawn(reload::watch(daemon.clone(), reloads));
     if let Some(callers) = callers {
         tokio::spawn(entry_http::serve(daemon.clone(), callers));
     }
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -1,9 +1,9 @@
 //! The daemon's shared state: the reducer, and who carries its effects out.
 
 use crate::clock;
+use crate::dialect::Dialect;
 use crate::disk::DiskTx;
 use crate::entry_http;
-use crate::dialect::Dialect;
 use crate::gate_http::{self, Pool};
 use crate::inbox::{Inbox, InboxTx};
 use crate::links::{self, Links};
@@ -127,7 +127,10 @@
     pub(crate) fn max_header_bytes(&self) -> usize {
         let routed = self.caller_limits().header_bytes;
         let own = self.cfg.limits.header_bytes;
-        usize::try_from(routed).ok().filter(|n| *n > 0).unwrap_or(own)
+        usize::try_from(routed)
+            .ok()
+            .filter(|n| *n > 0)
+            .unwrap_or(own)
     }
 
     /// Returns the bytes that a request's body may have.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Takes in which other replicas are configured.
+    pub fn configure_seeds(&mut self, mut seeds: Vec<String>) {
+        seeds.retain(|address| *address != self.options.address);
+        self.options.seeds = seeds;
+    }
+
     /// Returns what the replica is now.
     #[must_use]
     pub fn role(&self) -> Role {
--- a/crates/replica/tests/world/mod.rs
+++ b/crates/replica/tests/world/mod.rs
@@ -139,6 +139,8 @@
             snapshot_entries: self.snapshot_entries,
             seed: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             seeds: others.filter(|o| o != name).collect(),
+            founders: Vec::new(),
+            voters: None,
         };
         let server = self.server(name);
         let now = server.clock;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -30,12 +30,12 @@
     AttemptId, ChangeId, ClassId, ConfigVersion, CustomerId, DaemonId, DataCentreId, Fingerprint,
     LogIndex, PlanId, ReplicaId, RequestId, ServiceId, StreamId, Term, UpstreamId, fingerprint,
 };
-pub use routing::{
-    CallerLimits, DataCentreOrder, Route, RouteKind, RoutePart, Routing, RoutingChange,
-    RoutingRequest, ServiceRules,
-};
 pub use quota::{Allowance, AllowanceRequest};
 pub use replica::{
     AppendReply, AppendRequest, JoinReply, JoinRequest, LogEntry, Member, Membership,
     ReplicaMessage, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest, replica_message,
 };
+pub use routing::{
+    CallerLimits, DataCentreOrder, Route, RouteKind, RoutePart, Routing, RoutingChange,
+    RoutingRequest, ServiceRules,
+};
