--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -204,6 +204,11 @@
     keys.set("return-ramp", &mut cfg.return_ramp, |t| {
         time(t, UP_TO_A_DAY)
     });
+    keys.set("shared-retries", &mut cfg.shared_retries, |t| {
+        count(t, 0..=MAX_REPICKS).map(|n: u32| Some(f64::from(n)))
+    });
+    keys.set("far-per-kb", &mut cfg.far_per_kb, |t| time(t, UP_TO_A_DAY));
+    keys.set("by-expected-finish", &mut cfg.by_expected_finish, yes_no);
     keys.set("repicks", &mut cfg.repicks, |t| count(t, 0..=MAX_REPICKS));
     keys.set("retry-after", &mut cfg.retry_after, |t| time(t, SHORT));
     keys.unknown_keys();
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -106,6 +106,15 @@
     /// Times that another upstream may be chosen, without a retry being paid,
     /// for a request that a gate did not run.
     pub repicks: u32,
+    /// Retries, and hedges, that an entry may save up for a service, if they
+    /// are part of a budget that is counted over the whole fleet; else each
+    /// entry has a budget of its own.
+    pub shared_retries: Option<f64>,
+    /// Time that sending a kilobyte to another data centre is worth.
+    pub far_per_kb: Duration,
+    /// Whether the upstream is chosen that is expected to answer first; else
+    /// the less loaded of two.
+    pub by_expected_finish: bool,
     /// Shortest time after which a refused caller may come back.
     pub retry_after: Duration,
 }
@@ -256,6 +265,9 @@
             eject_ratio: 0.3,
             return_ramp: DEFAULT_RETURN_RAMP,
             repicks: 0,
+            shared_retries: None,
+            far_per_kb: Duration::ZERO,
+            by_expected_finish: false,
             retry_after: DEFAULT_RETRY_AFTER,
         }
     }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -20,6 +20,9 @@
 /// Bounds of the longest wait for a slot.
 const SHORTEST_WAIT: Duration = Duration::from_millis(5);
 const LONGEST_WAIT: Duration = Duration::from_millis(200);
+/// Slowness of an upstream on which work takes as long as usual, in
+/// hundredths.
+const USUAL_PERCENT: u32 = 100;
 /// First status of the failures of the upstream itself.
 const SERVER_ERROR: u16 = 500;
 
@@ -343,7 +346,8 @@
     }
 
     fn answered(&mut self, now: Duration, running: &Running, status: u16) {
-        let took = now.saturating_sub(running.since);
+        let slow = f64::from(self.slow_percent().max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT);
+        let took = now.saturating_sub(running.since).div_f64(slow);
         let normal = self.pace.record(&running.class, took);
         let slots = self.announced.as_ref().map_or(0, |a| a.slots);
         if self.limit(slots) < self.ramp.limit(slots) {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod message;
 mod suspects;
+mod watchers;
 
 pub use message::{Arrival, Effect, Event};
 
@@ -20,7 +21,8 @@
 use prost::Message;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible};
-use wire::{Announcement, Load, RefuseReason, ServiceId, Suspect, UpstreamId};
+use watchers::Watchers;
+use wire::{Announcement, Body, Load, LoadNews, RefuseReason, ServiceId, Suspect, UpstreamId};
 
 /// Requests that wait until they may run alone, at most.
 const MAX_HELD: usize = 8;
@@ -37,6 +39,9 @@
 const MILLI: u64 = 1_000;
 /// Bytes around a load in an answer: its tag and its length.
 const LOAD_FRAME_BYTES: usize = 2;
+/// Bytes of a message of its own besides what it carries, with the headers of
+/// a TCP segment.
+const NEWS_FRAME_BYTES: usize = 60;
 
 /// The gate's role.
 #[derive(Debug)]
@@ -46,6 +51,7 @@
     handed: HandedClaims,
     suspects: Suspects,
     measuring: MeasuringBudget,
+    watchers: Watchers,
     stuck_after: Duration,
     isolates: bool,
     broke_at: Option<Duration>,
@@ -77,6 +83,7 @@
             handed: HandedClaims::default(),
             suspects: Suspects::default(),
             measuring: MeasuringBudget::new(routing.probe_bytes, routing.probe_messages),
+            watchers: Watchers::default(),
             stuck_after: settings.gate.stuck,
             isolates: settings.gate.isolate_suspects,
             broke_at: None,
@@ -121,12 +128,18 @@
     pub fn step(&mut self, event: Event, cx: &mut Cx<'_>) {
         self.watch_out(cx);
         match event {
-            Event::Arrived(arrival) => self.place(Job::new(arrival, cx.now), cx),
+            Event::Arrived(arrival) => {
+                self.watchers.used(cx.now, arrival.link);
+                self.place(Job::new(arrival, cx.now), cx);
+            }
             Event::Cancelled(ticket) => self.cancel(ticket, Effect::Cancel(ticket), cx),
             Event::Answering(..) => {}
             Event::Ended(ticket, outcome) => self.ended(ticket, outcome, cx),
             Event::Announced(announcement) => self.announce(announcement, cx),
-            Event::Reported(report) => self.gate.report(cx.now, report),
+            Event::Reported(report) => {
+                self.gate.report(cx.now, report);
+                self.tell_watchers(cx);
+            }
         }
         self.run_waiting(cx);
         self.run_held(cx);
@@ -174,6 +187,24 @@
         announced.map_or_else(ServiceId::default, |a| a.service.as_str().into())
     }
 
+    /// Tells the entries that sent here lately that the upstream's pace has
+    /// changed, as far as the budget for measuring pays for it.
+    fn tell_watchers(&mut self, cx: &mut Cx<'_>) {
+        let load = self.gate.load();
+        for link in self.watchers.due(cx.now, load.slow_percent) {
+            let news = LoadNews {
+                upstream: cx.agent.name.to_string(),
+                load,
+            };
+            let bytes = u32::try_from(news.encoded_len() + NEWS_FRAME_BYTES).unwrap_or(u32::MAX);
+            if !self.measuring.spend(cx.now, bytes, 1) {
+                return;
+            }
+            let body = Body::LoadNews(news);
+            cx.tx.push(crate::Effect::Reply { link, body });
+        }
+    }
+
     /// Limits what a cold upstream gets a second, as its service's rules say.
     fn limit_cold(&mut self, cx: &Cx<'_>) {
         let service = self.service();
--- a/crates/node/src/admission/check.rs
+++ b/crates/node/src/admission/check.rs
@@ -25,6 +25,9 @@
         if cx.agent.convicted(arrival.fingerprint) {
             return Err(RefuseReason::Convicted);
         }
+        if self.is_slower_than_believed(arrival) {
+            return Err(RefuseReason::Slow);
+        }
         if arrival.claim == 0 && needs_claim(arrival, cx.agent) {
             return Err(RefuseReason::Malformed);
         }
@@ -35,6 +38,19 @@
     }
 }
 
+/// Ratio of the slowness now to the one believed from which on a request is
+/// better chosen anew.
+const SURPRISE: f64 = 1.5;
+
+impl Admission {
+    /// Returns whether the entry chose by an outdated slowness.
+    fn is_slower_than_believed(&self, arrival: &Arrival) -> bool {
+        let believed = arrival.believed_slow_percent;
+        let now = self.gate.load().slow_percent;
+        believed > 0 && f64::from(now) > f64::from(believed) * SURPRISE
+    }
+}
+
 /// Returns whether a request must not run without a claim.
 fn needs_claim(arrival: &Arrival, agent: &Agent) -> bool {
     let class = agent.config.plans.classes.get(&arrival.class);
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -1,5 +1,6 @@
 //! What goes into the gate's role and what comes out.
 
+use crate::event::LinkId;
 use gate::{LoadReport, Outcome, Ticket};
 use std::time::Duration;
 use wire::{
@@ -11,6 +12,11 @@
 pub struct Arrival {
     /// Number at this gate, never used twice.
     pub ticket: Ticket,
+    /// Connection over which it came.
+    pub link: LinkId,
+    /// How slow the entry believes the upstream to be, in hundredths of the
+    /// usual; 0 when it doesn't choose by that.
+    pub believed_slow_percent: u32,
     /// Service asked for.
     pub service: ServiceId,
     /// Customer.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -15,12 +15,12 @@
 
 use crate::context::Cx;
 use conf::Settings;
-use pick::{PickSettings, Picker, Policy, RatioBudget};
+use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits};
 use refusal::GiveUp;
 use request::{Active, Purpose};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use wire::{Fingerprint, RequestId, ServiceId};
+use wire::{Fingerprint, LoadNews, RequestId, ServiceId};
 
 /// Time without a request after which a service's load view is dropped.
 const PICKER_IDLE: Duration = Duration::from_secs(600);
@@ -40,6 +40,13 @@
     pub repicks: u64,
 }
 
+/// What an entry may add to a service's work.
+#[derive(Debug)]
+struct Budgets {
+    retries: RatioBudget,
+    hedges: RatioBudget,
+}
+
 /// The entry's role.
 #[derive(Debug)]
 pub struct Entry {
@@ -48,8 +55,9 @@
     isolates: bool,
     retry_after: Duration,
     pickers: BTreeMap<ServiceId, Picker>,
-    retries: RatioBudget,
-    hedges: RatioBudget,
+    budgets: BTreeMap<ServiceId, Budgets>,
+    retry_limits: RatioLimits,
+    hedge_limits: RatioLimits,
     active: BTreeMap<RequestId, Active>,
     waiting: BTreeSet<RequestId>,
     convicted: BTreeMap<Fingerprint, Duration>,
@@ -62,18 +70,27 @@
     #[must_use]
     pub fn new(settings: &Settings, policy: Policy) -> Self {
         let routing = &settings.routing;
+        let limits = |ratio| match routing.shared_retries {
+            Some(saved) => RatioLimits::shared(ratio, saved),
+            None => RatioLimits::new(ratio),
+        };
         Self {
             pick: PickSettings {
                 eject_ratio: routing.eject_ratio,
                 return_ramp: routing.return_ramp,
-                policy,
+                far_per_kb: routing.far_per_kb,
+                policy: match routing.by_expected_finish {
+                    true => Policy::EXPECTED_FINISH,
+                    false => policy,
+                },
             },
             repicks: routing.repicks,
             isolates: settings.gate.isolate_suspects,
             retry_after: routing.retry_after,
             pickers: BTreeMap::new(),
-            retries: RatioBudget::new(routing.retry_ratio),
-            hedges: RatioBudget::new(routing.hedge_ratio),
+            budgets: BTreeMap::new(),
+            retry_limits: limits(routing.retry_ratio),
+            hedge_limits: limits(routing.hedge_ratio),
             active: BTreeMap::new(),
             waiting: BTreeSet::new(),
             convicted: BTreeMap::new(),
@@ -136,6 +153,23 @@
         self.hedge(cx);
     }
 
+    /// Takes in how loaded an upstream is.
+    pub fn load_news(&mut self, news: &LoadNews, cx: &mut Cx<'_>) {
+        for picker in self.pickers.values_mut() {
+            picker.told(cx.now, &news.upstream, news.load);
+        }
+        self.hedge(cx);
+    }
+
+    fn budgets(&mut self, service: &ServiceId) -> &mut Budgets {
+        let (retries, hedges) = (self.retry_limits, self.hedge_limits);
+        let budgets = self.budgets.entry(service.clone());
+        budgets.or_insert_with(|| Budgets {
+            retries: RatioBudget::new(retries),
+            hedges: RatioBudget::new(hedges),
+        })
+    }
+
     /// Tries the requests again that wait for word of their service.
     pub fn view_changed(&mut self, cx: &mut Cx<'_>) {
         for id in std::mem::take(&mut self.waiting) {
@@ -147,8 +181,9 @@
         let id = request.id;
         match self.accept(request, cx) {
             Ok(active) => {
-                self.retries.earn();
-                self.hedges.earn();
+                let budgets = self.budgets(&active.request.service);
+                budgets.retries.earn();
+                budgets.hedges.earn();
                 self.active.insert(id, active);
                 self.forward(id, cx);
             }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
-use pick::{Candidate, Picker, Wanted};
+use pick::{Candidate, Picker, Policy, Wanted};
 use wire::{RequestId, SettleKind, UpstreamId};
 
 /// Requests that wait for word of their service, at most.
@@ -67,10 +67,14 @@
         let service = active.request.service.clone();
         let tried = active.tried_upstreams();
         let only_at = active.only_at.clone();
+        let (class, work, bytes) = active.demand();
         let data_centre = cx.agent.data_centre.clone();
         let wanted = Wanted {
             data_centre: &data_centre,
             tried: &tried,
+            class: &class,
+            work,
+            bytes,
         };
         let now = cx.now;
         let picker = self.refresh(&service, cx)?;
@@ -80,8 +84,8 @@
         };
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
-            Purpose::Retry => chosen.is_some() && self.retries.spend(now),
-            Purpose::Hedge => chosen.is_some() && self.hedges.spend(now),
+            Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
+            Purpose::Hedge => chosen.is_some() && self.budgets(&service).hedges.spend(now),
         };
         chosen.filter(|_| paid)
     }
@@ -90,13 +94,27 @@
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
+        let data_centre = cx.agent.data_centre.clone();
         let view = cx.agent.service(&active.request.service);
         let Some(known) = view.and_then(|view| view.upstreams.get(upstream)) else {
             return;
         };
         let address = known.address.clone();
-        let attempt = active.begin(purpose, upstream, address, cx.now);
+        let mut attempt = active.begin(purpose, upstream, address, cx.now);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
+            if self.pick.policy.name == Policy::EXPECTED_FINISH.name {
+                attempt.believed_slow_percent = picker.believed_slow_percent(upstream);
+                let (class, work, bytes) = active.demand();
+                let wanted = Wanted {
+                    data_centre: &data_centre,
+                    tried: &[],
+                    class: &class,
+                    work,
+                    bytes,
+                };
+                let expected = picker.expected(cx.now, upstream, wanted);
+                active.expect(attempt.attempt, expected.unwrap_or_default());
+            }
             picker.sent(cx.now, upstream);
         }
         push(cx.tx, Effect::Forward(attempt));
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -2,8 +2,9 @@
 
 use super::Entry;
 use super::refusal::Reason;
-use super::request::{Active, Fate, Purpose};
+use super::request::{Active, Fate, Purpose, Tried};
 use crate::context::Cx;
+use pick::{Picker, Policy, Wanted};
 use std::time::Duration;
 use wire::RequestId;
 
@@ -12,6 +13,15 @@
 const HEDGE_QUANTILE: usize = 95;
 /// Shortest time after which a request is hedged.
 const SHORTEST_WAIT: Duration = Duration::from_millis(2);
+/// Part of the remaining time that a hedge must save.
+const SAVING: f64 = 0.3;
+/// Multiple of the time expected at first from which on nothing is known of
+/// the time that remains but how long it has taken.
+const OVERDUE: f64 = 1.5;
+/// Part of the time taken that remains, of a request that is overdue.
+const OVERDUE_REMAINS: f64 = 0.5;
+/// Smallest part of the time expected that remains, of one that is not.
+const LEAST_REMAINS: f64 = 0.2;
 
 impl Entry {
     /// Hedges the requests that are due.
@@ -19,7 +29,7 @@
         let due: Vec<RequestId> = self
             .active
             .iter()
-            .filter(|(_, active)| self.is_hedge_due(active, cx.now))
+            .filter(|(_, active)| self.is_hedge_due(active, cx))
             .map(|(id, _)| *id)
             .collect();
         for id in due {
@@ -27,20 +37,68 @@
         }
     }
 
-    fn is_hedge_due(&self, active: &Active, now: Duration) -> bool {
+    fn is_hedge_due(&self, active: &Active, cx: &Cx<'_>) -> bool {
         let allowed = active.class.idempotent
             && active.request.held
             && active.relayed.is_none()
             && !active.suspected
+            && active.arrivals() < active.max_arrivals
             && active.retry_budget > 0;
-        let [tried] = active.tried.as_slice() else {
+        let mut open = active.tried.iter().filter(|t| t.fate == Fate::Open);
+        let (Some(tried), None) = (open.next(), open.next()) else {
             return false;
         };
-        if !allowed || tried.fate != Fate::Open {
+        let Some(picker) = self.pickers.get(&active.request.service) else {
             return false;
+        };
+        if !allowed {
+            return false;
+        }
+        if self.pick.policy.name == Policy::EXPECTED_FINISH.name {
+            return is_worth_it(picker, active, tried, cx);
         }
-        let picker = self.pickers.get(&active.request.service);
-        let usual = picker.and_then(|picker| picker.latency_quantile(HEDGE_QUANTILE));
-        usual.is_some_and(|usual| now.saturating_sub(tried.sent) >= usual.max(SHORTEST_WAIT))
+        let first = active.tried.len() == 1;
+        let usual = picker.latency_quantile(HEDGE_QUANTILE).filter(|_| first);
+        usual.is_some_and(|usual| cx.now.saturating_sub(tried.sent) >= usual.max(SHORTEST_WAIT))
+    }
+}
+
+/// Returns whether a hedge is expected to bring the answer in time where the
+/// open attempt is not.
+fn is_worth_it(picker: &Picker, active: &Active, tried: &Tried, cx: &Cx<'_>) -> bool {
+    let upstreams = active.tried_upstreams();
+    let (class, work, bytes) = active.demand();
+    let wanted = Wanted {
+        data_centre: &cx.agent.data_centre,
+        tried: &upstreams,
+        class: &class,
+        work,
+        bytes,
+    };
+    let elapsed = cx.now.saturating_sub(tried.sent);
+    let Some(here) = picker.expected(cx.now, &tried.upstream, wanted) else {
+        return false;
+    };
+    let Some(there) = picker.best(cx.now, wanted) else {
+        return false;
+    };
+    let remains = remaining(elapsed, tried.expected, here);
+    if elapsed < SHORTEST_WAIT || there.as_secs_f64() > remains.as_secs_f64() * (1.0 - SAVING) {
+        return false;
+    }
+    let objective = active.objective.map(|o| active.arrived + o);
+    let target = objective.filter(|at| cx.now + there <= *at);
+    let target = target.unwrap_or(active.deadline);
+    cx.now + there <= target && cx.now + remains > target
+}
+
+/// Returns how much longer an attempt takes that was expected to take
+/// `at_first`, and would be expected to take `here` if it began now.
+fn remaining(elapsed: Duration, at_first: Duration, here: Duration) -> Duration {
+    let part = elapsed.as_secs_f64() / at_first.as_secs_f64().max(f64::EPSILON);
+    let by_progress = here.mul_f64((1.0 - part).max(LEAST_REMAINS));
+    if part < OVERDUE {
+        return by_progress;
     }
+    by_progress.max(elapsed.mul_f64(OVERDUE_REMAINS))
 }
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -33,6 +33,8 @@
     /// Host and path, if the route that they take decides service, class and
     /// time; `customer`, `service` and `class` are empty then.
     pub routed: Option<Routed>,
+    /// Bytes of the body, as far as they are known.
+    pub body_bytes: u64,
     /// Whether the whole body is held, so that it can be sent again.
     pub held: bool,
 }
@@ -82,6 +84,9 @@
     pub retry_budget: u32,
     /// Service asked for.
     pub service: ServiceId,
+    /// How slow the upstream is believed to be, in hundredths of the usual; 0
+    /// when it doesn't tell.
+    pub believed_slow_percent: u32,
     /// Class that it runs under.
     pub class: ClassId,
     /// Time within which the answer has its full worth, if one is stated.
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -43,6 +43,7 @@
             | RefuseReason::Convicted
             | RefuseReason::Duplicate
             | RefuseReason::Rejected
+            | RefuseReason::Slow
             | RefuseReason::Deadline => Reply::Full,
             _ => Reply::Shun(cx.now + SHUN),
         };
@@ -52,6 +53,9 @@
         {
             return;
         }
+        if reason == RefuseReason::Slow {
+            self.let_return(id, attempt);
+        }
         match reason {
             RefuseReason::Convicted => self.refused_as_convicted(id, cx),
             RefuseReason::Suspect => self.redirect(id, &refuse.only_at, cx),
@@ -66,6 +70,14 @@
         }
     }
 
+    fn let_return(&mut self, id: RequestId, attempt: AttemptId) {
+        let active = self.active.get_mut(&id);
+        let tried = active.and_then(|a| a.tried.iter_mut().find(|t| t.number == attempt));
+        if let Some(tried) = tried {
+            tried.may_return = true;
+        }
+    }
+
     pub(super) fn not_sent(&mut self, id: RequestId, attempt: AttemptId, cx: &mut Cx<'_>) {
         let reply = Reply::Shun(cx.now + SHUN);
         let closed = self.close(id, attempt, Fate::NotRun, reply, None, cx);
@@ -99,8 +111,12 @@
         } else {
             Reply::Answer(latency)
         };
+        let class = active.class_name.clone();
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             picker.replied(cx.now, &upstream, reply, load);
+            if status < SERVER_ERROR {
+                picker.worked(cx.now, &upstream, &class, latency);
+            }
         }
         self.cancel_others(id, attempt, cx);
     }
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -138,7 +138,9 @@
 /// Returns the final answer's reason after a gate's refusal.
 pub(super) fn reason_of(refused: RefuseReason) -> Reason {
     match refused {
-        RefuseReason::NoSlot | RefuseReason::Cold | RefuseReason::Rejected => Reason::Overload,
+        RefuseReason::NoSlot | RefuseReason::Cold | RefuseReason::Rejected | RefuseReason::Slow => {
+            Reason::Overload
+        }
         RefuseReason::Deadline => Reason::Deadline,
         RefuseReason::Suspect => Reason::Suspected,
         RefuseReason::Convicted => Reason::Convicted,
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -18,6 +18,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Retries that the whole call tree below a first call may spend.
 const TREE_RETRIES: u32 = 20;
+/// Part of its objective that a request's work takes, as long as none of its
+/// class was measured.
+const UNMEASURED_WORK: u32 = 4;
 /// Retries that an entry keeps for itself when it forwards a request.
 const KEPT_RETRIES: u32 = 1;
 
@@ -56,9 +59,14 @@
     pub(super) number: AttemptId,
     pub(super) upstream: UpstreamId,
     pub(super) sent: Duration,
+    /// Time to the answer that was expected then.
+    pub(super) expected: Duration,
     /// Retries handed to the call tree below.
     pub(super) handed: u32,
     pub(super) fate: Fate,
+    /// Whether the upstream may be chosen again: it was only slower than
+    /// believed.
+    pub(super) may_return: bool,
 }
 
 /// Where a request stands with its claim.
@@ -80,6 +88,7 @@
     pub(super) request: Request,
     pub(super) class: Class,
     pub(super) class_name: ClassId,
+    pub(super) arrived: Duration,
     pub(super) deadline: Duration,
     pub(super) claim: ClaimState,
     pub(super) tried: Vec<Tried>,
@@ -122,7 +131,16 @@
     }
 
     pub(super) fn tried_upstreams(&self) -> Vec<UpstreamId> {
-        self.tried.iter().map(|t| t.upstream.clone()).collect()
+        let tried = self.tried.iter().filter(|t| !t.may_return);
+        tried.map(|t| t.upstream.clone()).collect()
+    }
+
+    /// Returns the class, the time that the work takes as far as the class was
+    /// not measured yet, and the bytes to be sent.
+    pub(super) fn demand(&self) -> (ClassId, Duration, u64) {
+        let objective = self.objective.filter(|o| !o.is_zero());
+        let work = objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK;
+        (self.class_name.clone(), work, self.request.body_bytes)
     }
 
     /// Begins an attempt.
@@ -139,14 +157,17 @@
             number,
             upstream: upstream.clone(),
             sent: now,
+            expected: Duration::ZERO,
             handed,
             fate: Fate::Open,
+            may_return: false,
         });
         Attempt {
             request: self.request.id,
             attempt: number,
             upstream: upstream.clone(),
             address,
+            believed_slow_percent: 0,
             deadline: self.deadline.saturating_sub(now),
             retry_budget: handed,
             service: self.request.service.clone(),
@@ -159,6 +180,13 @@
         }
     }
 
+    /// Notes the time to the answer that is expected of an attempt.
+    pub(super) fn expect(&mut self, number: AttemptId, expected: Duration) {
+        if let Some(tried) = self.open(number) {
+            tried.expected = expected;
+        }
+    }
+
     /// Takes an attempt out of the retries left; returns how many of them the
     /// call tree below gets. What is handed down is lost to this entry unless
     /// the attempt is not run, so a tree never spends more than its root had.
@@ -220,6 +248,7 @@
         ClaimState::Needed
     };
     Ok(Active {
+        arrived: cx.now,
         deadline: cx.now + time,
         request,
         class,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -142,6 +142,9 @@
                 control.received(now, link, daemon, body, tx);
             }
         }
+        Body::LoadNews(news) => {
+            with_entry(node, now, tx, |entry, cx| entry.load_news(&news, cx));
+        }
         Body::AllowanceRequest(_) | Body::Allowance(_) => {
             node.allowances.received(now, link, body, &node.agent, tx);
         }
--- a/crates/node/tests/allowance.rs
+++ b/crates/node/tests/allowance.rs
@@ -65,6 +65,7 @@
         depth: 1,
         held: true,
         routed: None,
+        body_bytes: 0,
     }
 }
 
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -160,6 +160,8 @@
         weight: 1,
         suspected: false,
         objective: None,
+        link: 0,
+        believed_slow_percent: 0,
     };
     let arrived = admission::Event::Arrived(arrival);
     world.event(i, node::Event::Admission(arrived));
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -61,6 +61,7 @@
         depth: args.lookup_parse("depth")?.unwrap_or(1),
         held: args.lookup_parse("held")?.unwrap_or(true),
         routed: None,
+        body_bytes: 0,
     })
 }
 
@@ -77,6 +78,8 @@
         weight: 2,
         suspected: false,
         objective: None,
+        link: 0,
+        believed_slow_percent: 0,
     })
 }
 
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -245,6 +245,7 @@
             depth: 1,
             held: false,
             routed: None,
+            body_bytes: 0,
         };
         self.arrive(name, request);
         self.event(name, Event::Entry(entry::Event::CallerGone(id)));
@@ -269,6 +270,8 @@
                 weight: 1,
                 suspected: false,
                 objective: None,
+                link: 0,
+                believed_slow_percent: 0,
             };
             for event in [
                 admission::Event::Arrived(arrival),
@@ -634,6 +637,8 @@
             weight: attempt.weight,
             suspected: attempt.suspected,
             objective: None,
+            link: 0,
+            believed_slow_percent: 0,
         };
         let event = Event::Admission(admission::Event::Arrived(arrival));
         self.event(&attempt.upstream, event);
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -152,6 +152,7 @@
             depth: 1,
             held: true,
             routed: None,
+            body_bytes: 0,
         };
         let event = entry::Event::Arrived(request);
         self.world.event(i, Event::Entry(event));
@@ -210,6 +211,8 @@
             weight: 10,
             suspected: false,
             objective: None,
+            link: 0,
+            believed_slow_percent: 0,
         };
         let gate = call.gate.0;
         self.tickets.insert(ticket, call);
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -118,6 +118,7 @@
         depth: 1,
         held: true,
         routed: None,
+        body_bytes: 0,
     }
 }
 
--- a/crates/pick/src/budget.rs
+++ b/crates/pick/src/budget.rs
@@ -104,42 +104,79 @@
     }
 }
 
+/// What a ratio budget allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RatioLimits {
+    /// Retries a request, 0 to 1.
+    pub ratio: f64,
+    /// Retries that may be saved up at most, out of the ratio.
+    pub saved: f64,
+    /// Retries a second that are allowed without any traffic.
+    pub floor_per_second: f64,
+    /// Retries that may be saved up at most, out of the floor.
+    pub saved_floor: f64,
+}
+
+impl RatioLimits {
+    /// Returns the limits of `ratio` retries a request, 0 to 1, plus a small
+    /// floor that lets a daemon with little traffic retry too.
+    #[must_use]
+    pub fn new(ratio: f64) -> Self {
+        let any = if ratio > 0.0 { 1.0 } else { 0.0 };
+        Self {
+            ratio,
+            saved: ratio * SAVED_REQUESTS,
+            floor_per_second: any * FLOOR_PER_SECOND,
+            saved_floor: any * FLOOR_TOKENS,
+        }
+    }
+
+    /// Returns the limits of an entry whose budget is a part of one that is
+    /// counted over the whole fleet: what is saved up, and what is allowed
+    /// without traffic, adds up over all entries.
+    #[must_use]
+    pub fn shared(ratio: f64, saved: f64) -> Self {
+        Self {
+            ratio,
+            saved,
+            floor_per_second: 0.0,
+            saved_floor: 0.0,
+        }
+    }
+}
+
 /// Allows retries, or hedges, in proportion to recent requests.
 #[derive(Clone, Debug)]
 pub struct RatioBudget {
-    ratio: f64,
-    floor_per_second: f64,
+    limits: RatioLimits,
     earned: f64,
     floor: f64,
     filled: Duration,
 }
 
 impl RatioBudget {
-    /// Creates a budget of `ratio` retries a request, 0 to 1, plus a small
-    /// floor that lets a daemon with little traffic retry too.
+    /// Creates a budget that has saved up its floor.
     #[must_use]
-    pub fn new(ratio: f64) -> Self {
-        let floor = if ratio > 0.0 { 1.0 } else { 0.0 };
+    pub fn new(limits: RatioLimits) -> Self {
         Self {
-            ratio,
-            floor_per_second: floor * FLOOR_PER_SECOND,
+            limits,
             earned: 0.0,
-            floor: floor * FLOOR_TOKENS,
+            floor: limits.saved_floor,
             filled: Duration::ZERO,
         }
     }
 
     /// Counts a request.
     pub fn earn(&mut self) {
-        self.earned = (self.earned + self.ratio).min(self.ratio * SAVED_REQUESTS);
+        self.earned = (self.earned + self.limits.ratio).min(self.limits.saved);
     }
 
     /// Pays for a retry; returns whether it may be made.
     pub fn spend(&mut self, now: Duration) -> bool {
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        let most = FLOOR_TOKENS * self.floor_per_second / FLOOR_PER_SECOND;
-        self.floor = (self.floor + passed * self.floor_per_second).min(most);
+        let filled = self.floor + passed * self.limits.floor_per_second;
+        self.floor = filled.min(self.limits.saved_floor);
         if self.earned >= 1.0 - ROUNDING {
             self.earned -= 1.0;
             return true;
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod eject;
+mod finish;
 mod picker;
 mod policy;
 mod quantile;
@@ -10,7 +11,7 @@
 mod score;
 mod straggler;
 
-pub use budget::{MeasuringBudget, MeasuringCount, RatioBudget};
+pub use budget::{MeasuringBudget, MeasuringCount, RatioBudget, RatioLimits};
 pub use picker::{Candidate, PickSettings, Picker, Reply, Wanted};
 pub use policy::{Choice, Policy};
 pub use quantile::Quantiles;
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -1,6 +1,7 @@
 //! The load view of one service, and the choice among its upstreams.
 
 use crate::eject;
+use crate::finish::{self, Job};
 use crate::policy::{Choice, Policy};
 use crate::quantile::Quantiles;
 use crate::record::Record;
@@ -8,8 +9,16 @@
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{DataCentreId, Load, UpstreamId};
+use wire::{ClassId, DataCentreId, Load, UpstreamId};
 
+/// Time that the way to another data centre and back takes, about.
+const FAR_WAY: Duration = Duration::from_millis(4);
+/// Part of a new time in the smoothed time of a class.
+const WORK_SMOOTHING: f64 = 0.1;
+/// Classes whose times are kept.
+const MAX_CLASSES: usize = 1_024;
+/// Bytes of a kilobyte.
+const KILOBYTE: f64 = 1_024.0;
 /// Smallest part of its traffic that a returning upstream gets.
 const SMALLEST_PART: f64 = 0.05;
 
@@ -31,6 +40,8 @@
     pub eject_ratio: f64,
     /// Time for a returned upstream to get its whole part.
     pub return_ramp: Duration,
+    /// Time that sending a kilobyte to another data centre is worth.
+    pub far_per_kb: Duration,
     /// The way to choose.
     pub policy: Policy,
 }
@@ -42,6 +53,12 @@
     pub data_centre: &'a str,
     /// Upstreams that were tried already.
     pub tried: &'a [UpstreamId],
+    /// Class of the request.
+    pub class: &'a str,
+    /// Time that the work takes, as long as none of the class was measured.
+    pub work: Duration,
+    /// Bytes of the request and, as far as known, of its answer.
+    pub bytes: u64,
 }
 
 /// How an upstream answered.
@@ -65,6 +82,8 @@
     candidates: Vec<Candidate>,
     records: BTreeMap<UpstreamId, Record>,
     latencies: Quantiles,
+    /// Smoothed time of each class at an upstream as usual, in seconds.
+    work: BTreeMap<ClassId, f64>,
     turn: u64,
     used: Duration,
 }
@@ -78,6 +97,7 @@
             candidates: Vec::new(),
             records: BTreeMap::new(),
             latencies: Quantiles::default(),
+            work: BTreeMap::new(),
             turn: 0,
             used: Duration::ZERO,
         }
@@ -159,13 +179,72 @@
         };
         record.word(now, load);
         match reply {
-            Reply::Answer(latency) => record.succeeded(now, latency),
+            Reply::Answer(latency) => {
+                let usual = latency.div_f64(finish::slowness(record, now).max(1.0));
+                record.succeeded(now, usual);
+            }
             Reply::Failure => record.failed(now),
             Reply::Shun(until) => record.shunned_until = until,
             Reply::Full => {}
         }
     }
 
+    /// Records how long a request of a class took at an upstream.
+    pub fn worked(&mut self, now: Duration, upstream: &str, class: &str, latency: Duration) {
+        let Some(record) = self.records.get(upstream) else {
+            return;
+        };
+        let usual = latency.as_secs_f64() / finish::slowness(record, now).max(1.0);
+        let known = self.work.get(class).copied();
+        if known.is_some() || self.work.len() < MAX_CLASSES {
+            let smoothed = known.map_or(usual, |old| old + WORK_SMOOTHING * (usual - old));
+            self.work.insert(class.into(), smoothed);
+        }
+    }
+
+    /// Returns the expected time to the answer at an upstream.
+    #[must_use]
+    pub fn expected(&self, now: Duration, upstream: &str, wanted: Wanted<'_>) -> Option<Duration> {
+        let choices = self.choices(
+            now,
+            Wanted {
+                tried: &[],
+                ..wanted
+            },
+        );
+        let position = self
+            .candidates
+            .iter()
+            .position(|c| c.upstream == upstream)?;
+        let choice = choices.iter().find(|c| c.index == position)?;
+        Duration::try_from_secs_f64(choice.finish).ok()
+    }
+
+    /// Returns the shortest expected time to the answer among the upstreams
+    /// that were not tried and need not be left alone.
+    #[must_use]
+    pub fn best(&self, now: Duration, wanted: Wanted<'_>) -> Option<Duration> {
+        let choices = self.choices(now, wanted).into_iter();
+        let usable = choices.filter(|c| !c.avoid);
+        let best = usable.map(|c| c.finish).min_by(f64::total_cmp)?;
+        Duration::try_from_secs_f64(best).ok()
+    }
+
+    /// Returns how slow an upstream is believed to be, in hundredths of the
+    /// usual; 0 when it doesn't tell.
+    #[must_use]
+    pub fn believed_slow_percent(&self, upstream: &str) -> u32 {
+        let heard = self.records.get(upstream).and_then(|r| r.heard.as_ref());
+        heard.map_or(0, |heard| heard.load.slow_percent)
+    }
+
+    /// Takes in what an upstream's gate told without being asked.
+    pub fn told(&mut self, now: Duration, upstream: &str, load: Load) {
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.told(now, load);
+        }
+    }
+
     /// Records that a request which was sent is over here.
     pub fn over(&mut self, upstream: &str) {
         if let Some(record) = self.records.get_mut(upstream) {
@@ -196,7 +275,7 @@
             .filter(|(_, c)| !wanted.tried.contains(&c.upstream))
             .filter_map(|(index, c)| {
                 let record = self.records.get(&c.upstream)?;
-                Some(self.choice(now, index, c, record, median, wanted.data_centre))
+                Some(self.choice(now, (index, c), record, median, wanted))
             })
             .collect()
     }
@@ -204,18 +283,20 @@
     fn choice(
         &self,
         now: Duration,
-        index: usize,
-        candidate: &Candidate,
+        (index, candidate): (usize, &Candidate),
         record: &Record,
         median: Option<f64>,
-        data_centre: &str,
+        wanted: Wanted<'_>,
     ) -> Choice {
         let slowness = straggler::slowness(record, median, now);
+        let local = candidate.data_centre == wanted.data_centre;
+        let job = self.job(local, wanted);
         let word = self.last_word_of_peers(&candidate.upstream);
         let frozen = straggler::is_frozen(record, median, word, now);
         Choice {
             index,
-            local: candidate.data_centre == data_centre,
+            local,
+            finish: finish::expected(record, candidate.slots, slowness, job, now),
             score: score::score(record, candidate.slots, now) * slowness,
             own: record.own,
             part: self.part(record, now),
@@ -223,6 +304,17 @@
         }
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
+    fn job(&self, local: bool, wanted: Wanted<'_>) -> Job {
+        let kilobytes = wanted.bytes as f64 / KILOBYTE;
+        let far = FAR_WAY.as_secs_f64() + self.settings.far_per_kb.as_secs_f64() * kilobytes;
+        let measured = self.work.get(wanted.class).copied();
+        Job {
+            work: measured.unwrap_or(wanted.work.as_secs_f64()),
+            way: if local { 0.0 } else { far },
+        }
+    }
+
     fn last_word_of_peers(&self, upstream: &str) -> Option<Duration> {
         let peers = self.records.iter().filter(|(name, _)| *name != upstream);
         peers.filter_map(|(_, record)| record.last_word).max()
--- a/crates/pick/src/policy.rs
+++ b/crates/pick/src/policy.rs
@@ -12,6 +12,8 @@
     pub local: bool,
     /// Load that it would bear with one request more; 1 is full.
     pub score: f64,
+    /// Time to the answer that is expected of it, in seconds.
+    pub finish: f64,
     /// Requests of this entry that it works on.
     pub own: u32,
     /// Part of its normal traffic that it may get now, 0 to 1.
@@ -44,6 +46,12 @@
         choose: two_choices,
         gateless: false,
     };
+    /// The upstream that is expected to answer first.
+    pub const EXPECTED_FINISH: Self = Self {
+        name: "expected_finish",
+        choose: expected_finish,
+        gateless: false,
+    };
     /// Any upstream, with equal chance.
     pub const RANDOM: Self = Self {
         name: "random",
@@ -78,21 +86,22 @@
 /// How much lower a score in another data centre must be.
 const SPILL_MARGIN: f64 = 0.1;
 
+/// Part by which expected times are varied, so that entries that know the same
+/// don't all choose the same upstream.
+const FINISH_SPREAD: f64 = 0.1;
+
+fn expected_finish(rng: &mut SmallRng, choices: &[Choice], _turn: u64) -> Option<usize> {
+    let pool = admitted(rng, choices);
+    let varied = pool.into_iter().map(|c| {
+        let finish = c.finish * (1.0 + FINISH_SPREAD * rng.random::<f64>());
+        (finish, c.index)
+    });
+    let first = varied.min_by(|a, b| a.0.total_cmp(&b.0));
+    first.map(|(_, index)| index)
+}
+
 fn two_choices(rng: &mut SmallRng, choices: &[Choice], _turn: u64) -> Option<usize> {
-    let mut usable: Vec<Choice> = choices.iter().filter(|c| !c.avoid).copied().collect();
-    if usable.is_empty() {
-        usable = choices.to_vec();
-    }
-    let admitted: Vec<Choice> = usable
-        .iter()
-        .filter(|c| c.part >= 1.0 || rng.random::<f64>() < c.part)
-        .copied()
-        .collect();
-    let pool = if admitted.is_empty() {
-        usable
-    } else {
-        admitted
-    };
+    let pool = admitted(rng, choices);
     let (near, far): (Vec<Choice>, Vec<Choice>) = pool.iter().partition(|c| c.local);
     let near = better_of_two(rng, &near);
     let crowded = near.is_none_or(|c| c.score >= SPILL_SCORE);
@@ -108,6 +117,25 @@
     }
 }
 
+/// Returns the upstreams that may be chosen now, as far as there are any that
+/// should not be left alone.
+fn admitted(rng: &mut SmallRng, choices: &[Choice]) -> Vec<Choice> {
+    let mut usable: Vec<Choice> = choices.iter().filter(|c| !c.avoid).copied().collect();
+    if usable.is_empty() {
+        usable = choices.to_vec();
+    }
+    let admitted: Vec<Choice> = usable
+        .iter()
+        .filter(|c| c.part >= 1.0 || rng.random::<f64>() < c.part)
+        .copied()
+        .collect();
+    if admitted.is_empty() {
+        usable
+    } else {
+        admitted
+    }
+}
+
 fn better_of_two(rng: &mut SmallRng, choices: &[Choice]) -> Option<Choice> {
     let len = choices.len();
     if len < 2 {
--- a/crates/pick/src/record.rs
+++ b/crates/pick/src/record.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Takes in what the gate told on its own: everything of this entry that
+    /// the gate knows of is still under way.
+    pub(crate) fn told(&mut self, now: Duration, load: Load) {
+        let own = self.own.min(load.in_flight + load.waiting);
+        self.heard = Some(Heard { at: now, load, own });
+    }
+
     pub(crate) fn succeeded(&mut self, now: Duration, latency: Duration) {
         let seconds = latency.as_secs_f64();
         let old = self.latency.map_or(seconds, |(old, _)| old);
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -3,7 +3,10 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use goldenscript::{ArgumentConsumer, Command};
-use pick::{Candidate, MeasuringBudget, PickSettings, Picker, Policy, RatioBudget, Reply, Wanted};
+use pick::{
+    Candidate, MeasuringBudget, PickSettings, Picker, Policy, RatioBudget, RatioLimits, Reply,
+    Wanted,
+};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -28,6 +31,7 @@
         eject_ratio: 0.3,
         return_ramp: Duration::from_secs(20),
         policy,
+        far_per_kb: Duration::ZERO,
     }
 }
 
@@ -48,7 +52,7 @@
             picker: Picker::new(settings(Policy::default())),
             names: Vec::new(),
             measuring: MeasuringBudget::new(0, 0),
-            ratio: RatioBudget::new(0.0),
+            ratio: RatioBudget::new(RatioLimits::new(0.0)),
             rng: SmallRng::seed_from_u64(7),
             now: Duration::ZERO,
         }
@@ -81,6 +85,9 @@
         let wanted = Wanted {
             data_centre: "ams",
             tried: &[],
+            class: "",
+            work: Duration::from_millis(100),
+            bytes: 0,
         };
         let mut out = String::new();
         for choice in self.picker.choices(self.now, wanted) {
@@ -103,6 +110,9 @@
             let wanted = Wanted {
                 data_centre: "ams",
                 tried,
+                class: "",
+                work: Duration::from_millis(100),
+                bytes: 0,
             };
             let name = self.picker.choose(self.now, &mut self.rng, wanted);
             *chosen.entry(name.unwrap_or("nobody".into())).or_default() += 1;
@@ -213,7 +223,10 @@
                 writeln!(out, "{} of {count} paid", paid.count())?;
                 writeln!(out, "{:?}", self.measuring.count())?;
             }
-            "ratio" => self.ratio = RatioBudget::new(args.next_pos().ok_or("ratio")?.parse()?),
+            "ratio" => {
+                let ratio = args.next_pos().ok_or("ratio")?.parse()?;
+                self.ratio = RatioBudget::new(RatioLimits::new(ratio));
+            }
             "requests" => {
                 let count: u32 = args.next_pos().ok_or("count missing")?.parse()?;
                 (0..count).for_each(|_| self.ratio.earn());
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -62,6 +62,7 @@
             end: self.held,
             weight: attempt.weight,
             suspected: attempt.suspected,
+            believed_slow_percent: attempt.believed_slow_percent,
             objective_ms: attempt
                 .objective
                 .map_or(0, |o| u64::try_from(o.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -71,6 +71,7 @@
         retry_budget: inbound.retry_budget,
         depth: inbound.depth,
         routed: inbound.routed.clone(),
+        body_bytes: inbound.body_len.unwrap_or(held.first.len() as u64),
         held: held.rest.is_none(),
     };
     let outgoing = Outgoing::new(inbound, held.first, fingerprint, request.held);
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -16,7 +16,7 @@
 use gate::Ticket;
 use job::Job;
 use node::admission::{Arrival, Effect};
-use node::{Event, admission};
+use node::{Event, LinkId, admission};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -57,7 +57,7 @@
         return;
     };
     lock(&daemon.tickets).insert(ticket, tx);
-    let arrival = arrival(ticket, &open);
+    let arrival = arrival(ticket, link.id(), &open);
     let job = Job::new(
         daemon.clone(),
         link.clone(),
@@ -69,9 +69,11 @@
     tokio::spawn(job.run(method));
 }
 
-fn arrival(ticket: Ticket, open: &Open) -> Arrival {
+fn arrival(ticket: Ticket, link: LinkId, open: &Open) -> Arrival {
     Arrival {
         ticket,
+        link,
+        believed_slow_percent: open.believed_slow_percent,
         service: open.service.as_str().into(),
         customer: open.customer.as_str().into(),
         class: open.class.as_str().into(),
--- a/crates/plumhitchd/src/links/accept.rs
+++ b/crates/plumhitchd/src/links/accept.rs
@@ -32,7 +32,7 @@
     if let Err(err) = prepare(&stream) {
         log::warn!("event=socket_option_refused reason=\"{err}\"");
     }
-    let (link, rx) = Link::new();
+    let (link, rx) = Link::new(id);
     lock(&daemon.links.accepted).insert(id, link.clone());
     let reason = run(&daemon, &link, stream, rx, Side::Accepted(id)).await;
     log::debug!("event=link_closed link={id} reason=\"{reason}\"");
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -13,6 +13,9 @@
 use tokio::time::timeout;
 use wire::{Body, LinkKind};
 
+/// Number of the connections that this daemon dialled.
+const DIALLED: node::LinkId = 0;
+
 type Key = (CompactString, LinkKind);
 
 /// Sends a message over the connection of this kind to an address.
@@ -42,7 +45,7 @@
 }
 
 fn dial(daemon: &Arc<Daemon>, key: Key) -> Arc<Link> {
-    let (link, rx) = Link::new();
+    let (link, rx) = Link::new(DIALLED);
     tokio::spawn(connect(daemon.clone(), key, link.clone(), rx));
     link
 }
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -2,6 +2,7 @@
 
 use super::stream::{Slot, Streams};
 use crate::clock;
+use node::LinkId;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,6 +15,8 @@
 /// An open connection to another daemon.
 #[derive(Debug)]
 pub(crate) struct Link {
+    /// Number of an accepted connection; 0 of one that this daemon dialled.
+    id: LinkId,
     /// Request streams on it.
     pub(super) streams: Streams,
     tx: mpsc::UnboundedSender<Body>,
@@ -22,9 +25,10 @@
 
 impl Link {
     /// Creates a connection's handle, and the end that its writer reads.
-    pub(super) fn new() -> (Arc<Self>, FrameRx) {
+    pub(super) fn new(id: LinkId) -> (Arc<Self>, FrameRx) {
         let (tx, rx) = mpsc::unbounded_channel();
         let link = Self {
+            id,
             streams: Streams::default(),
             tx,
             used_ms: AtomicU64::new(now_ms()),
@@ -32,6 +36,11 @@
         (Arc::new(link), rx)
     }
 
+    /// Returns the number of an accepted connection.
+    pub(crate) fn id(&self) -> LinkId {
+        self.id
+    }
+
     /// Queues a frame; it is dropped if the connection is gone.
     pub(crate) fn send(&self, body: Body) {
         let _ = self.tx.send(body);
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -75,6 +75,10 @@
     /// none stated.
     #[prost(uint64, tag = "19")]
     pub objective_ms: u64,
+    /// How slow the entry believes the upstream to be, in hundredths of the
+    /// usual; 0 when it doesn't choose by that.
+    #[prost(uint32, tag = "20")]
+    pub believed_slow_percent: u32,
 }
 
 /// A piece of a body, in either direction.
@@ -159,6 +163,17 @@
     pub slow_percent: u32,
 }
 
+/// A gate tells an entry that sent to it lately how loaded its upstream is.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LoadNews {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its load.
+    #[prost(message, required, tag = "2")]
+    pub load: Load,
+}
+
 /// Why a gate did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
@@ -193,6 +208,8 @@
     Malformed = 13,
     /// The upstream got the request and said that it did not run it.
     Rejected = 14,
+    /// The upstream is slower now than the entry believed when it chose.
+    Slow = 15,
 }
 
 /// The gate did not run the request: nothing of it has reached the upstream.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,7 @@
 //! The envelope around every message.
 
 use crate::control::{ControlReply, ControlRequest, Heartbeat, HeartbeatReply};
-use crate::data::{AnswerHead, Cancel, Credit, Data, Open, Refuse, Reset, Suspect};
+use crate::data::{AnswerHead, Cancel, Credit, Data, LoadNews, Open, Refuse, Reset, Suspect};
 use crate::quota::{Allowance, AllowanceRequest};
 use crate::replica::ReplicaMessage;
 
@@ -14,7 +14,7 @@
     /// What the frame carries; absent when a newer peer sent a kind unknown here.
     #[prost(
         oneof = "Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<Body>,
 }
@@ -78,6 +78,9 @@
     /// Traffic of the replicated log.
     #[prost(message, tag = "16")]
     Replica(ReplicaMessage),
+    /// A gate tells how loaded its upstream is.
+    #[prost(message, tag = "17")]
+    LoadNews(LoadNews),
 }
 
 /// Introduces a daemon on a new connection.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,8 +22,8 @@
     Subscription, UpstreamInfo, control_reply, control_request,
 };
 pub use data::{
-    AnswerHead, Cancel, Credit, Data, Header, Load, Open, Refuse, RefuseReason, Reset, ResetReason,
-    Suspect, SuspectState, Verdict,
+    AnswerHead, Cancel, Credit, Data, Header, Load, LoadNews, Open, Refuse, RefuseReason, Reset,
+    ResetReason, Suspect, SuspectState, Verdict,
 };
 pub use frame::{Body, Frame, Hello, LinkKind, PROTOCOL_VERSION};
 pub use ids::{
