--- /dev/null
+++ b/crates/conf/tests/routes.rs
@@ -0,0 +1,182 @@
+//! Routes: which one a request takes, and how they are changed.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use conf::{ConfigState, Configuration, Receiver, RouteTable, Transfers};
+use test_case::test_case;
+use wire::{
+    ChangeResult, DataCentreOrder, Route, RouteKind, RoutePart, Routing, RoutingChange,
+    ServiceRules,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent.into(),
+        timeout_ms: 800,
+        objective_ms: 200,
+        priority: 1,
+        attempts: 2,
+        parts: vec![RoutePart {
+            service: "booking".into(),
+            weight: 1,
+        }],
+        split: false,
+    }
+}
+
+fn service(name: &str) -> ServiceRules {
+    ServiceRules {
+        name: name.into(),
+        ..ServiceRules::default()
+    }
+}
+
+fn whole(version: u64, base: u64) -> RoutingChange {
+    RoutingChange {
+        version,
+        base,
+        whole: true,
+        routes: vec![route("r1", "a.example", "/x/")],
+        services: vec![service("booking"), service("club")],
+        ..RoutingChange::default()
+    }
+}
+
+fn founded() -> ConfigState {
+    let mut state = ConfigState::default();
+    state.initialise();
+    state
+}
+
+fn result(state: &mut ConfigState, change: &RoutingChange) -> ChangeResult {
+    state.apply_routing(change).result()
+}
+
+#[test_case("a.example", "/x/1", Some("short"); "one prefix")]
+#[test_case("a.example", "/x/y/1", Some("long"); "longest prefix")]
+#[test_case("A.Example:8080", "/x/1?q=/x/y/", Some("short"); "port, case and query")]
+#[test_case("a.example", "/x", None; "no slash at the end")]
+#[test_case("b.example", "/x/1", None; "other host")]
+fn find_takes_the_longest_prefix(host: &str, path: &str, expected: Option<&str>) {
+    let table = RouteTable::new(Routing {
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+        ],
+        ..Routing::default()
+    });
+    assert_eq!(table.find(host, path).map(|r| r.name.as_str()), expected);
+}
+
+#[test]
+fn apply_routing_same_again_gets_the_same_outcome() {
+    let mut state = founded();
+    assert_eq!(result(&mut state, &whole(7, 0)), ChangeResult::Accepted);
+    let next = RoutingChange {
+        version: 9,
+        base: 7,
+        removed_routes: vec!["r1".into()],
+        ..RoutingChange::default()
+    };
+    assert_eq!(result(&mut state, &next), ChangeResult::Accepted);
+    assert_eq!(result(&mut state, &whole(7, 0)), ChangeResult::Accepted);
+    assert_eq!(result(&mut state, &next), ChangeResult::Accepted);
+    let current = state.current().routing.content();
+    assert_eq!((current.version, current.routes.len()), (9, 0));
+}
+
+#[test]
+fn apply_routing_race_has_one_winner() {
+    let mut state = founded();
+    result(&mut state, &whole(7, 0));
+    let mut other = whole(9, 7);
+    other.routes[0].timeout_ms = 900;
+    assert_eq!(result(&mut state, &whole(9, 7)), ChangeResult::Accepted);
+    assert_eq!(result(&mut state, &other), ChangeResult::Conflict);
+    let current = state.current().routing.content();
+    assert_eq!(current.routes[0].timeout_ms, 800);
+}
+
+#[test]
+fn apply_routing_change_touches_only_what_it_names() {
+    let mut state = founded();
+    result(&mut state, &whole(7, 0));
+    let change = RoutingChange {
+        version: 8,
+        base: 7,
+        routes: vec![route("r2", "a.example", "/y/")],
+        removed_services: vec!["club".into()],
+        ..RoutingChange::default()
+    };
+    assert_eq!(result(&mut state, &change), ChangeResult::Accepted);
+    let routing = state.current().routing.content();
+    let names: Vec<&str> = routing.routes.iter().map(|r| r.name.as_str()).collect();
+    assert_eq!((names, routing.services.len()), (vec!["r1", "r2"], 1));
+}
+
+#[test_case(|c| c.version = 7; "version not above")]
+#[test_case(|c| c.routes[0].timeout_ms = 0; "no timeout")]
+#[test_case(|c| c.routes[0].objective_ms = 60_800; "objective a minute above")]
+#[test_case(|c| c.routes[0].host.clear(); "no host")]
+#[test_case(|c| c.routes[0].kind = 0; "unknown kind")]
+#[test_case(|c| c.routes[0].parts[0].service = "none".into(); "unknown service")]
+#[test_case(|c| c.routes[0].parts[0].weight = 0; "no weight")]
+#[test_case(|c| c.routes[0].prefix = "/x".into(); "prefix without a slash")]
+#[test_case(|c| c.routes.push(route("r1", "b.example", "/")); "name twice")]
+#[test_case(|c| c.routes.push(route("r2", "A.example", "/x/")); "place twice")]
+fn apply_routing_invalid_changes_nothing(spoil: fn(&mut RoutingChange)) {
+    let mut state = founded();
+    result(&mut state, &whole(7, 0));
+    let before = state.current().clone();
+    let mut change = whole(9, 7);
+    spoil(&mut change);
+    assert_eq!(result(&mut state, &change), ChangeResult::Invalid);
+    assert_eq!(state.current(), &before);
+}
+
+#[test]
+fn apply_data_centre_twice_is_as_once() {
+    let mut state = founded();
+    let order = |out| DataCentreOrder {
+        data_centre: "ams".into(),
+        out,
+    };
+    state.apply_data_centre(&order(true));
+    let version = state.current().version;
+    state.apply_data_centre(&order(true));
+    assert_eq!(state.current().version, version);
+    assert!(state.current().is_out("booking-1", "ams"));
+    state.apply_data_centre(&order(false));
+    assert!(!state.current().is_out("booking-1", "ams"));
+}
+
+#[test]
+fn restore_remembers_accepted_changes() {
+    let mut state = founded();
+    result(&mut state, &whole(7, 0));
+    let mut restored = ConfigState::restore(state.snapshot()).unwrap();
+    assert_eq!(restored.current(), state.current());
+    assert_eq!(result(&mut restored, &whole(7, 0)), ChangeResult::Accepted);
+}
+
+/// Daemons get the routing with the whole, and again only when it changed.
+#[test]
+fn transfer_carries_the_routing_when_it_changed() {
+    let mut state = founded();
+    result(&mut state, &whole(7, 0));
+    let (mut transfers, mut config) = (Transfers::default(), Configuration::default());
+    let mut receiver = Receiver::default();
+    let delta = transfers.page(&state, 0, 0).unwrap();
+    receiver.take(&mut config, 1, delta).unwrap();
+    assert_eq!(config, *state.current());
+    state.apply_data_centre(&DataCentreOrder {
+        data_centre: "ams".into(),
+        out: true,
+    });
+    let delta = transfers.page(&state, config.version, 0).unwrap();
+    assert!(delta.routing.is_none());
+    receiver.take(&mut config, 1, delta).unwrap();
+    assert_eq!(config, *state.current());
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -170,7 +170,14 @@
     /// Takes the upstream's own load report in.
     pub fn report(&mut self, now: Duration, report: LoadReport) {
         self.pass(now);
-        self.inheritance.report(now, report.in_flight);
+        match report.slow_percent {
+            // It came with an answer and counts what this gate has under way.
+            Some(_) => {
+                let foreign = report.in_flight.saturating_sub(self.slots.len());
+                self.inheritance.report_prompt(foreign);
+            }
+            None => self.inheritance.report(now, report.in_flight),
+        }
         self.hint = report.limit.map(|limit| (now, limit));
         if let Some(left) = report.cold {
             self.cold.stated(now, left);
--- a/crates/gate/src/inheritance.rs
+++ b/crates/gate/src/inheritance.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Takes in how much of what the upstream works on came from elsewhere, as
+    /// it stands at this moment.
+    pub(crate) fn report_prompt(&mut self, foreign: u32) {
+        self.over |= foreign == 0;
+    }
+
     /// Returns how many requests may run now, if caution still applies.
     pub(crate) fn limit(&self, now: Duration, cold_slots: u32, slots: u32) -> Option<u32> {
         let since = self.since?;
--- /dev/null
+++ b/crates/gate/tests/cold.rs
@@ -0,0 +1,162 @@
+//! A cold upstream never gets more a second than it bears.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use gate::{Ask, Gate, GateLimits, LoadReport, Outcome, Turn};
+use std::collections::VecDeque;
+use std::time::Duration;
+use test_case::test_case;
+use wire::Announcement;
+
+const PER_SECOND: u32 = 10;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn gate() -> Gate {
+    let mut gate = Gate::new(GateLimits {
+        cold_slots: 100,
+        ramp_answers: 1,
+        queue_ratio: 0.0,
+        idle: ms(600_000),
+        expects_reports: false,
+        unlimited: false,
+    });
+    gate.limit_cold(Some(PER_SECOND));
+    gate
+}
+
+fn announcement(boot: &str, cold_ms: u64) -> Announcement {
+    Announcement {
+        service: "booking".into(),
+        slots: 100,
+        boot: boot.into(),
+        cold_ms,
+        ..Announcement::default()
+    }
+}
+
+/// Offers a request every 5 ms; returns when one was admitted.
+fn offer(gate: &mut Gate, from: u64, to: u64) -> Vec<u64> {
+    let mut admitted = Vec::new();
+    for at in (from..to).step_by(5) {
+        let ask = Ask {
+            ticket: at,
+            service: "booking".into(),
+            customer: "".into(),
+            share: 1,
+            class: "page".into(),
+            weight: 1,
+        };
+        if gate.admit(ms(at), &ask) == Ok(Turn::Now) {
+            admitted.push(at);
+            gate.finish(ms(at + 1), at, Outcome::Whole(200));
+        }
+    }
+    admitted
+}
+
+/// Returns the most that any second got.
+fn busiest_second(admitted: &[u64]) -> usize {
+    let mut window = VecDeque::new();
+    let mut most = 0;
+    for at in admitted {
+        window.push_back(*at);
+        while window.front().is_some_and(|first| at - first >= 1_000) {
+            window.pop_front();
+        }
+        most = most.max(window.len());
+    }
+    most
+}
+
+#[test]
+fn admit_cold_keeps_the_rate_in_every_second() {
+    let mut gate = gate();
+    gate.announce(ms(0), announcement("b1", 3_000));
+    let admitted = offer(&mut gate, 0, 3_000);
+    assert_eq!(busiest_second(&admitted), PER_SECOND as usize);
+}
+
+/// What a predecessor of the gate sent in the last second isn't known.
+#[test]
+fn admit_after_the_gates_own_start_counts_the_last_second_as_full() {
+    let mut gate = gate();
+    gate.announce(ms(5_000), announcement("b1", 3_000));
+    let admitted = offer(&mut gate, 5_000, 8_000);
+    assert!(admitted[0] >= 6_000, "{admitted:?}");
+}
+
+#[test]
+fn admit_counts_what_was_sent_while_warm() {
+    let mut gate = gate();
+    gate.announce(ms(0), announcement("b1", 0));
+    assert_eq!(offer(&mut gate, 2_000, 2_200).len(), 40);
+    let report = LoadReport {
+        in_flight: 0,
+        limit: None,
+        cold: Some(ms(3_000)),
+        slow_percent: Some(100),
+    };
+    gate.report(ms(2_200), report);
+    let admitted = offer(&mut gate, 2_200, 4_000);
+    assert!(admitted[0] >= 3_000, "{admitted:?}");
+}
+
+#[test_case(Outcome::Refused; "connection refused")]
+#[test_case(Outcome::Broken; "connection broken")]
+fn admit_after_a_doubt_is_cold_until_the_upstream_says_otherwise(outcome: Outcome) {
+    let mut gate = gate();
+    gate.announce(ms(0), announcement("b1", 0));
+    let first = offer(&mut gate, 2_000, 2_005);
+    assert_eq!(first.len(), 1);
+    let ask = Ask {
+        ticket: 1,
+        service: "booking".into(),
+        customer: "".into(),
+        share: 1,
+        class: "page".into(),
+        weight: 1,
+    };
+    gate.admit(ms(2_010), &ask).unwrap();
+    gate.finish(ms(2_011), 1, outcome);
+    let admitted = offer(&mut gate, 2_015, 2_900);
+    assert_eq!(admitted.len() + 2, PER_SECOND as usize);
+    let report = LoadReport {
+        in_flight: 0,
+        limit: None,
+        cold: Some(ms(0)),
+        slow_percent: Some(100),
+    };
+    gate.report(ms(2_900), report);
+    assert_eq!(offer(&mut gate, 2_900, 3_000).len(), 20);
+}
+
+/// After the gate's own start a report that counts the gate's own requests
+/// doesn't take their slots away twice.
+#[test]
+fn report_with_an_answer_does_not_count_own_requests_as_foreign() {
+    let mut gate = gate();
+    gate.announce(ms(0), announcement("b1", 0));
+    let ask = |ticket| Ask {
+        ticket,
+        service: "booking".into(),
+        customer: "".into(),
+        share: 1,
+        class: "page".into(),
+        weight: 1,
+    };
+    for ticket in 0..60 {
+        assert_eq!(gate.admit(ms(2_000), &ask(ticket)), Ok(Turn::Now));
+    }
+    gate.report(
+        ms(2_010),
+        LoadReport {
+            in_flight: 60,
+            limit: None,
+            cold: None,
+            slow_percent: Some(100),
+        },
+    );
+    assert_eq!(gate.admit(ms(2_020), &ask(60)), Ok(Turn::Now));
+}
--- /dev/null
+++ b/crates/http1/tests/body.rs
@@ -0,0 +1,82 @@
+//! Bodies, whole and broken off.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use bytes::BytesMut;
+use http1::{BodyError, BodyReader, Framing, Piece, write_chunk, write_last_chunk};
+use proptest::prelude::*;
+use test_case::test_case;
+
+/// Reads what is at hand; returns the body so far and whether it is whole.
+fn read(reader: &mut BodyReader, buf: &mut BytesMut) -> Result<(Vec<u8>, bool), BodyError> {
+    let mut body = Vec::new();
+    loop {
+        match reader.next(buf)? {
+            Piece::Bytes(bytes) => body.extend_from_slice(&bytes),
+            Piece::NeedMore => return Ok((body, false)),
+            Piece::End => return Ok((body, true)),
+        }
+    }
+}
+
+#[test_case(Framing::Empty, "", "", true; "empty")]
+#[test_case(Framing::Length(3), "abcdef", "abc", true; "length")]
+#[test_case(Framing::Length(3), "ab", "ab", false; "length not there yet")]
+#[test_case(Framing::Chunked, "3\r\nabc\r\n0\r\n\r\n", "abc", true; "chunks")]
+#[test_case(Framing::Chunked, "3;x=y\r\nabc\r\n0\r\nt: 1\r\n\r\n", "abc", true; "extension and trailer")]
+#[test_case(Framing::Chunked, "3\r\nabc\r\n", "abc", false; "chunks without a last one")]
+#[test_case(Framing::UntilClose, "abc", "abc", false; "until close")]
+fn next_valid(framing: Framing, text: &str, body: &str, whole: bool) {
+    let mut reader = BodyReader::new(framing);
+    let found = read(&mut reader, &mut BytesMut::from(text)).unwrap();
+    assert_eq!(found, (body.as_bytes().to_vec(), whole));
+}
+
+#[test_case("x\r\n"; "no size")]
+#[test_case("3\r\nabcd\r\n"; "longer than its size")]
+#[test_case("fffffffffffffffff\r\n"; "size too large")]
+fn next_malformed(text: &str) {
+    let mut reader = BodyReader::new(Framing::Chunked);
+    let found = read(&mut reader, &mut BytesMut::from(text));
+    assert_eq!(found, Err(BodyError::Malformed));
+}
+
+#[test_case(Framing::Length(3), "ab", Err(BodyError::Truncated); "length")]
+#[test_case(Framing::Chunked, "3\r\nabc\r\n", Err(BodyError::Truncated); "chunks")]
+#[test_case(Framing::Chunked, "3\r\nabc\r\n0\r\n", Err(BodyError::Truncated); "last chunk cut")]
+#[test_case(Framing::UntilClose, "ab", Ok(()); "until close")]
+fn closed_in_the_middle(framing: Framing, text: &str, expected: Result<(), BodyError>) {
+    let mut reader = BodyReader::new(framing);
+    read(&mut reader, &mut BytesMut::from(text)).unwrap();
+    assert_eq!(reader.closed(), expected);
+}
+
+proptest! {
+    /// A body written in chunks comes back, in whatever pieces it arrives.
+    #[test]
+    fn chunks_come_back_whole(
+        chunks in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..50), 0..8),
+        cut in 0_usize..500,
+    ) {
+        let mut written = BytesMut::new();
+        chunks.iter().for_each(|c| write_chunk(&mut written, c));
+        write_last_chunk(&mut written);
+        let cut = cut.min(written.len());
+        let rest = written.split_off(cut);
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let (mut body, mut whole) = read(&mut reader, &mut written).unwrap();
+        if !whole {
+            written.unsplit(rest);
+            let (more, ended) = read(&mut reader, &mut written).unwrap();
+            body.extend(more);
+            whole = ended;
+        }
+        prop_assert!(whole);
+        prop_assert_eq!(body, chunks.concat());
+    }
+
+    #[test]
+    fn any_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let _ = read(&mut reader, &mut BytesMut::from(&bytes[..]));
+    }
+}
--- /dev/null
+++ b/crates/pick/tests/finish.rs
@@ -0,0 +1,142 @@
+//! Choice by the expected time to the answer, by load pattern.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use pick::{Candidate, PickSettings, Picker, Policy, Reply, Wanted};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+use test_case::test_case;
+use wire::Load;
+
+const WORK: Duration = Duration::from_millis(60);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn load(in_flight: u32, slow_percent: u32) -> Load {
+    Load {
+        in_flight,
+        limit: 6,
+        service_us: 60_000,
+        cold: false,
+        waiting: 0,
+        slow_percent,
+    }
+}
+
+/// Six upstreams, two a data centre, that all said that they are as usual.
+fn picker(far_per_kb: Duration) -> Picker {
+    let mut picker = Picker::new(PickSettings {
+        eject_ratio: 0.3,
+        return_ramp: Duration::ZERO,
+        far_per_kb,
+        policy: Policy::EXPECTED_FINISH,
+    });
+    let candidates = (0..6).map(|n| Candidate {
+        upstream: format!("u{n}").into(),
+        data_centre: format!("dc{}", n / 2).into(),
+        slots: 6,
+    });
+    picker.update(ms(0), candidates.collect());
+    for n in 0..6 {
+        picker.told(ms(1_000), &format!("u{n}"), load(1, 100));
+    }
+    picker
+}
+
+fn wanted(bytes: u64) -> Wanted<'static> {
+    Wanted {
+        data_centre: "dc0",
+        tried: &[],
+        class: "page",
+        work: WORK,
+        bytes,
+    }
+}
+
+/// Chooses many times at one moment; returns how often each was taken.
+fn choose(picker: &mut Picker, at: u64, bytes: u64) -> [u32; 6] {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut taken = [0; 6];
+    for _ in 0..600 {
+        let chosen = picker.choose(ms(at), &mut rng, wanted(bytes)).unwrap();
+        let n: usize = chosen[1..].parse().unwrap();
+        taken[n] += 1;
+    }
+    taken
+}
+
+#[test]
+fn choose_a_third_slow_in_turns_takes_none_of_them() {
+    let mut picker = picker(Duration::ZERO);
+    for turn in 0..3_u64 {
+        let at = 2_000 + turn * 500;
+        for n in 0..6 {
+            let slow = n / 2 == turn;
+            let percent = if slow { 700 } else { 100 };
+            picker.told(ms(at), &format!("u{n}"), load(1, percent));
+        }
+        let taken = choose(&mut picker, at + 10, 0);
+        let slow = usize::try_from(turn).unwrap() * 2;
+        assert_eq!(taken[slow] + taken[slow + 1], 0, "{taken:?}");
+    }
+}
+
+#[test]
+fn choose_spreads_over_equals() {
+    let mut picker = picker(Duration::ZERO);
+    let taken = choose(&mut picker, 1_000, 0);
+    assert!(taken.iter().all(|n| *n > 0), "{taken:?}");
+}
+
+/// A straggler that doesn't say that it is slow is known by its answers.
+#[test]
+fn choose_one_straggler_that_does_not_tell_is_avoided() {
+    let mut picker = picker(Duration::ZERO);
+    for round in 0..20 {
+        for n in 0..6 {
+            let took = if n == 3 { 400 } else { 60 };
+            let at = ms(1_000 + round * 10);
+            let upstream = format!("u{n}");
+            picker.sent(at, &upstream);
+            picker.replied(at, &upstream, Reply::Answer(ms(took)), Some(load(1, 100)));
+            picker.over(&upstream);
+        }
+    }
+    let taken = choose(&mut picker, 1_200, 0);
+    assert_eq!(taken[3], 0, "{taken:?}");
+}
+
+#[test]
+fn choose_a_full_upstream_only_when_the_others_are_slower() {
+    let mut picker = picker(Duration::ZERO);
+    picker.told(ms(1_000), "u0", load(6, 100));
+    assert_eq!(choose(&mut picker, 1_000, 0)[0], 0);
+    for n in 1..6 {
+        picker.told(ms(1_000), &format!("u{n}"), load(1, 900));
+    }
+    assert_eq!(choose(&mut picker, 1_000, 0)[0], 600);
+}
+
+#[test_case(400, false; "a short body goes where it is done first")]
+#[test_case(60_000, true; "a long body stays near")]
+fn choose_weighs_bytes_against_waiting(bytes: u64, stays: bool) {
+    let mut picker = picker(ms(5));
+    for near in ["u0", "u1"] {
+        picker.told(ms(1_000), near, load(1, 300));
+    }
+    let taken = choose(&mut picker, 1_000, bytes);
+    assert_eq!(taken[0] + taken[1] == 600, stays, "{taken:?}");
+}
+
+/// What was said long ago counts for less and less.
+#[test]
+fn expected_ages_towards_what_is_usual_of_an_unknown_one() {
+    let mut picker = picker(Duration::ZERO);
+    picker.told(ms(1_000), "u0", load(1, 700));
+    let at = |picker: &Picker, at| picker.expected(ms(at), "u0", wanted(0)).unwrap();
+    let (now, later, much_later) = (at(&picker, 1_000), at(&picker, 2_000), at(&picker, 9_000));
+    assert!(now > later && later > much_later);
+    assert!(much_later > WORK);
+}
