Find from measured times how many requests an upstream works on best

Change: a gate divides its times by level at the step that explains them best and stops below it where more gets done; where only high levels were seen a lower one is tried. A log line for each run.

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -187,6 +187,7 @@
     keys.set("queue-ratio", &mut cfg.queue_ratio, ratio);
     keys.set("idle", &mut cfg.idle, |t| time(t, SHORT));
     keys.set("stuck", &mut cfg.stuck, |t| time(t, SHORT));
+    keys.set("find-knee", &mut cfg.find_knee, yes_no);
     keys.set("isolate-suspects", &mut cfg.isolate_suspects, yes_no);
     keys.unknown_keys();
     cfg
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -86,6 +86,9 @@
     /// Whether a request that was in flight at a crash runs alone, until it has
     /// ended well.
     pub isolate_suspects: bool,
+    /// Whether fewer requests are admitted than the upstream has slots where
+    /// measured times show that more gets done so.
+    pub find_knee: bool,
 }
 
 /// How an entry chooses upstreams and spends retries.
@@ -251,6 +254,7 @@
             idle: DEFAULT_IDLE,
             stuck: DEFAULT_STUCK,
             isolate_suspects: true,
+            find_knee: false,
         }
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,6 +2,7 @@
 
 use crate::cold::ColdRate;
 use crate::inheritance::Inheritance;
+use crate::knee::Knee;
 use crate::pace::Pace;
 use crate::queue::{Ask, Queue, Queued};
 use crate::ramp::Ramp;
@@ -23,6 +24,8 @@
 /// Slowness of an upstream on which work takes as long as usual, in
 /// hundredths.
 const USUAL_PERCENT: u32 = 100;
+/// Slowness up to which times are compared with one another, in hundredths.
+const NEARLY_USUAL_PERCENT: u32 = 150;
 /// First status of the failures of the upstream itself.
 const SERVER_ERROR: u16 = 500;
 
@@ -38,6 +41,9 @@
     pub queue_ratio: f64,
     /// Time without a request after which the upstream counts as cold.
     pub idle: Duration,
+    /// Whether fewer requests are admitted than there are slots where that gets
+    /// more done.
+    pub finds_knee: bool,
     /// Whether the upstream's load reports are read.
     pub expects_reports: bool,
     /// Whether everything is admitted, for measurements without a gate.
@@ -96,6 +102,7 @@
     restarts: Restarts,
     queue: Queue,
     cold: ColdRate,
+    knee: Knee,
     hint: Option<(Duration, u32)>,
     slow: Option<(Duration, u32)>,
     busy: Duration,
@@ -116,6 +123,7 @@
             restarts: Restarts::default(),
             queue: Queue::default(),
             cold: ColdRate::default(),
+            knee: Knee::default(),
             hint: None,
             slow: None,
             busy: Duration::ZERO,
@@ -140,6 +148,13 @@
             .stated(now, Duration::from_millis(announcement.cold_ms));
         let new_service = announcement.service.clone();
         let stays = !announcement.leaving;
+        if self
+            .announced
+            .as_ref()
+            .is_some_and(|a| a.service != new_service)
+        {
+            self.knee.forget();
+        }
         let old = self.announced.replace(announcement);
         let changed = old.is_some_and(|old| old.service != new_service || (old.leaving && stays));
         match start {
@@ -256,6 +271,7 @@
     /// the request held one.
     pub fn finish(&mut self, now: Duration, ticket: Ticket, outcome: Outcome) -> bool {
         self.pass(now);
+        let level = self.slots.len();
         let Some(running) = self.slots.free(ticket) else {
             self.restarts
                 .ended(ticket, matches!(outcome, Outcome::Whole(_)));
@@ -263,7 +279,9 @@
         };
         self.busy = now;
         match outcome {
-            Outcome::Whole(status) => self.answered(now, &running, status),
+            Outcome::Whole(status) => {
+                self.answered(now, &running, running.level.max(level), status);
+            }
             Outcome::Rejected => self.ramp.bad_answer(),
             Outcome::Broken if running.cancelled => {}
             Outcome::Refused | Outcome::Broken => self.doubt(now),
@@ -306,6 +324,10 @@
         load.in_flight < load.limit && self.cold.allows(self.seen)
     }
 
+    fn is_at_usual_pace(&self) -> bool {
+        self.slow_percent() <= NEARLY_USUAL_PERCENT
+    }
+
     fn slow_percent(&self) -> u32 {
         let recent = |(at, _): &(Duration, u32)| self.seen.saturating_sub(*at) < HINT_TTL;
         self.slow.filter(recent).map_or(0, |(_, slow)| slow)
@@ -321,6 +343,8 @@
                 customer: ask.customer.clone(),
                 class: ask.class.clone(),
                 share: ask.share,
+                level: self.slots.len() + 1,
+                at_usual_pace: self.is_at_usual_pace(),
                 epoch: self.ramp.epoch(),
                 cancelled: false,
             },
@@ -352,11 +376,18 @@
         (f64::from(limit) * self.limits.queue_ratio).ceil() as u32
     }
 
-    fn answered(&mut self, now: Duration, running: &Running, status: u16) {
+    /// Learns from an answer to a request beside which `level` ran, itself
+    /// included.
+    fn answered(&mut self, now: Duration, running: &Running, level: u32, status: u16) {
         let slow = f64::from(self.slow_percent().max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT);
         let took = now.saturating_sub(running.since).div_f64(slow);
         let normal = self.pace.record(&running.class, took);
         let slots = self.announced.as_ref().map_or(0, |a| a.slots);
+        let comparable = running.at_usual_pace && self.is_at_usual_pace();
+        if status < SERVER_ERROR && self.limits.finds_knee && comparable {
+            let seconds = took.as_secs_f64();
+            self.knee.record(&running.class, level, slots, seconds);
+        }
         if self.limit(slots) < self.ramp.limit(slots) {
             return;
         }
@@ -381,5 +412,6 @@
             .map(|(_, limit)| limit);
         ramp.min(inherited.unwrap_or(u32::MAX))
             .min(hint.unwrap_or(u32::MAX))
+            .min(self.knee.limit().unwrap_or(u32::MAX))
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod gate;
 mod inheritance;
+mod knee;
 mod pace;
 mod queue;
 mod ramp;
--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -19,6 +19,7 @@
         ramp_answers: 1,
         queue_ratio: 0.0,
         idle: ms(600_000),
+        finds_knee: false,
         expects_reports: false,
         unlimited: false,
     });
--- a/crates/gate/tests/scenarios.rs
+++ b/crates/gate/tests/scenarios.rs
@@ -24,6 +24,7 @@
         ramp_answers: 4,
         queue_ratio: 0.0,
         idle: Duration::from_secs(600),
+        finds_knee: false,
         expects_reports: false,
         unlimited: false,
     }
@@ -132,6 +133,7 @@
                 let cold = args.lookup_parse("cold")?.unwrap_or(1);
                 self.gate = Gate::new(GateLimits {
                     cold_slots: cold,
+                    finds_knee: false,
                     expects_reports: reports,
                     queue_ratio: args.lookup_parse("queue")?.unwrap_or(0.0),
                     ..limits()
--- a/crates/gate/tests/shuffle.rs
+++ b/crates/gate/tests/shuffle.rs
@@ -57,6 +57,7 @@
             ramp_answers: RAMP_ANSWERS,
             queue_ratio: 0.5,
             idle: Duration::from_secs(5),
+            finds_knee: false,
             expects_reports: seed.is_multiple_of(2),
             unlimited: false,
         });
--- a/crates/http1/tests/head.rs
+++ b/crates/http1/tests/head.rs
@@ -84,7 +84,7 @@
         let text = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n";
         let mut buf = BytesMut::from(&text[..cut]);
         prop_assert!(parse_request(&mut buf, MAX).unwrap().is_none());
-        buf.extend_from_slice(text[cut..].as_bytes());
+        buf.extend_from_slice(&text.as_bytes()[cut..]);
         let head = parse_request(&mut buf, MAX).unwrap().unwrap();
         prop_assert_eq!(head.framing, Framing::Length(2));
     }
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -70,6 +70,7 @@
             ramp_answers: settings.gate.ramp_answers,
             queue_ratio: settings.gate.queue_ratio,
             idle: settings.gate.idle,
+            finds_knee: settings.gate.find_knee,
             expects_reports: settings
                 .upstream
                 .as_ref()
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -130,7 +130,7 @@
             Event::Answering(id, attempt, status, load) => {
                 self.answering(id, attempt, (status, load), cx);
             }
-            Event::Ended(id, attempt, load) => self.ended(id, attempt, load, cx),
+            Event::Ended(id, attempt, bytes, load) => self.ended(id, attempt, (bytes, load), cx),
             Event::Broken(id, attempt, load) => self.broken(id, attempt, load, cx),
         }
     }
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -61,8 +61,8 @@
     NotSent(RequestId, AttemptId),
     /// An answer began, with its HTTP status.
     Answering(RequestId, AttemptId, u16, Option<Load>),
-    /// The whole answer has come.
-    Ended(RequestId, AttemptId, Option<Load>),
+    /// The whole answer has come, with a body of so many bytes.
+    Ended(RequestId, AttemptId, u64, Option<Load>),
     /// The answer broke off or the connection was lost: it may have run.
     Broken(RequestId, AttemptId, Option<Load>),
 }
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -125,7 +125,7 @@
         &mut self,
         id: RequestId,
         attempt: AttemptId,
-        load: Option<Load>,
+        (bytes, load): (u64, Option<Load>),
         cx: &mut Cx<'_>,
     ) {
         let Some(active) = self.active.get(&id) else {
@@ -140,6 +140,7 @@
         if let Some(picker) = self.pickers.get_mut(&active.request.service)
             && let Some(tried) = active.tried.iter().find(|t| t.number == attempt)
         {
+            picker.answered(&active.class_name, bytes);
             picker.word(cx.now, &tried.upstream, load);
             picker.over(&tried.upstream);
         }
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -165,7 +165,7 @@
             }
             "unsent" => entry::Event::NotSent(request, attempt),
             "answering" => entry::Event::Answering(request, attempt, status, None),
-            "ended" => entry::Event::Ended(request, attempt, None),
+            "ended" => entry::Event::Ended(request, attempt, 0, None),
             _ => entry::Event::Broken(request, attempt, None),
         };
         args.reject_rest()?;
@@ -259,7 +259,7 @@
             let events = if last && level < depth {
                 vec![
                     entry::Event::Answering(id, attempt, 502, None),
-                    entry::Event::Ended(id, attempt, None),
+                    entry::Event::Ended(id, attempt, 0, None),
                 ]
             } else {
                 vec![entry::Event::Broken(id, attempt, None)]
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -319,7 +319,7 @@
         let events = match outcome {
             Outcome::Whole(status) => vec![
                 entry::Event::Answering(request, attempt, status, load),
-                entry::Event::Ended(request, attempt, load),
+                entry::Event::Ended(request, attempt, 0, load),
             ],
             Outcome::Broken => vec![entry::Event::Broken(request, attempt, load)],
             Outcome::Refused | Outcome::Rejected => {
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -226,7 +226,7 @@
         }
         let (id, attempt) = (call.asked.1, call.attempt);
         let answering = entry::Event::Answering(id, attempt, 201, None);
-        let ended = entry::Event::Ended(id, attempt, None);
+        let ended = entry::Event::Ended(id, attempt, 0, None);
         self.later(Duration::ZERO, Transit::ToEntry(call.asked, answering));
         self.later(Duration::ZERO, Transit::ToEntry(call.asked, ended));
     }
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -17,6 +17,8 @@
 const WORK_SMOOTHING: f64 = 0.1;
 /// Classes whose times are kept.
 const MAX_CLASSES: usize = 1_024;
+/// Bytes of the headers of a request and its answer, about.
+const HEADER_BYTES: f64 = 700.0;
 /// Bytes of a kilobyte.
 const KILOBYTE: f64 = 1_024.0;
 /// Smallest part of its traffic that a returning upstream gets.
@@ -57,7 +59,7 @@
     pub class: &'a str,
     /// Time that the work takes, as long as none of the class was measured.
     pub work: Duration,
-    /// Bytes of the request and, as far as known, of its answer.
+    /// Bytes of the request.
     pub bytes: u64,
 }
 
@@ -84,6 +86,8 @@
     latencies: Quantiles,
     /// Smoothed time of each class at an upstream as usual, in seconds.
     work: BTreeMap<ClassId, f64>,
+    /// Smoothed bytes of each class's answers.
+    answer_bytes: BTreeMap<ClassId, f64>,
     turn: u64,
     used: Duration,
 }
@@ -98,6 +102,7 @@
             records: BTreeMap::new(),
             latencies: Quantiles::default(),
             work: BTreeMap::new(),
+            answer_bytes: BTreeMap::new(),
             turn: 0,
             used: Duration::ZERO,
         }
@@ -195,11 +200,13 @@
             return;
         };
         let usual = latency.as_secs_f64() / finish::slowness(record, now).max(1.0);
-        let known = self.work.get(class).copied();
-        if known.is_some() || self.work.len() < MAX_CLASSES {
-            let smoothed = known.map_or(usual, |old| old + WORK_SMOOTHING * (usual - old));
-            self.work.insert(class.into(), smoothed);
-        }
+        smooth(&mut self.work, class, usual);
+    }
+
+    /// Records how many bytes the answer to a request of a class had.
+    #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
+    pub fn answered(&mut self, class: &str, bytes: u64) {
+        smooth(&mut self.answer_bytes, class, bytes as f64);
     }
 
     /// Returns the expected time to the answer at an upstream.
@@ -306,7 +313,9 @@
 
     #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
     fn job(&self, local: bool, wanted: Wanted<'_>) -> Job {
-        let kilobytes = wanted.bytes as f64 / KILOBYTE;
+        let answer = self.answer_bytes.get(wanted.class).copied();
+        let bytes = wanted.bytes as f64 + answer.unwrap_or_default() + HEADER_BYTES;
+        let kilobytes = bytes / KILOBYTE;
         let far = FAR_WAY.as_secs_f64() + self.settings.far_per_kb.as_secs_f64() * kilobytes;
         let measured = self.work.get(wanted.class).copied();
         Job {
@@ -330,3 +339,12 @@
         (age / ramp).clamp(SMALLEST_PART, 1.0)
     }
 }
+
+/// Takes a measured value of a class in.
+fn smooth(values: &mut BTreeMap<ClassId, f64>, class: &str, value: f64) {
+    let known = values.get(class).copied();
+    if known.is_some() || values.len() < MAX_CLASSES {
+        let smoothed = known.map_or(value, |old| old + WORK_SMOOTHING * (value - old));
+        values.insert(class.into(), smoothed);
+    }
+}
--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -11,7 +11,7 @@
 use tokio::runtime::Handle;
 
 /// A leader's heartbeats in the shortest election timeout.
-const HEARTBEATS_PER_ELECTION: u32 = 8;
+const HEARTBEATS_PER_ELECTION: u32 = 4;
 
 /// Operations on their way to the disk.
 pub(crate) type DiskTx = mpsc::Sender<DiskOp>;
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -205,6 +205,11 @@
         all.into()
     }
 
+    /// Returns the length of the answer's body once all of it has come.
+    pub(super) fn whole_bytes(&self) -> Option<u64> {
+        self.ended.then_some(self.offset)
+    }
+
     /// Records that the answer will not come whole.
     pub(super) fn break_off(&mut self) {
         self.broken = true;
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -247,8 +247,8 @@
     fn progressed(&mut self, id: AttemptId, kept: bool, load: Option<wire::Load>) {
         if !kept {
             self.broken(id, load);
-        } else if self.attempt(id).is_some_and(|a| a.ended) {
-            self.report(entry::Event::Ended(self.id, id, load));
+        } else if let Some(bytes) = self.attempt(id).and_then(|a| a.whole_bytes()) {
+            self.report(entry::Event::Ended(self.id, id, bytes, load));
         }
     }
 
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -15,6 +15,7 @@
 use node::admission::{self, Effect};
 use std::io;
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::mpsc;
 use wire::{Body, Data, Load, Open, RefuseReason, ResetReason};
 
@@ -33,6 +34,10 @@
     open: Open,
     upload: Option<mpsc::UnboundedSender<Piece>>,
     offset: u64,
+    /// When it was admitted, and how many requests ran then, this one included.
+    begun: Option<(Instant, Load)>,
+    /// The caller's id of its attempt, if it has one.
+    attempt_id: String,
 }
 
 impl Job {
@@ -44,6 +49,7 @@
         (rx, credit, window): (InboxRx, Arc<Credit>, Arc<Window>),
         open: Open,
     ) -> Self {
+        let attempt_id = attempt_id(&daemon, &open);
         Self {
             replies: Replies {
                 daemon: daemon.clone(),
@@ -59,6 +65,8 @@
             offset: open.body.len() as u64,
             open,
             upload: None,
+            begun: None,
+            attempt_id,
         }
     }
 
@@ -74,7 +82,10 @@
     async fn admitted(&mut self) -> bool {
         while let Some(message) = self.rx.recv().await {
             match message {
-                Inbox::Gate(Effect::Run(_)) => return true,
+                Inbox::Gate(Effect::Run(_)) => {
+                    self.begun = Some((Instant::now(), self.daemon.load()));
+                    return true;
+                }
                 Inbox::Gate(Effect::Refuse {
                     reason,
                     load,
@@ -320,9 +331,29 @@
     }
 
     fn ended(&self, outcome: Outcome) {
+        self.log_end(outcome);
         self.report(admission::Event::Ended(self.ticket, outcome));
     }
 
+    fn log_end(&self, outcome: Outcome) {
+        let Some((begun, load)) = &self.begun else {
+            return;
+        };
+        log::info!(
+            "event=run ticket={} attempt_id={} class={} outcome={outcome:?} cancelled={} \
+             in_flight={} waiting={} limit={} slow_percent={} took_us={}",
+            self.ticket,
+            self.attempt_id,
+            self.open.class,
+            self.replies.closed,
+            load.in_flight,
+            load.waiting,
+            load.limit,
+            load.slow_percent,
+            begun.elapsed().as_micros(),
+        );
+    }
+
     fn report(&self, event: admission::Event) {
         self.daemon.dispatch(Event::Admission(event));
     }
@@ -334,3 +365,15 @@
         false => held.freeze(),
     }
 }
+
+/// Returns the caller's id of its attempt, or nothing if it has none.
+fn attempt_id(daemon: &Daemon, open: &Open) -> String {
+    let Some(name) = &daemon.dialect.headers.attempt else {
+        return String::new();
+    };
+    let mut headers = open.headers.iter();
+    let id = headers.find(|h| h.name == name.as_str());
+    id.map_or_else(String::new, |h| {
+        String::from_utf8_lossy(&h.value).into_owned()
+    })
+}
