Tell gates the belief that a choice rested on

Change: the faded belief is told. Test: believed_slow_percent_is_what_the_choice_rested_on. Ruled out: missing news of changes (the gates had told their watchers).

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -103,7 +103,7 @@
         let mut attempt = active.begin(purpose, upstream, address, cx.now);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             if self.pick.policy.name == Policy::EXPECTED_FINISH.name {
-                attempt.believed_slow_percent = picker.believed_slow_percent(upstream);
+                attempt.believed_slow_percent = picker.believed_slow_percent(cx.now, upstream);
                 let (class, work, bytes) = active.demand();
                 let wanted = Wanted {
                     data_centre: &data_centre,
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -14,7 +14,7 @@
 /// worth.
 const COUNT_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Hundredths in a unit.
-const HUNDREDTHS: f64 = 100.0;
+pub(crate) const HUNDREDTHS: f64 = 100.0;
 
 /// What is to be done, as far as choosing goes.
 #[derive(Clone, Copy, Debug)]
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -237,12 +237,18 @@
         Duration::try_from_secs_f64(best).ok()
     }
 
-    /// Returns how slow an upstream is believed to be, in hundredths of the
-    /// usual; 0 when it doesn't tell.
+    /// Returns how slow an upstream is believed to be by now, in hundredths of
+    /// the usual.
     #[must_use]
-    pub fn believed_slow_percent(&self, upstream: &str) -> u32 {
-        let heard = self.records.get(upstream).and_then(|r| r.heard.as_ref());
-        heard.map_or(0, |heard| heard.load.slow_percent)
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "casts of floats saturate"
+    )]
+    pub fn believed_slow_percent(&self, now: Duration, upstream: &str) -> u32 {
+        let record = self.records.get(upstream);
+        let believed = record.map_or(1.0, |record| finish::slowness(record, now));
+        (believed * finish::HUNDREDTHS).round() as u32
     }
 
     /// Takes in what an upstream's gate told without being asked.
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -140,3 +140,14 @@
     assert!(now > later && later > much_later);
     assert!(much_later > WORK);
 }
+
+/// What the gate is told is what the choice rested on, so that an upstream that
+/// was slow long ago and still is, can say so.
+#[test]
+fn believed_slow_percent_is_what_the_choice_rested_on() {
+    let mut picker = picker(Duration::ZERO);
+    picker.told(ms(1_000), "u0", load(1, 700));
+    assert_eq!(picker.believed_slow_percent(ms(1_000), "u0"), 700);
+    assert!(picker.believed_slow_percent(ms(5_000), "u0") < 250);
+    assert_eq!(picker.believed_slow_percent(ms(5_000), "unknown"), 100);
+}
