--- a/crates/plumhitch/src/args.rs
+++ b/crates/plumhitch/src/args.rs
@@ -68,6 +68,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Check(Check),
+    Explain(Explain),
     Apply(Apply),
     Status(Status),
     History(History),
@@ -91,6 +92,19 @@
     pub(crate) settings: Vec<PathBuf>,
 }
 
+/// Says what became of a request, out of the daemons' saved logs; asks no
+/// daemon.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct Explain {
+    /// id that the caller gave its attempt, or the daemon the request
+    #[argh(positional)]
+    pub(crate) id: String,
+    /// logs of the daemons; standard input if none is given
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Checks the lists that are given and puts them in force, together, in place
 /// of the ones there are.
 #[derive(FromArgs, Debug)]
--- a/crates/plumhitch/src/main.rs
+++ b/crates/plumhitch/src/main.rs
@@ -4,6 +4,7 @@
 mod change;
 mod check;
 mod client;
+mod explain;
 mod failure;
 mod output;
 mod time;
@@ -32,6 +33,7 @@
 async fn run(args: &Args, out: &Output) -> Result<(), Failure> {
     let operation = match &args.command {
         Command::Check(files) => return check::check(files, out),
+        Command::Explain(explain) => return explain::explain(explain),
         Command::Status(_) => return status(args, out).await,
         Command::History(history) => return self::history(args, history.limit, out).await,
         Command::Initialise(_) => return initialise(args, out).await,
--- /dev/null
+++ b/crates/plumhitch/tests/explain.rs
@@ -0,0 +1,77 @@
+//! From a request's id to its cause, out of saved logs.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::fs;
+use std::process::{Command, Output};
+use tempfile::TempDir;
+
+const ENTRY: &str = "\
+time=1000 level=INFO event=chosen id=7 attempt_id=a1 attempt=1 class=\"read\" upstream=b-1 \
+deadline_ms=800 believed_slow_percent=100 suspected=false
+time=1004 level=INFO event=chosen id=7 attempt_id=a1 attempt=2 class=\"read\" upstream=b-2 \
+deadline_ms=796 believed_slow_percent=120 suspected=false
+time=1005 level=INFO event=chosen id=8 attempt_id=a2 attempt=1 class=\"read\" upstream=b-2 \
+deadline_ms=800 believed_slow_percent=120 suspected=false
+time=1900 level=INFO event=request id=7 attempt_id=a1 customer=\"\" service=\"s\" class=\"read\" \
+outcome=refused reason=deadline run=may-have-run status=0 attempts=2 upstream=b-2 took_us=800000
+";
+const GATE_1: &str = "\
+time=1002 level=INFO event=not_admitted ticket=3 attempt_id=a1 class=read reason=Slow \
+deadline_ms=798 believed_slow_percent=100 in_flight=2 waiting=0 limit=6 cold=false slow_percent=700
+";
+const GATE_2: &str = "\
+time=1802 level=INFO event=run ticket=9 attempt_id=a1 class=read outcome=Broken cancelled=true \
+in_flight=6 waiting=3 limit=6 slow_percent=100 took_us=798000
+not a line of a log
+";
+
+fn explain(id: &str) -> Output {
+    let folder = TempDir::new().unwrap();
+    let files = [("entry", ENTRY), ("gate-1", GATE_1), ("gate-2", GATE_2)].map(|(name, text)| {
+        let path = folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path
+    });
+    Command::new(env!("CARGO_BIN_EXE_plumhitch"))
+        .arg("explain")
+        .arg(id)
+        .args(files)
+        .output()
+        .unwrap()
+}
+
+#[test]
+fn explain_puts_the_lines_of_all_processes_in_order() {
+    let output = explain("a1");
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    let wanted = [
+        "attempt 1 goes to b-1",
+        "did not run it: Slow; 2 of 6 running",
+        "attempt 2 goes to b-2",
+        "run ended as Broken after 798000 us (cancelled true); it began with 6 of 6",
+        "final answer: refused deadline may-have-run",
+    ];
+    assert_eq!(lines.len(), wanted.len(), "{text}");
+    for (line, wanted) in lines.iter().zip(wanted) {
+        assert!(line.contains(wanted), "{line} lacks {wanted}");
+    }
+}
+
+#[test]
+fn explain_by_the_daemons_number() {
+    let text = String::from_utf8(explain("8").stdout).unwrap();
+    assert!(text.contains("attempt 1 goes to b-2"), "{text}");
+}
+
+#[test]
+fn explain_of_an_unknown_id_fails() {
+    let output = explain("nobody");
+    assert!(!output.status.success());
+    assert!(
+        String::from_utf8(output.stderr)
+            .unwrap()
+            .contains("no line names nobody")
+    );
+}
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -193,6 +193,7 @@
             self.report(entry::Event::Broken(self.id, attempt.attempt, None));
             return;
         }
+        self.record.log_attempt(attempt);
         let upload = self.upload.as_ref();
         let started = Attempt::start(&self.daemon, &self.tx, &self.outgoing, upload, attempt);
         self.attempts.push(started);
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -5,7 +5,7 @@
 use crate::metrics::Outcome;
 use crate::runtime::{Daemon, lock};
 use compact_str::CompactString;
-use node::entry::{Reason, Refusal};
+use node::entry::{self, Reason, Refusal};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -95,6 +95,22 @@
         }
     }
 
+    /// Logs which upstream was chosen, and what that rested on.
+    pub(super) fn log_attempt(&self, attempt: &entry::Attempt) {
+        log::info!(
+            "event=chosen id={} attempt_id={} attempt={} class={:?} upstream={} \
+             deadline_ms={} believed_slow_percent={} suspected={}",
+            self.id,
+            self.attempt_id,
+            attempt.attempt,
+            attempt.class,
+            attempt.upstream,
+            attempt.deadline.as_millis(),
+            attempt.believed_slow_percent,
+            attempt.suspected,
+        );
+    }
+
     fn log(&self) {
         log::info!(
             "event=request id={} attempt_id={} customer={:?} service={:?} class={:?} outcome={} reason={} \
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -94,12 +94,14 @@
                     ..
                 }) => {
                     let retry_after = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+                    self.log_refusal(reason, load);
                     let load = (load != Load::default()).then_some(load);
                     self.replies.refuse_with(reason, load, retry_after, only_at);
                     return false;
                 }
                 Inbox::Gate(Effect::Cancel(_)) => return false,
                 Inbox::Gate(Effect::Expire(_)) => {
+                    self.log_refusal(RefuseReason::Deadline, self.daemon.load());
                     self.replies.refuse(RefuseReason::Deadline);
                     return false;
                 }
@@ -325,8 +327,9 @@
 
     fn log_failure(&self, reason: &str) {
         log::info!(
-            "event=attempt_failed ticket={} reason=\"{reason}\"",
-            self.ticket
+            "event=attempt_failed ticket={} attempt_id={} reason=\"{reason}\"",
+            self.ticket,
+            self.attempt_id,
         );
     }
 
@@ -335,6 +338,24 @@
         self.report(admission::Event::Ended(self.ticket, outcome));
     }
 
+    fn log_refusal(&self, reason: RefuseReason, load: Load) {
+        log::info!(
+            "event=not_admitted ticket={} attempt_id={} class={} reason={reason:?} \
+             deadline_ms={} believed_slow_percent={} in_flight={} waiting={} limit={} cold={} \
+             slow_percent={}",
+            self.ticket,
+            self.attempt_id,
+            self.open.class,
+            self.open.deadline_ms,
+            self.open.believed_slow_percent,
+            load.in_flight,
+            load.waiting,
+            load.limit,
+            load.cold,
+            load.slow_percent,
+        );
+    }
+
     fn log_end(&self, outcome: Outcome) {
         let Some((begun, load)) = &self.begun else {
             return;
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -30,6 +30,16 @@
         serves && !self.daemon.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns the daemon's metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the text can't be made.
+    pub fn metrics(&self) -> Result<String, String> {
+        let text = self.daemon.metrics.text(&self.daemon);
+        text.map_err(|err| err.to_string())
+    }
+
     /// Takes in what the upstream beside the daemon says of itself; returns
     /// whether it counts, which something older than what is known does not.
     #[must_use]
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -18,6 +18,7 @@
     links: IntGaugeVec,
     measuring: IntGaugeVec,
     attempts: IntGaugeVec,
+    log_dropped: IntGauge,
 }
 
 impl Gauges {
@@ -28,6 +29,11 @@
     /// Returns which metric is not well-formed.
     pub(super) fn new(registry: &Registry) -> prometheus::Result<Self> {
         Ok(Self {
+            log_dropped: int(
+                registry,
+                "log_lines_dropped",
+                "Log lines that were dropped since the start.",
+            )?,
             config_version: int(
                 registry,
                 "config_version",
@@ -104,6 +110,7 @@
             ("accepted", lock(&daemon.links.accepted).len() as u64),
         ];
         set(&self.links, &links);
+        self.log_dropped.set(signed(crate::logging::dropped()));
         self.read_counts(daemon);
     }
 
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -211,8 +211,8 @@
     }
 
     fn metrics(&self) -> Result<Answer, Answer> {
-        let text = self.daemon.metrics.text(&self.daemon);
-        let text = text.map_err(|err| error(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()));
+        let text = Handle::new(self.daemon.clone()).metrics();
+        let text = text.map_err(|err| error(StatusCode::INTERNAL_SERVER_ERROR, &err));
         Ok(Answer {
             status: StatusCode::OK,
             body: text?.into_bytes(),
--- a/crates/plumhitchd/src/options.rs
+++ b/crates/plumhitchd/src/options.rs
@@ -28,7 +28,6 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let options: Options = argh::from_env();
-    logging::start();
     let cfg = match Settings::load(&options.settings) {
         Ok(cfg) => cfg,
         Err(findings) => {
@@ -55,7 +54,7 @@
 /// that embeds it; returns the exit code.
 #[must_use]
 pub fn run(cfg: Settings, dialect: Dialect) -> ExitCode {
-    logging::start();
+    let _logging = logging::start();
     abort_on_panic();
     match process::run(cfg, dialect) {
         Ok(()) => ExitCode::SUCCESS,
