--- a/crates/plumhitch/src/explain.rs
+++ b/crates/plumhitch/src/explain.rs
@@ -101,7 +101,10 @@
         .filter(|l| {
             let number = l.fields.get("id").map(|n| (l.process.as_str(), n.as_str()));
             let own = number.is_some_and(|n| numbers.contains(&n));
-            names(l, "attempt_id", id) || own || numbers.is_empty() && names(l, "id", id)
+            // A daemon that starts again uses its numbers again.
+            let foreign = l.fields.get("attempt_id").is_some_and(|a| !a.is_empty());
+            let own = own && !foreign || numbers.is_empty() && names(l, "id", id);
+            names(l, "attempt_id", id) || own
         })
         .collect();
     lines.sort_by_key(|l| l.time_ms);
--- a/crates/plumhitchd/src/links.rs
+++ b/crates/plumhitchd/src/links.rs
@@ -29,7 +29,7 @@
 /// Time that dialling may take where a caller waits for it.
 const DATA_DIAL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between looks at connections on which requests are under way.
-const WATCH: Duration = Duration::from_millis(100);
+const WATCH: Duration = Duration::from_millis(150);
 /// Time that a peer may take to introduce itself.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -29,7 +29,7 @@
 /// idle, unless the routing sets bounds.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between ticks.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 
 /// Where the answer to an operator's question goes.
 pub(crate) type AnswerTx = oneshot::Sender<Option<control_reply::Kind>>;
