Say in one place what a request asks of an upstream

The same figures were put together in three places of the entry, and the policy was asked by its name in two. No change of behaviour; node's tests pass.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 pub struct Entry {
     pick: PickSettings,
+    by_expected_finish: bool,
     repicks: u32,
     isolates: bool,
     retry_after: Duration,
@@ -84,6 +85,7 @@
                     false => policy,
                 },
             },
+            by_expected_finish: routing.by_expected_finish,
             repicks: routing.repicks,
             isolates: settings.gate.isolate_suspects,
             retry_after: routing.retry_after,
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -7,7 +7,7 @@
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
-use pick::{Candidate, Picker, Policy, Wanted};
+use pick::{Candidate, Picker};
 use wire::{RequestId, SettleKind, UpstreamId};
 
 /// Requests that wait for word of their service, at most.
@@ -67,15 +67,9 @@
         let service = active.request.service.clone();
         let tried = active.tried_upstreams();
         let only_at = active.only_at.clone();
-        let (class, work, bytes) = active.demand();
+        let demand = active.demand();
         let data_centre = cx.agent.data_centre.clone();
-        let wanted = Wanted {
-            data_centre: &data_centre,
-            tried: &tried,
-            class: &class,
-            work,
-            bytes,
-        };
+        let wanted = demand.wanted(&data_centre, &tried);
         let now = cx.now;
         let picker = self.refresh(&service, cx)?;
         let chosen = match only_at {
@@ -102,16 +96,10 @@
         let address = known.address.clone();
         let mut attempt = active.begin(purpose, upstream, address, cx.now);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
-            if self.pick.policy.name == Policy::EXPECTED_FINISH.name {
+            if self.by_expected_finish {
                 attempt.believed_slow_percent = picker.believed_slow_percent(cx.now, upstream);
-                let (class, work, bytes) = active.demand();
-                let wanted = Wanted {
-                    data_centre: &data_centre,
-                    tried: &[],
-                    class: &class,
-                    work,
-                    bytes,
-                };
+                let demand = active.demand();
+                let wanted = demand.wanted(&data_centre, &[]);
                 let expected = picker.expected(cx.now, upstream, wanted);
                 active.expect(attempt.attempt, expected.unwrap_or_default());
             }
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -4,7 +4,7 @@
 use super::refusal::Reason;
 use super::request::{Active, Fate, Purpose, Tried};
 use crate::context::Cx;
-use pick::{Picker, Policy, Wanted};
+use pick::Picker;
 use std::time::Duration;
 use wire::RequestId;
 
@@ -57,7 +57,7 @@
         if !allowed {
             return false;
         }
-        if self.pick.policy.name == Policy::EXPECTED_FINISH.name {
+        if self.by_expected_finish {
             return is_worth_it(picker, active, tried, cx);
         }
         let first = active.tried.len() == 1;
@@ -70,14 +70,8 @@
 /// open attempt is not.
 fn is_worth_it(picker: &Picker, active: &Active, tried: &Tried, cx: &Cx<'_>) -> bool {
     let upstreams = active.tried_upstreams();
-    let (class, work, bytes) = active.demand();
-    let wanted = Wanted {
-        data_centre: &cx.agent.data_centre,
-        tried: &upstreams,
-        class: &class,
-        work,
-        bytes,
-    };
+    let demand = active.demand();
+    let wanted = demand.wanted(&cx.agent.data_centre, &upstreams);
     let elapsed = cx.now.saturating_sub(tried.sent);
     let Some(here) = picker.expected(cx.now, &tried.upstream, wanted) else {
         return false;
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -6,6 +6,7 @@
 use crate::context::Cx;
 use compact_str::CompactString;
 use conf::{Class, KeyRule};
+use pick::Wanted;
 use std::time::Duration;
 use wire::{AttemptId, ClassId, UpstreamId};
 
@@ -82,6 +83,32 @@
     Granted(u64),
 }
 
+/// What a request asks of an upstream, as far as choosing goes.
+#[derive(Debug)]
+pub(super) struct Demand {
+    class: ClassId,
+    /// Time that the work takes, as long as none of the class was measured.
+    work: Duration,
+    bytes: u64,
+}
+
+impl Demand {
+    /// Returns what the choice is told.
+    pub(super) fn wanted<'a>(
+        &'a self,
+        data_centre: &'a str,
+        tried: &'a [UpstreamId],
+    ) -> Wanted<'a> {
+        Wanted {
+            data_centre,
+            tried,
+            class: &self.class,
+            work: self.work,
+            bytes: self.bytes,
+        }
+    }
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub(super) struct Active {
@@ -135,12 +162,14 @@
         tried.map(|t| t.upstream.clone()).collect()
     }
 
-    /// Returns the class, the time that the work takes as far as the class was
-    /// not measured yet, and the bytes to be sent.
-    pub(super) fn demand(&self) -> (ClassId, Duration, u64) {
+    /// Returns what the request asks of an upstream.
+    pub(super) fn demand(&self) -> Demand {
         let objective = self.objective.filter(|o| !o.is_zero());
-        let work = objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK;
-        (self.class_name.clone(), work, self.request.body_bytes)
+        Demand {
+            class: self.class_name.clone(),
+            work: objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK,
+            bytes: self.request.body_bytes,
+        }
     }
 
     /// Begins an attempt.
