Hold requests back until the first routing has come

Cause: a process on the infrastructure listened for requests before it had read a routing. The routes it looked a request up in were empty, so it answered 404, as if the service did not exist.

Change: at routing version 0 a request gets the answer of a process whose view is too old (503 with a time to come back), and readiness waits for the first routing where requests are routed by host and path.

Ruled out: a lost or rolled back configuration; the control machines had version 7 throughout, and the same process served seconds later.

--- a/crates/node/src/entry/route.rs
+++ b/crates/node/src/entry/route.rs
@@ -22,6 +22,9 @@
     cx: &mut Cx<'_>,
 ) -> Result<Rules, GiveUp> {
     let table = cx.agent.config.routing.clone();
+    if table.content().version == 0 {
+        return Err(Reason::Stale.into());
+    }
     let route = table.find(&routed.host, &routed.path);
     let route = route.ok_or(Reason::NoRoute)?;
     request.service = choose_part(route, cx.rng).ok_or(Reason::NoRoute)?;
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -65,8 +65,9 @@
     tx
 }
 
-/// Answers every heartbeat among the effects with routes and three upstreams.
-fn answer_heartbeats(node: &mut Node, at_ms: u64, effects: Vec<Effect>) {
+/// Answers every heartbeat among the effects with three upstreams, and with
+/// routes at this version; 0 for a cluster that has none yet.
+fn answer_heartbeats(node: &mut Node, at_ms: u64, effects: Vec<Effect>, version: u64) {
     for effect in effects {
         let Effect::Send {
             body: Body::Heartbeat(heartbeat),
@@ -83,7 +84,7 @@
             leaving: false,
         });
         let routing = Routing {
-            version: 7,
+            version,
             routes: vec![
                 route("/read/", RouteKind::Idempotent),
                 route("/pay/", RouteKind::NonIdempotent),
@@ -97,7 +98,7 @@
             config: Some(ConfigDelta {
                 to: 2,
                 last: true,
-                routing: Some(routing),
+                routing: Some(routing).filter(|r| r.version > 0),
                 ..ConfigDelta::default()
             }),
             services: vec![ServiceDelta {
@@ -127,10 +128,14 @@
 
 /// A daemon that knows its routes and upstreams.
 fn ready() -> Node {
+    told(7)
+}
+
+fn told(version: u64) -> Node {
     let mut node = node();
     for at in [0, 1_500, 3_000] {
         let effects = run(&mut node, at, Event::Tick { unix_ms: 0 });
-        answer_heartbeats(&mut node, at + 1, effects);
+        answer_heartbeats(&mut node, at + 1, effects, version);
     }
     node
 }
@@ -221,6 +226,17 @@
     );
 }
 
+/// A cluster that has just been founded has a version, but no routes: nothing
+/// can be said to be unknown yet.
+#[test]
+fn arrived_before_the_first_routing_is_not_unknown() {
+    let refusal = refusal(&arrive(&mut told(0), 3_010, 1, "/read/x")).unwrap();
+    assert_eq!(
+        (refusal.reason, refusal.run),
+        (Reason::Stale, RunState::NotRun)
+    );
+}
+
 /// Service goes on with the newest word when control is silent for long.
 #[test]
 fn arrived_long_after_the_last_word_is_served() {
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -22,11 +22,17 @@
         Self { daemon }
     }
 
-    /// Returns whether the daemon takes new work.
+    /// Returns whether the daemon takes new work: it has word from control, and
+    /// routes where requests take them.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let now = clock::now();
-        let serves = self.daemon.read(|node| node.agent.may_serve(now));
+        let routed = self.daemon.dialect.routed;
+        let serves = self.daemon.read(|node| {
+            let agent = &node.agent;
+            let has_routes = agent.config.routing.content().version > 0;
+            agent.may_serve(now) && (has_routes || !routed)
+        });
         serves && !self.daemon.stopping.load(Ordering::Relaxed)
     }
 
