Serve although the metrics port is taken

Cause: a process that could not listen on its port for metrics did not start. That port is fixed and outside the range that a process is given, so another program on the machine could keep the load balancer from running.

Change: an endpoint says whether it is required. The one for metrics is not: the process logs event=listener_unavailable and serves.

--- a/crates/plumhitchd/src/dialect.rs
+++ b/crates/plumhitchd/src/dialect.rs
@@ -106,6 +106,9 @@
 pub struct Endpoint {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Whether the process does not start where the address can't be had; else
+    /// it serves without this listener and logs why.
+    pub required: bool,
     /// Longest body of a request, in bytes.
     pub max_body_bytes: usize,
     /// What answers.
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -65,11 +65,7 @@
     let operators = listen(cfg.listen.operators)?;
     let token = cfg.operators.token_file.as_deref();
     let token = token.map(Token::read).transpose()?;
-    let endpoints = dialect.endpoints.clone();
-    let endpoints: io::Result<Vec<(Endpoint, TcpListener)>> = endpoints
-        .into_iter()
-        .map(|e| listen(e.address).map(|listener| (e, listener)))
-        .collect();
+    let endpoints = listen_all(&dialect.endpoints)?;
     let daemon = create(cfg, dialect)?;
     log_start(&daemon);
     tokio::spawn(links::serve(daemon.clone(), peers));
@@ -81,7 +77,7 @@
         tokio::spawn(entry_http::serve(daemon.clone(), callers));
     }
     operators_http::serve(&daemon, operators, token)?;
-    for (endpoint, listener) in endpoints? {
+    for (endpoint, listener) in endpoints {
         endpoints::serve(&daemon, endpoint, listener)?;
     }
     stop::wait(&daemon).await?;
@@ -89,6 +85,19 @@
     Ok(())
 }
 
+/// Listens for each endpoint, without those that aren't required and can't be had.
+fn listen_all(endpoints: &[Endpoint]) -> io::Result<Vec<(Endpoint, TcpListener)>> {
+    let mut listening = Vec::new();
+    for endpoint in endpoints {
+        match listen(endpoint.address) {
+            Ok(listener) => listening.push((endpoint.clone(), listener)),
+            Err(err) if endpoint.required => return Err(err),
+            Err(err) => log::warn!("event=listener_unavailable reason=\"{err}\""),
+        }
+    }
+    Ok(listening)
+}
+
 fn log_start(daemon: &Daemon) {
     let listen = &daemon.cfg.listen;
     let callers = listen.callers.map_or("none".to_owned(), |a| a.to_string());
