Answer the first request of a new connection beside a stop

Cause: during a stop, connections are closed as soon as they are idle. A connection that was made after SIGTERM counted as idle before its first request had been read, so callers who had not turned away yet got a closed connection in place of an answer, all through the 2.3 s in which the process is meant to go on serving.

Change: only a used connection is closed while it is idle, and bytes that have come are read before a close is considered.

Before: "connection closed before message completed" on the late request.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -76,6 +76,7 @@
         buf: BytesMut::new(),
         pending: &pending,
         tx: Some(tx),
+        used: false,
     };
     let reading = async {
         match reader.run().await {
@@ -107,6 +108,8 @@
     buf: BytesMut,
     pending: &'a AtomicUsize,
     tx: Option<mpsc::Sender<Pending>>,
+    /// Whether a request has come on this connection.
+    used: bool,
 }
 
 impl Reader<'_> {
@@ -120,6 +123,7 @@
                     return End::Done;
                 }
             };
+            self.used = true;
             let keep_alive = head.keep_alive;
             let framing = head.framing;
             let Some(body_tx) = self.begin(head).await else {
@@ -151,23 +155,27 @@
     }
 
     /// Reads on within the time that a head may take, or that a connection may
-    /// be idle; returns whether anything came.
+    /// be idle; returns whether anything came. Beside a stop a used connection
+    /// is closed while it is idle; a new one has its first request answered.
     async fn more_of_head(&mut self) -> bool {
         let bound = match self.buf.is_empty() {
             true => self.daemon.idle_timeout(),
             false => self.daemon.header_timeout(),
         };
         loop {
-            let waits = self.buf.is_empty() && self.pending.load(Ordering::Acquire) == 0;
+            let pending = self.pending.load(Ordering::Acquire);
+            let idle = self.used && self.buf.is_empty() && pending == 0;
             let stopping = self.daemon.closes_connections();
             tokio::select! {
+                // What has come is read before the connection may be closed.
+                biased;
                 read = timeout(bound, fill(self.read, &mut self.buf)) => match read {
                     Ok(read) => return read.is_ok_and(|n| n > 0),
                     // An answer under way keeps the connection open.
                     Err(_) if self.buf.is_empty() && self.pending.load(Ordering::Acquire) > 0 => {}
                     Err(_) => return false,
                 },
-                () = stopping, if waits => return false,
+                () = stopping, if idle => return false,
             }
         }
     }
