Choose test addresses without listening on them

A process that another test of the same binary started in that moment has the listener until it runs its own program; on a busy machine that can last until the daemon binds the address, which then is taken and ends the daemon.

Ruled out: two tests with one address (the counter is shared in a process, the IP number is the process's own), an announcement that was refused (the endpoint answers 204 whatever the announcement says).

--- a/crates/plumhitchd/tests/support/mod.rs
+++ b/crates/plumhitchd/tests/support/mod.rs
@@ -5,7 +5,7 @@
 pub mod upstream;
 
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -18,13 +18,17 @@
 
 /// Returns a free loopback address that no other process takes: each test
 /// process has an IP number of its own, out of 127.0.0.0/8.
+///
+/// Nothing listens on the address to try it. A process that another test
+/// starts at that moment would have the listener too, until it runs its own
+/// program, and the daemon that gets the address would find it taken.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(10_000);
     let [_, a, b, c] = std::process::id().to_be_bytes();
     loop {
         let port = NEXT.fetch_add(1, Ordering::SeqCst);
         let address = SocketAddr::from(([127, a + 1, b, c], port));
-        if TcpListener::bind(address).is_ok() {
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
