Weigh a late answer against bytes between data centres

A choice now costs the expected time, the bytes on the way and, as the expected time passes the objective, a fixed time (late-cost). Expected times that decide about hedges no longer contain what bytes are worth. The new test failed before (near chosen).

Ruled out: stale knowledge of slowness (it was believed at 500 to 690 %).

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -209,6 +209,7 @@
         count(t, 0..=MAX_REPICKS).map(|n: u32| Some(f64::from(n)))
     });
     keys.set("far-per-kb", &mut cfg.far_per_kb, |t| time(t, UP_TO_A_DAY));
+    keys.set("late-cost", &mut cfg.late_cost, |t| time(t, UP_TO_A_DAY));
     keys.set("by-expected-finish", &mut cfg.by_expected_finish, yes_no);
     keys.set("repicks", &mut cfg.repicks, |t| count(t, 0..=MAX_REPICKS));
     keys.set("retry-after", &mut cfg.retry_after, |t| time(t, SHORT));
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -115,6 +115,9 @@
     pub shared_retries: Option<f64>,
     /// Time that sending a kilobyte to another data centre is worth.
     pub far_per_kb: Duration,
+    /// Time that an answer after its route's objective is worth, when it is
+    /// weighed against bytes and other times.
+    pub late_cost: Duration,
     /// Whether the upstream is chosen that is expected to answer first; else
     /// the less loaded of two.
     pub by_expected_finish: bool,
@@ -271,6 +274,7 @@
             repicks: 0,
             shared_retries: None,
             far_per_kb: Duration::ZERO,
+            late_cost: Duration::ZERO,
             by_expected_finish: false,
             retry_after: DEFAULT_RETRY_AFTER,
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -80,6 +80,7 @@
                 eject_ratio: routing.eject_ratio,
                 return_ramp: routing.return_ramp,
                 far_per_kb: routing.far_per_kb,
+                late_cost: routing.late_cost,
                 policy: match routing.by_expected_finish {
                     true => Policy::EXPECTED_FINISH,
                     false => policy,
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -67,7 +67,7 @@
         let service = active.request.service.clone();
         let tried = active.tried_upstreams();
         let only_at = active.only_at.clone();
-        let demand = active.demand();
+        let demand = active.demand(cx.now);
         let data_centre = cx.agent.data_centre.clone();
         let wanted = demand.wanted(&data_centre, &tried);
         let now = cx.now;
@@ -98,7 +98,7 @@
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             if self.by_expected_finish {
                 attempt.believed_slow_percent = picker.believed_slow_percent(cx.now, upstream);
-                let demand = active.demand();
+                let demand = active.demand(cx.now);
                 let wanted = demand.wanted(&data_centre, &[]);
                 let expected = picker.expected(cx.now, upstream, wanted);
                 active.expect(attempt.attempt, expected.unwrap_or_default());
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -70,7 +70,7 @@
 /// open attempt is not.
 fn is_worth_it(picker: &Picker, active: &Active, tried: &Tried, cx: &Cx<'_>) -> bool {
     let upstreams = active.tried_upstreams();
-    let demand = active.demand();
+    let demand = active.demand(cx.now);
     let wanted = demand.wanted(&cx.agent.data_centre, &upstreams);
     let elapsed = cx.now.saturating_sub(tried.sent);
     let Some(here) = picker.expected(cx.now, &tried.upstream, wanted) else {
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -90,6 +90,8 @@
     /// Time that the work takes, as long as none of the class was measured.
     work: Duration,
     bytes: u64,
+    /// Time left until the answer is late, if there is an objective.
+    objective: Option<Duration>,
 }
 
 impl Demand {
@@ -105,6 +107,7 @@
             class: &self.class,
             work: self.work,
             bytes: self.bytes,
+            objective: self.objective,
         }
     }
 }
@@ -163,12 +166,14 @@
     }
 
     /// Returns what the request asks of an upstream.
-    pub(super) fn demand(&self) -> Demand {
+    pub(super) fn demand(&self, now: Duration) -> Demand {
         let objective = self.objective.filter(|o| !o.is_zero());
+        let taken = now.saturating_sub(self.arrived);
         Demand {
             class: self.class_name.clone(),
             work: objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK,
             bytes: self.request.body_bytes,
+            objective: objective.map(|o| o.saturating_sub(taken)),
         }
     }
 
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -13,6 +13,10 @@
 /// Time in which the count that an upstream was heard with loses half its
 /// worth.
 const COUNT_HALF_LIFE: Duration = Duration::from_millis(500);
+/// How sharply an answer turns from one in time to a late one around its
+/// objective: the power of the ratio of the two. Times at an upstream vary by
+/// about a third, and what is known of it is not quite new.
+const LATE_POWER: i32 = 4;
 /// Hundredths in a unit.
 pub(crate) const HUNDREDTHS: f64 = 100.0;
 
@@ -21,11 +25,36 @@
 pub(crate) struct Job {
     /// Time that the work takes at an upstream as usual, in seconds.
     pub(crate) work: f64,
-    /// Time that the way to the upstream and back takes, or is worth, in
-    /// seconds.
+    /// Time that the way to the upstream and back takes, in seconds.
     pub(crate) way: f64,
 }
 
+/// What an answer costs its caller and the network, in seconds, beyond the
+/// time that it takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Worth {
+    /// Time that the bytes on the way are worth.
+    pub(crate) bytes: f64,
+    /// Time left until the answer is late, if there is such a time.
+    pub(crate) objective: Option<f64>,
+    /// Time that a late answer is worth.
+    pub(crate) late: f64,
+}
+
+/// Returns what an answer costs that is expected after some seconds.
+pub(crate) fn cost(finish: f64, worth: Worth) -> f64 {
+    let late = worth.objective.map_or(0.0, |objective| {
+        let ratio = finish / objective.max(f64::EPSILON);
+        let power = ratio.powi(LATE_POWER);
+        if power.is_finite() {
+            power / (1.0 + power)
+        } else {
+            1.0
+        }
+    });
+    finish + worth.bytes + worth.late * late
+}
+
 /// Returns the expected time to the answer, in seconds.
 pub(crate) fn expected(
     record: &Record,
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -1,7 +1,7 @@
 //! The load view of one service, and the choice among its upstreams.
 
 use crate::eject;
-use crate::finish::{self, Job};
+use crate::finish::{self, Job, Worth};
 use crate::policy::{Choice, Policy};
 use crate::quantile::Quantiles;
 use crate::record::Record;
@@ -44,6 +44,8 @@
     pub return_ramp: Duration,
     /// Time that sending a kilobyte to another data centre is worth.
     pub far_per_kb: Duration,
+    /// Time that an answer after its objective is worth.
+    pub late_cost: Duration,
     /// The way to choose.
     pub policy: Policy,
 }
@@ -61,6 +63,8 @@
     pub work: Duration,
     /// Bytes of the request.
     pub bytes: u64,
+    /// Time left until the answer is late, if the request has an objective.
+    pub objective: Option<Duration>,
 }
 
 /// How an upstream answered.
@@ -227,14 +231,14 @@
         Duration::try_from_secs_f64(choice.finish).ok()
     }
 
-    /// Returns the shortest expected time to the answer among the upstreams
-    /// that were not tried and need not be left alone.
+    /// Returns the expected time to the answer at the upstream that costs
+    /// least, among those that were not tried and need not be left alone.
     #[must_use]
     pub fn best(&self, now: Duration, wanted: Wanted<'_>) -> Option<Duration> {
         let choices = self.choices(now, wanted).into_iter();
         let usable = choices.filter(|c| !c.avoid);
-        let best = usable.map(|c| c.finish).min_by(f64::total_cmp)?;
-        Duration::try_from_secs_f64(best).ok()
+        let best = usable.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        Duration::try_from_secs_f64(best.finish).ok()
     }
 
     /// Returns how slow an upstream is believed to be by now, in hundredths of
@@ -303,13 +307,24 @@
     ) -> Choice {
         let slowness = straggler::slowness(record, median, now);
         let local = candidate.data_centre == wanted.data_centre;
-        let job = self.job(local, wanted);
+        let far = if local { 0.0 } else { 1.0 };
+        let job = Job {
+            work: self.work(wanted),
+            way: far * FAR_WAY.as_secs_f64(),
+        };
+        let worth = Worth {
+            bytes: far * self.far_worth(wanted),
+            objective: wanted.objective.map(|o| o.as_secs_f64()),
+            late: self.settings.late_cost.as_secs_f64(),
+        };
+        let finish = finish::expected(record, candidate.slots, slowness, job, now);
         let word = self.last_word_of_peers(&candidate.upstream);
         let frozen = straggler::is_frozen(record, median, word, now);
         Choice {
             index,
             local,
-            finish: finish::expected(record, candidate.slots, slowness, job, now),
+            finish,
+            cost: finish::cost(finish, worth),
             score: score::score(record, candidate.slots, now) * slowness,
             own: record.own,
             part: self.part(record, now),
@@ -317,17 +332,20 @@
         }
     }
 
+    /// Returns the time that the work takes at an upstream as usual, in
+    /// seconds.
+    fn work(&self, wanted: Wanted<'_>) -> f64 {
+        let measured = self.work.get(wanted.class).copied();
+        measured.unwrap_or(wanted.work.as_secs_f64())
+    }
+
+    /// Returns the time that the bytes to another data centre and back are
+    /// worth, in seconds.
     #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
-    fn job(&self, local: bool, wanted: Wanted<'_>) -> Job {
+    fn far_worth(&self, wanted: Wanted<'_>) -> f64 {
         let answer = self.answer_bytes.get(wanted.class).copied();
         let bytes = wanted.bytes as f64 + answer.unwrap_or_default() + HEADER_BYTES;
-        let kilobytes = bytes / KILOBYTE;
-        let far = FAR_WAY.as_secs_f64() + self.settings.far_per_kb.as_secs_f64() * kilobytes;
-        let measured = self.work.get(wanted.class).copied();
-        Job {
-            work: measured.unwrap_or(wanted.work.as_secs_f64()),
-            way: if local { 0.0 } else { far },
-        }
+        self.settings.far_per_kb.as_secs_f64() * bytes / KILOBYTE
     }
 
     fn last_word_of_peers(&self, upstream: &str) -> Option<Duration> {
--- a/crates/pick/src/policy.rs
+++ b/crates/pick/src/policy.rs
@@ -14,6 +14,9 @@
     pub score: f64,
     /// Time to the answer that is expected of it, in seconds.
     pub finish: f64,
+    /// That time with what the bytes on the way and a late answer are worth,
+    /// in seconds.
+    pub cost: f64,
     /// Requests of this entry that it works on.
     pub own: u32,
     /// Part of its normal traffic that it may get now, 0 to 1.
@@ -46,7 +49,8 @@
         choose: two_choices,
         gateless: false,
     };
-    /// The upstream that is expected to answer first.
+    /// The upstream that is expected to answer first, as far as the bytes on
+    /// the way and the objective allow.
     pub const EXPECTED_FINISH: Self = Self {
         name: "expected_finish",
         choose: expected_finish,
@@ -93,8 +97,8 @@
 fn expected_finish(rng: &mut SmallRng, choices: &[Choice], _turn: u64) -> Option<usize> {
     let pool = admitted(rng, choices);
     let varied = pool.into_iter().map(|c| {
-        let finish = c.finish * (1.0 + FINISH_SPREAD * rng.random::<f64>());
-        (finish, c.index)
+        let cost = c.cost * (1.0 + FINISH_SPREAD * rng.random::<f64>());
+        (cost, c.index)
     });
     let first = varied.min_by(|a, b| a.0.total_cmp(&b.0));
     first.map(|(_, index)| index)
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -31,6 +31,7 @@
         eject_ratio: 0.3,
         return_ramp: Duration::ZERO,
         far_per_kb,
+        late_cost: ms(500),
         policy: Policy::EXPECTED_FINISH,
     });
     let candidates = (0..6).map(|n| Candidate {
@@ -52,6 +53,7 @@
         class: "page",
         work: WORK,
         bytes,
+        objective: None,
     }
 }
 
@@ -130,6 +132,26 @@
     assert_eq!(taken[0] + taken[1] == 600, stays, "{taken:?}");
 }
 
+/// A large body stays near an upstream that is busy, but not with one that is
+/// so slow that its answer would be late.
+#[test_case(200, true; "near in time")]
+#[test_case(700, false; "near late")]
+fn choose_sends_a_long_body_far_only_against_a_late_answer(percent: u32, stays: bool) {
+    let mut picker = picker(ms(10));
+    for near in ["u0", "u1"] {
+        picker.told(ms(1_000), near, load(1, percent));
+    }
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..100 {
+        let wanted = Wanted {
+            objective: Some(ms(300)),
+            ..wanted(60_000)
+        };
+        let chosen = picker.choose(ms(1_000), &mut rng, wanted).unwrap();
+        assert_eq!(["u0", "u1"].contains(&chosen.as_str()), stays, "{chosen}");
+    }
+}
+
 /// What was said long ago counts for less and less.
 #[test]
 fn expected_ages_towards_what_is_usual_of_an_unknown_one() {
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -32,6 +32,7 @@
         return_ramp: Duration::from_secs(20),
         policy,
         far_per_kb: Duration::ZERO,
+        late_cost: Duration::ZERO,
     }
 }
 
@@ -88,6 +89,7 @@
             class: "",
             work: Duration::from_millis(100),
             bytes: 0,
+            objective: None,
         };
         let mut out = String::new();
         for choice in self.picker.choices(self.now, wanted) {
@@ -113,6 +115,7 @@
                 class: "",
                 work: Duration::from_millis(100),
                 bytes: 0,
+                objective: None,
             };
             let name = self.picker.choose(self.now, &mut self.rng, wanted);
             *chosen.entry(name.unwrap_or("nobody".into())).or_default() += 1;
