Add a model of load that plays the daemons' own reducers

The model has upstreams with slots, noise, a knee and cold starts, callers with objectives and deadlines, calls between upstreams, and a network; node::step decides as in the daemons. It compares ways to choose with a queue for the whole fleet that knows everything, by load, as a table, CSV and plots.

--- /dev/null
+++ b/crates/model/src/fleet.rs
@@ -0,0 +1,546 @@
+//! The product's daemons, one beside each upstream, and a stand-in for control
+//! that answers every heartbeat at once.
+
+use crate::experiment::{CONTROL_PORT, Class, Experiment, Variant};
+use crate::router::{Arrival, CallId, Cx, Output};
+use crate::upstream::Upstream;
+use gate::{LoadReport, Outcome, Ticket};
+use miette::Result;
+use node::{Effect, Event, Node, NodeOptions, admission, entry, step};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wire::{
+    Announcement, AttemptId, Body, ConfigDelta, Heartbeat, HeartbeatReply, Load, Refuse,
+    RefuseReason, ReplicaAddress, RequestId, Route, RouteKind, RoutePart, Routing, ServiceDelta,
+    ServiceRules, UpstreamInfo,
+};
+
+/// Host of all routes.
+const HOST: &str = "model";
+/// Upstreams that a request may reach.
+const ATTEMPTS: u32 = 3;
+/// Time of a message between a daemon and control.
+const CONTROL_WAY: Duration = Duration::from_millis(1);
+/// Time in which an upstream lets go of a request that is cancelled.
+const LETS_GO: Duration = Duration::from_millis(1);
+/// Bytes of the headers of a request and its answer, about.
+const HEADER_BYTES: u64 = 700;
+/// Connections that an upstream accepts.
+const CONNECTIONS: u32 = 220;
+/// Thousandths in a unit.
+const MILLI: u64 = 1_000;
+/// Statuses that a caller gets for a request that wasn't run, and for one that
+/// may have been.
+const UNAVAILABLE: u16 = 503;
+const TIMED_OUT: u16 = 504;
+
+#[derive(Debug)]
+struct Daemon {
+    node: Node,
+    name: String,
+    address: String,
+    data_centre: String,
+    announced: Option<Announcement>,
+}
+
+/// A request at a gate.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    entry: usize,
+    gate: usize,
+    request: RequestId,
+    attempt: AttemptId,
+    bytes: u64,
+}
+
+/// The daemons.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    daemons: Vec<Daemon>,
+    classes: Vec<Class>,
+    routing: Routing,
+    near: Duration,
+    far: Duration,
+    sent: BTreeMap<Ticket, Sent>,
+    tickets: BTreeMap<(RequestId, AttemptId), Ticket>,
+    arrivals: BTreeMap<CallId, Arrival>,
+    statuses: BTreeMap<(RequestId, AttemptId), u16>,
+    next_ticket: Ticket,
+    registered: u64,
+    config: u64,
+    out: Vec<String>,
+    far_bytes: u64,
+}
+
+impl Fleet {
+    /// Creates a daemon beside each upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the settings.
+    pub(crate) fn new(
+        experiment: &Experiment,
+        variant: &Variant,
+        upstreams: &[Upstream],
+        seed: u64,
+    ) -> Result<Self> {
+        let mut daemons = Vec::new();
+        for (number, upstream) in (0_u16..).zip(upstreams) {
+            let data_centre = experiment.data_centres[upstream.data_centre].clone();
+            let name = format!("{}-{number}", upstream.service.name);
+            let (settings, policy) = experiment.daemon(variant, &name, &data_centre, number)?;
+            daemons.push(Daemon {
+                address: settings.listen.peers.to_string(),
+                name,
+                data_centre,
+                announced: None,
+                node: Node::new(NodeOptions {
+                    settings,
+                    incarnation: 1,
+                    seed: seed.wrapping_add(u64::from(number)),
+                    replica: None,
+                    policy,
+                }),
+            });
+        }
+        Ok(Self {
+            daemons,
+            classes: experiment.class.clone(),
+            routing: routing(experiment),
+            near: Duration::from_secs_f64(experiment.near_ms / 1_000.0),
+            far: Duration::from_secs_f64(experiment.far_ms / 1_000.0),
+            sent: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            statuses: BTreeMap::new(),
+            next_ticket: 0,
+            registered: 1,
+            config: 1,
+            out: Vec::new(),
+            far_bytes: 0,
+        })
+    }
+
+    pub(crate) fn far_bytes(&self) -> u64 {
+        self.far_bytes
+    }
+
+    pub(crate) fn out(&mut self, data_centres: &[String]) {
+        self.out = data_centres.to_vec();
+        self.config += 1;
+    }
+
+    pub(crate) fn arrived(&mut self, arrival: Arrival, cx: &mut Cx<'_>) {
+        let class = &self.classes[arrival.class];
+        let request = entry::Request {
+            id: arrival.call,
+            customer: "".into(),
+            service: "".into(),
+            class: None,
+            safe_method: class.idempotent,
+            fingerprint: arrival.call,
+            key: None,
+            deadline: Some(arrival.deadline.saturating_sub(cx.now)),
+            retry_budget: None,
+            depth: arrival.depth,
+            routed: Some(entry::Routed {
+                host: HOST.into(),
+                path: prefix(&class.name),
+            }),
+            body_bytes: class.request_bytes,
+            held: true,
+        };
+        self.arrivals.insert(arrival.call, arrival);
+        let event = Event::Entry(entry::Event::Arrived(request));
+        self.event(arrival.daemon, event, cx);
+    }
+
+    pub(crate) fn gone(&mut self, call: CallId, cx: &mut Cx<'_>) {
+        if let Some(arrival) = self.arrivals.get(&call) {
+            let event = Event::Entry(entry::Event::CallerGone(call));
+            self.event(arrival.daemon, event, cx);
+        }
+    }
+
+    pub(crate) fn started(&mut self, number: usize, cx: &mut Cx<'_>) {
+        let upstream = &cx.upstreams[number];
+        let cold = upstream.cold_until.saturating_sub(cx.now);
+        let announcement = Announcement {
+            service: upstream.service.name.clone(),
+            slots: upstream.service.slots,
+            boot: format!("b{}", upstream.start),
+            cold_ms: u64::try_from(cold.as_millis()).unwrap_or(u64::MAX),
+            incarnation: upstream.start,
+            sequence: 1,
+            ..Announcement::default()
+        };
+        let event = admission::Event::Announced(announcement);
+        self.event(number, Event::Admission(event), cx);
+    }
+
+    pub(crate) fn read_report(&mut self, number: usize, cx: &mut Cx<'_>) {
+        let admission = &mut self.daemons[number].node.admission;
+        if cx.upstreams[number].up && admission.may_read_report(cx.now) {
+            self.report(number, cx);
+        }
+    }
+
+    fn report(&mut self, number: usize, cx: &mut Cx<'_>) {
+        let upstream = &cx.upstreams[number];
+        let report = LoadReport {
+            in_flight: u32::try_from(upstream.runs.len()).unwrap_or(u32::MAX),
+            limit: None,
+            cold: None,
+            slow_percent: Some(upstream.told_percent(cx.now)),
+        };
+        let event = admission::Event::Reported(report);
+        self.event(number, Event::Admission(event), cx);
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        upstream: usize,
+        ticket: Ticket,
+        outcome: Outcome,
+        cx: &mut Cx<'_>,
+    ) {
+        if let Outcome::Whole(status) = outcome {
+            let answering = admission::Event::Answering(ticket, status);
+            self.event(upstream, Event::Admission(answering), cx);
+        }
+        let ended = admission::Event::Ended(ticket, outcome);
+        self.event(upstream, Event::Admission(ended), cx);
+        if matches!(outcome, Outcome::Whole(_)) {
+            self.report(upstream, cx);
+        }
+        let Some(sent) = self.sent.remove(&ticket) else {
+            return;
+        };
+        let admission = &mut self.daemons[upstream].node.admission;
+        let load = admission.load_to_send(cx.now);
+        let (request, attempt) = (sent.request, sent.attempt);
+        match outcome {
+            Outcome::Whole(status) => {
+                self.statuses.insert((request, attempt), status);
+                let answering = entry::Event::Answering(request, attempt, status, load);
+                self.tell_entry(sent, answering, cx);
+                let ended = entry::Event::Ended(request, attempt, sent.bytes, load);
+                self.tell_entry(sent, ended, cx);
+            }
+            Outcome::Broken => {
+                self.tell_entry(sent, entry::Event::Broken(request, attempt, load), cx);
+            }
+            Outcome::Refused | Outcome::Rejected => {
+                let reason = match outcome {
+                    Outcome::Refused => RefuseReason::Unreachable,
+                    _ => RefuseReason::Rejected,
+                };
+                let refuse = Refuse {
+                    reason: reason.into(),
+                    load,
+                    ..Refuse::default()
+                };
+                self.tell_entry(sent, entry::Event::Refused(request, attempt, refuse), cx);
+            }
+        }
+    }
+
+    /// Lets an event happen at a daemon, and does what it wants.
+    pub(crate) fn event(&mut self, daemon: usize, event: Event, cx: &mut Cx<'_>) {
+        let mut effects = Vec::new();
+        step(&mut self.daemons[daemon].node, cx.now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Entry(effect) => self.entry(daemon, effect, cx),
+                Effect::Admission(effect) => self.admission(daemon, effect, cx),
+                Effect::Send { body, .. } => self.send(daemon, body, cx),
+                Effect::Reply { link, body } => self.reply(daemon, link, body, cx),
+                _ => {}
+            }
+        }
+    }
+
+    fn way(&self, from: usize, to: usize) -> Duration {
+        let same = self.daemons[from].data_centre == self.daemons[to].data_centre;
+        if same { self.near } else { self.far }
+    }
+
+    fn tell_entry(&self, sent: Sent, event: entry::Event, cx: &mut Cx<'_>) {
+        cx.tx.push(Output::Deliver {
+            at: cx.now + self.way(sent.gate, sent.entry),
+            daemon: sent.entry,
+            event: Box::new(Event::Entry(event)),
+        });
+    }
+
+    fn entry(&mut self, daemon: usize, effect: entry::Effect, cx: &mut Cx<'_>) {
+        match effect {
+            entry::Effect::Forward(attempt) => self.forward(daemon, &attempt, cx),
+            entry::Effect::Cancel(request, attempt) => {
+                let Some(ticket) = self.tickets.get(&(request, attempt)) else {
+                    return;
+                };
+                let Some(sent) = self.sent.get(ticket) else {
+                    return;
+                };
+                let event = admission::Event::Cancelled(*ticket);
+                cx.tx.push(Output::Deliver {
+                    at: cx.now + self.way(sent.entry, sent.gate),
+                    daemon: sent.gate,
+                    event: Box::new(Event::Admission(event)),
+                });
+            }
+            entry::Effect::Relay(call, attempt) => {
+                let status = self.statuses.get(&(call, attempt)).copied();
+                self.answer(call, status.unwrap_or(TIMED_OUT), None, cx);
+            }
+            entry::Effect::Refuse(call, refusal) => {
+                let status = match refusal.run {
+                    entry::RunState::NotRun => UNAVAILABLE,
+                    entry::RunState::Ran | entry::RunState::MayHaveRun => TIMED_OUT,
+                };
+                self.answer(call, status, refusal.retry_after, cx);
+            }
+            entry::Effect::Forget(call) => {
+                self.arrivals.remove(&call);
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        call: CallId,
+        status: u16,
+        retry_after: Option<Duration>,
+        cx: &mut Cx<'_>,
+    ) {
+        cx.tx.push(Output::Answer {
+            call,
+            status,
+            retry_after,
+        });
+    }
+
+    fn forward(&mut self, daemon: usize, attempt: &entry::Attempt, cx: &mut Cx<'_>) {
+        let name = attempt.upstream.as_str();
+        let gate = self.daemons.iter().position(|d| d.name == name);
+        let arrival = self.arrivals.get(&attempt.request).copied();
+        let (Some(gate), Some(arrival)) = (gate, arrival) else {
+            return;
+        };
+        let class = &self.classes[arrival.class];
+        let bytes = class.request_bytes + class.answer_bytes + HEADER_BYTES;
+        if self.daemons[gate].data_centre != self.daemons[daemon].data_centre {
+            self.far_bytes += bytes;
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let sent = Sent {
+            entry: daemon,
+            gate,
+            request: attempt.request,
+            attempt: attempt.attempt,
+            bytes: class.answer_bytes,
+        };
+        self.sent.insert(ticket, sent);
+        self.tickets
+            .insert((attempt.request, attempt.attempt), ticket);
+        let event = admission::Event::Arrived(admission::Arrival {
+            ticket,
+            link: daemon as u64 + 1,
+            believed_slow_percent: attempt.believed_slow_percent,
+            service: attempt.service.clone(),
+            customer: "".into(),
+            class: attempt.class.clone(),
+            deadline: attempt.deadline,
+            fingerprint: attempt.request,
+            claim: attempt.claim,
+            idempotent: attempt.idempotent,
+            weight: attempt.weight,
+            objective: attempt.objective,
+            suspected: attempt.suspected,
+        });
+        cx.tx.push(Output::Deliver {
+            at: cx.now + self.way(daemon, gate),
+            daemon: gate,
+            event: Box::new(Event::Admission(event)),
+        });
+    }
+
+    fn admission(&mut self, daemon: usize, effect: admission::Effect, cx: &mut Cx<'_>) {
+        match effect {
+            admission::Effect::Run(ticket) => {
+                if let Some(sent) = self.sent.get(&ticket) {
+                    cx.tx.push(Output::Run {
+                        upstream: daemon,
+                        ticket,
+                        call: sent.request,
+                    });
+                }
+            }
+            admission::Effect::Refuse {
+                ticket,
+                reason,
+                load,
+                retry_after,
+                only_at,
+            } => {
+                let told = load != Load::default();
+                let refuse = Refuse {
+                    stream: 0,
+                    reason: reason.into(),
+                    load: told.then_some(load),
+                    retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+                    only_at: only_at.unwrap_or_default().into(),
+                };
+                if let Some(sent) = self.sent.remove(&ticket) {
+                    let event = entry::Event::Refused(sent.request, sent.attempt, refuse);
+                    self.tell_entry(sent, event, cx);
+                }
+            }
+            admission::Effect::Cancel(ticket) => cx.tx.push(Output::Cancel {
+                upstream: daemon,
+                ticket,
+            }),
+            admission::Effect::Expire(ticket) => {
+                if let Some(sent) = self.sent.remove(&ticket) {
+                    let event = entry::Event::Broken(sent.request, sent.attempt, None);
+                    self.tell_entry(sent, event, cx);
+                }
+                cx.tx.push(Output::Cancel {
+                    upstream: daemon,
+                    ticket,
+                });
+            }
+        }
+    }
+
+    fn reply(&mut self, daemon: usize, link: u64, body: Body, cx: &mut Cx<'_>) {
+        let entry = usize::try_from(link).ok().and_then(|l| l.checked_sub(1));
+        let Some(entry) = entry.filter(|entry| *entry < self.daemons.len()) else {
+            return;
+        };
+        let event = Event::Received {
+            link: None,
+            daemon: self.daemons[daemon].name.as_str().into(),
+            body,
+        };
+        cx.tx.push(Output::Deliver {
+            at: cx.now + self.way(daemon, entry),
+            daemon: entry,
+            event: Box::new(event),
+        });
+    }
+
+    /// Answers heartbeats; nothing else is asked of control.
+    fn send(&mut self, daemon: usize, body: Body, cx: &mut Cx<'_>) {
+        let Body::Heartbeat(heartbeat) = body else {
+            return;
+        };
+        if self.daemons[daemon].announced != heartbeat.upstream {
+            self.daemons[daemon]
+                .announced
+                .clone_from(&heartbeat.upstream);
+            self.registered += 1;
+        }
+        let event = Event::Received {
+            link: None,
+            daemon: "control".into(),
+            body: Body::HeartbeatReply(self.news(&heartbeat)),
+        };
+        cx.tx.push(Output::Deliver {
+            at: cx.now + CONTROL_WAY,
+            daemon,
+            event: Box::new(event),
+        });
+    }
+
+    fn news(&self, heartbeat: &Heartbeat) -> HeartbeatReply {
+        let due = heartbeat.subscriptions.iter();
+        let due = due.filter(|s| s.version < self.registered);
+        HeartbeatReply {
+            sequence: heartbeat.sequence,
+            confirmed: true,
+            term: 1,
+            replicas: vec![ReplicaAddress {
+                address: format!("127.0.0.1:{CONTROL_PORT}"),
+            }],
+            config_version: self.config,
+            config: (heartbeat.config_version < self.config).then(|| ConfigDelta {
+                from: 0,
+                to: self.config,
+                out_data_centres: self.out.clone(),
+                last: true,
+                routing: Some(self.routing.clone()),
+                ..ConfigDelta::default()
+            }),
+            services: due.map(|s| self.service(&s.service)).collect(),
+            ..HeartbeatReply::default()
+        }
+    }
+
+    fn service(&self, service: &str) -> ServiceDelta {
+        let serving = self.daemons.iter().filter_map(|d| {
+            let announced = d.announced.as_ref().filter(|a| a.service == service)?;
+            Some(UpstreamInfo {
+                upstream: d.name.clone(),
+                address: d.address.clone(),
+                data_centre: d.data_centre.clone(),
+                slots: announced.slots,
+                leaving: announced.leaving,
+            })
+        });
+        ServiceDelta {
+            service: service.into(),
+            epoch: 1,
+            version: self.registered,
+            whole: true,
+            upstreams: serving.collect(),
+            removed: Vec::new(),
+        }
+    }
+}
+
+/// Returns when an upstream has let go of a request that it was asked to
+/// cancel.
+pub(crate) fn lets_go_at(now: Duration) -> Duration {
+    now + LETS_GO
+}
+
+fn prefix(class: &str) -> String {
+    format!("/{class}/")
+}
+
+fn routing(experiment: &Experiment) -> Routing {
+    let route = |class: &Class| Route {
+        name: class.name.clone(),
+        host: HOST.into(),
+        prefix: prefix(&class.name),
+        kind: match class.idempotent {
+            true => RouteKind::Idempotent.into(),
+            false => RouteKind::NonIdempotent.into(),
+        },
+        timeout_ms: class.deadline_ms,
+        objective_ms: class.objective_ms,
+        priority: class.priority,
+        attempts: ATTEMPTS,
+        parts: vec![RoutePart {
+            service: class.service.clone(),
+            weight: 1,
+        }],
+        split: false,
+    };
+    let rules = |service: &crate::experiment::Service| ServiceRules {
+        name: service.name.clone(),
+        connections: CONNECTIONS,
+        cold_ms: (service.cold.for_s * 1_000.0) as u64,
+        cold_per_s_milli: service.cold.per_s * MILLI,
+        ..ServiceRules::default()
+    };
+    Routing {
+        version: 1,
+        routes: experiment.class.iter().map(route).collect(),
+        services: experiment.service.iter().map(rules).collect(),
+        limits: None,
+    }
+}
--- /dev/null
+++ b/crates/model/src/main.rs
@@ -0,0 +1,7 @@
+//! The process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    model::main()
+}
--- /dev/null
+++ b/crates/model/src/report.rs
@@ -0,0 +1,187 @@
+//! Results as tables, CSV files and plots.
+
+use crate::experiment::Experiment;
+use crate::tally::Tally;
+use miette::{IntoDiagnostic, Result, miette};
+use plotters::prelude::{
+    BLACK, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99, PathElement,
+    SVGBackend, WHITE,
+};
+use plotters::style::Color;
+use std::path::Path;
+
+/// Size of a plot, in pixels.
+const PLOT: (u32, u32) = (720, 440);
+/// Size of its letters, in pixels.
+const LETTERS: u32 = 15;
+/// Size of the lists beside its axes, in pixels.
+const MARGIN: u32 = 45;
+/// Length of a line in the legend, in pixels.
+const LEGEND: i32 = 18;
+/// Hundredths in a unit.
+const HUNDREDTHS: f64 = 100.0;
+/// Quantiles that are shown.
+const MEDIAN: f64 = 0.5;
+const TAIL: f64 = 0.99;
+
+/// What came of one run.
+#[derive(Clone, Debug)]
+pub(crate) struct Row {
+    pub(crate) variant: String,
+    pub(crate) load: f64,
+    pub(crate) seed: u64,
+    pub(crate) tally: Tally,
+}
+
+/// Values of a point, as means over its seeds.
+struct Point<'a> {
+    variant: &'a str,
+    load: f64,
+    rows: Vec<&'a Row>,
+}
+
+impl Point<'_> {
+    fn mean(&self, value: impl Fn(&Tally) -> f64) -> f64 {
+        let sum: f64 = self.rows.iter().map(|row| value(&row.tally)).sum();
+        sum / self.rows.len().max(1) as f64
+    }
+
+    fn earned(&self) -> f64 {
+        self.mean(Tally::earned)
+    }
+
+    fn ms(&self, quantile: f64) -> f64 {
+        self.mean(|t| t.quantile(quantile).as_secs_f64() * 1_000.0)
+    }
+}
+
+/// Puts the rows of one variant and load together.
+fn points(rows: &[Row]) -> Vec<Point<'_>> {
+    let mut points: Vec<Point<'_>> = Vec::new();
+    for row in rows {
+        let same =
+            |p: &&mut Point<'_>| p.variant == row.variant && p.load.total_cmp(&row.load).is_eq();
+        match points.iter_mut().find(same) {
+            Some(point) => point.rows.push(row),
+            None => points.push(Point {
+                variant: &row.variant,
+                load: row.load,
+                rows: vec![row],
+            }),
+        }
+    }
+    points
+}
+
+/// Prints a table.
+pub(crate) fn print(experiment: &Experiment, rows: &[Row]) {
+    println!("{}", experiment.name);
+    println!(
+        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>6}",
+        "variant", "load_%", "worth_%", "answ_%", "p50_ms", "p99_ms", "far_kb/s", "runs/rq", "cold"
+    );
+    for point in points(rows) {
+        let asked = |t: &Tally| t.classes.iter().map(|c| c.asked).sum::<u64>() as f64;
+        println!(
+            "{:<22} {:>6.0} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>9.1} {:>7.2} {:>6.1}",
+            point.variant,
+            point.load * HUNDREDTHS,
+            point.earned() * HUNDREDTHS,
+            point.mean(Tally::answered) * HUNDREDTHS,
+            point.ms(MEDIAN),
+            point.ms(TAIL),
+            point.mean(|t| t.far_bytes as f64) / 1_024.0 / experiment.times().0.as_secs_f64(),
+            point.mean(|t| t.runs as f64 / asked(t).max(1.0)),
+            point.mean(|t| t.beyond_cold as f64),
+        );
+    }
+}
+
+/// Writes a CSV file with each run and class, and plots of the worth and of the
+/// tail by load.
+///
+/// # Errors
+///
+/// Returns why a file can't be written.
+pub(crate) fn save(out: &Path, experiment: &Experiment, rows: &[Row]) -> Result<()> {
+    std::fs::create_dir_all(out).into_diagnostic()?;
+    let file = |what: &str| out.join(format!("{}{what}", experiment.name));
+    let mut csv = csv::Writer::from_path(file(".csv")).into_diagnostic()?;
+    csv.write_record([
+        "variant", "load", "seed", "class", "asked", "in_time", "late", "refused", "failed",
+        "earned", "offered",
+    ])
+    .into_diagnostic()?;
+    for row in rows {
+        for class in row.tally.classes.iter().filter(|c| c.asked > 0) {
+            csv.write_record([
+                row.variant.clone(),
+                row.load.to_string(),
+                row.seed.to_string(),
+                class.name.clone(),
+                class.asked.to_string(),
+                class.in_time.to_string(),
+                class.late.to_string(),
+                class.refused.to_string(),
+                class.failed.to_string(),
+                format!("{:.2}", class.earned),
+                format!("{:.2}", class.offered),
+            ])
+            .into_diagnostic()?;
+        }
+    }
+    csv.flush().into_diagnostic()?;
+    let points = points(rows);
+    let worth = |p: &Point<'_>| p.earned() * HUNDREDTHS;
+    let title = format!("{}: worth earned, in percent", experiment.name);
+    plot(&file("-worth.svg"), &title, &points, worth)?;
+    let title = format!("{}: 99th percentile of answers, in ms", experiment.name);
+    plot(&file("-tail.svg"), &title, &points, |p| p.ms(TAIL))
+}
+
+fn plot(
+    path: &Path,
+    title: &str,
+    points: &[Point<'_>],
+    value: impl Fn(&Point<'_>) -> f64,
+) -> Result<()> {
+    let failed = |err: &dyn std::fmt::Display| miette!("{}: {err}", path.display());
+    let loads = points.iter().map(|p| p.load * HUNDREDTHS);
+    let (low, high) = loads.fold((f64::MAX, 0.0_f64), |(low, high), load| {
+        (low.min(load), high.max(load))
+    });
+    let top = points.iter().map(&value).fold(0.0, f64::max);
+    let area = SVGBackend::new(path, PLOT).into_drawing_area();
+    area.fill(&WHITE).map_err(|err| failed(&err))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", LETTERS).into_font())
+        .margin(LETTERS)
+        .x_label_area_size(MARGIN)
+        .y_label_area_size(MARGIN)
+        .build_cartesian_2d(low..high, 0.0..top)
+        .map_err(|err| failed(&err))?;
+    chart
+        .configure_mesh()
+        .x_desc("load, in percent of what the upstreams can do")
+        .draw()
+        .map_err(|err| failed(&err))?;
+    let mut variants: Vec<&str> = points.iter().map(|p| p.variant).collect();
+    variants.dedup();
+    for (number, variant) in variants.into_iter().enumerate() {
+        let colour = Palette99::pick(number).to_rgba();
+        let of_variant = points.iter().filter(|p| p.variant == variant);
+        let line = of_variant.map(|p| (p.load * HUNDREDTHS, value(p)));
+        chart
+            .draw_series(LineSeries::new(line, colour.stroke_width(2)))
+            .map_err(|err| failed(&err))?
+            .label(variant)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + LEGEND, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .border_style(BLACK)
+        .background_style(WHITE)
+        .draw()
+        .map_err(|err| failed(&err))?;
+    area.present().map_err(|err| failed(&err))
+}
