Run what can still be in time first, and count what callers waited

Requests that can't be in time now wait behind those that can, and an entry infers from the time that is left how long a caller has waited.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -4,7 +4,7 @@
 use crate::inheritance::Inheritance;
 use crate::knee::Knee;
 use crate::pace::Pace;
-use crate::queue::{Ask, Queue, Queued};
+use crate::queue::{Ask, Queue, Queued, Standing};
 use crate::ramp::Ramp;
 use crate::restart::{Restarts, Start};
 use crate::slots::{Running, Slots, Ticket};
@@ -241,8 +241,13 @@
         if !self.has_slot() || self.announced.as_ref().is_some_and(|a| a.leaving) {
             return None;
         }
-        let limit = self.load().limit;
-        let ask = self.queue.pop(&self.slots, limit)?;
+        let ask = self.queue.pop(Standing {
+            now,
+            slots: &self.slots,
+            limit: self.load().limit,
+            pace: &self.pace,
+            slowness: self.slowness(),
+        })?;
         self.take(now, &ask);
         Some(ask.ticket)
     }
@@ -333,6 +338,11 @@
         self.slow.filter(recent).map_or(0, |(_, slow)| slow)
     }
 
+    /// Returns how long work takes, where 1 is as usual.
+    fn slowness(&self) -> f64 {
+        f64::from(self.slow_percent().max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT)
+    }
+
     fn take(&mut self, now: Duration, ask: &Ask) {
         self.busy = now;
         self.cold.sent(now);
@@ -356,7 +366,14 @@
         let service = Duration::from_micros(u64::from(load.service_us));
         let until = now + (service * WAIT_SERVICES).clamp(SHORTEST_WAIT, LONGEST_WAIT);
         let room = self.room(load.limit);
-        match self.queue.push(ask, until, room, &self.slots, load.limit) {
+        let standing = Standing {
+            now,
+            slots: &self.slots,
+            limit: load.limit,
+            pace: &self.pace,
+            slowness: self.slowness(),
+        };
+        match self.queue.push(ask, until, room, standing) {
             Queued::Waits => Ok(Turn::Waits { instead_of: None }),
             Queued::Instead(ticket) => Ok(Turn::Waits {
                 instead_of: Some(ticket),
@@ -379,8 +396,7 @@
     /// Learns from an answer to a request beside which `level` ran, itself
     /// included.
     fn answered(&mut self, now: Duration, running: &Running, level: u32, status: u16) {
-        let slow = f64::from(self.slow_percent().max(USUAL_PERCENT)) / f64::from(USUAL_PERCENT);
-        let took = now.saturating_sub(running.since).div_f64(slow);
+        let took = now.saturating_sub(running.since).div_f64(self.slowness());
         let normal = self.pace.record(&running.class, took);
         let slots = self.announced.as_ref().map_or(0, |a| a.slots);
         let comparable = running.at_usual_pace && self.is_at_usual_pace();
--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -35,6 +35,17 @@
         us <= (usual * NORMAL_FACTOR).max(usual + NORMAL_SLACK_US)
     }
 
+    /// Returns the smoothed service time of a class, in microseconds; 0 when
+    /// unknown.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "times fit, and casts of floats saturate"
+    )]
+    pub(crate) fn of_class(&self, class: &str) -> u32 {
+        self.by_class.get(class).map_or(0, |us| *us as u32)
+    }
+
     /// Returns the smoothed service time, in microseconds; 0 when unknown.
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -3,7 +3,9 @@
 //! Without it a slot stands idle from the end of one request until another
 //! happens to arrive, while entries are refused.
 
+use crate::pace::Pace;
 use crate::slots::{Slots, Ticket};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{ClassId, CustomerId, ServiceId};
@@ -23,10 +25,26 @@
     pub class: ClassId,
     /// Weight of the class; heavier ones are shed later.
     pub weight: u32,
+    /// When its answer is late, if there is such a time.
+    pub objective: Option<Duration>,
 }
 
-/// Who goes first: customers within their share, then the heavier class.
-type Rank = (bool, u32);
+/// Who goes first: customers within their share, then requests that can still
+/// be in time, then the heavier class, then the shorter work.
+type Rank = (bool, bool, u32, Reverse<u32>);
+
+/// What the order of the waiting requests depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standing<'a> {
+    pub(crate) now: Duration,
+    pub(crate) slots: &'a Slots,
+    /// Requests that may run at once.
+    pub(crate) limit: u32,
+    /// How long the upstream usually takes.
+    pub(crate) pace: &'a Pace,
+    /// How long work takes there now, where 1 is as usual.
+    pub(crate) slowness: f64,
+}
 
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -63,15 +81,14 @@
         ask: &Ask,
         until: Duration,
         room: u32,
-        slots: &Slots,
-        limit: u32,
+        standing: Standing<'_>,
     ) -> Queued {
         let ask = ask.clone();
         if self.len() < room {
             self.waiting.push(Waiting { ask, until });
             return Queued::Waits;
         }
-        let shares = Shares::of(slots, &self.waiting, Some(&ask), limit);
+        let shares = Shares::of(standing, &self.waiting, Some(&ask));
         let ranks = self.waiting.iter().map(|w| shares.rank(&w.ask));
         let last = ranks
             .enumerate()
@@ -85,8 +102,8 @@
     }
 
     /// Takes the request out that goes first.
-    pub(crate) fn pop(&mut self, slots: &Slots, limit: u32) -> Option<Ask> {
-        let shares = Shares::of(slots, &self.waiting, None, limit);
+    pub(crate) fn pop(&mut self, standing: Standing<'_>) -> Option<Ask> {
+        let shares = Shares::of(standing, &self.waiting, None);
         let ranks = self.waiting.iter().map(|w| shares.rank(&w.ask));
         let first = ranks
             .enumerate()
@@ -113,27 +130,26 @@
 /// waiting.
 struct Shares<'a> {
     shares: BTreeMap<&'a str, u32>,
-    slots: &'a Slots,
-    limit: u32,
+    standing: Standing<'a>,
 }
 
 impl<'a> Shares<'a> {
-    fn of(slots: &'a Slots, waiting: &'a [Waiting], ask: Option<&'a Ask>, limit: u32) -> Self {
-        let mut shares = slots.shares();
+    fn of(standing: Standing<'a>, waiting: &'a [Waiting], ask: Option<&'a Ask>) -> Self {
+        let mut shares = standing.slots.shares();
         let asks = waiting.iter().map(|w| &w.ask).chain(ask);
         shares.extend(asks.map(|ask| (ask.customer.as_str(), ask.share)));
-        Self {
-            shares,
-            slots,
-            limit,
-        }
+        Self { shares, standing }
     }
 
     fn rank(&self, ask: &Ask) -> Rank {
         let total: u64 = self.shares.values().map(|s| u64::from((*s).max(1))).sum();
         let share = u64::from(ask.share.max(1));
-        let fair = (u64::from(self.limit) * share).div_ceil(total.max(1));
-        let within = u64::from(self.slots.of_customer(&ask.customer)) < fair;
-        (within, ask.weight)
+        let standing = &self.standing;
+        let fair = (u64::from(standing.limit) * share).div_ceil(total.max(1));
+        let within = u64::from(standing.slots.of_customer(&ask.customer)) < fair;
+        let usual_us = standing.pace.of_class(&ask.class);
+        let takes = Duration::from_micros(usual_us.into()).mul_f64(standing.slowness);
+        let in_time = ask.objective.is_none_or(|at| standing.now + takes <= at);
+        (within, in_time, ask.weight, Reverse(usual_us))
     }
 }
--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -48,6 +48,7 @@
             share: 1,
             class: "page".into(),
             weight: 1,
+            objective: None,
         };
         if gate.admit(ms(at), &ask) == Ok(Turn::Now) {
             admitted.push(at);
@@ -118,6 +119,7 @@
         share: 1,
         class: "page".into(),
         weight: 1,
+        objective: None,
     };
     gate.admit(ms(2_010), &ask).unwrap();
     gate.finish(ms(2_011), 1, outcome);
@@ -146,6 +148,7 @@
         share: 1,
         class: "page".into(),
         weight: 1,
+        objective: None,
     };
     for ticket in 0..60 {
         assert_eq!(gate.admit(ms(2_000), &ask(ticket)), Ok(Turn::Now));
--- a/crates/gate/tests/knee.rs
+++ b/crates/gate/tests/knee.rs
@@ -110,6 +110,7 @@
             share: 1,
             class: "page".into(),
             weight: 1,
+            objective: None,
         };
         let now = Duration::from_millis(self.now_ms);
         if self.gate.admit(now, &ask) == Ok(Turn::Now) {
--- a/crates/gate/tests/scenarios.rs
+++ b/crates/gate/tests/scenarios.rs
@@ -40,6 +40,7 @@
         }
     }
 
+    /// Reads a request; `late` is when its answer is late, in milliseconds.
     fn ask(command: &Command) -> Result<(Ask, Vec<Ticket>), Box<dyn Error>> {
         let mut args = command.consume_args();
         let ask = Ask {
@@ -49,6 +50,7 @@
             share: args.lookup_parse("share")?.unwrap_or(1),
             class: args.lookup_parse("class")?.unwrap_or("page".into()),
             weight: args.lookup_parse("weight")?.unwrap_or(1),
+            objective: args.lookup_parse("late")?.map(Duration::from_millis),
         };
         let tickets = args.rest_pos();
         let tickets = tickets.iter().map(|a| a.value.parse());
@@ -244,6 +246,7 @@
 #[test_case("queue")]
 #[test_case("queue_classes")]
 #[test_case("queue_customers")]
+#[test_case("queue_in_time")]
 fn gate_scenario(name: &str) {
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
     goldenscript::run(&mut Runner::new(), dir.join(name)).unwrap();
--- a/crates/gate/tests/shuffle.rs
+++ b/crates/gate/tests/shuffle.rs
@@ -146,6 +146,7 @@
             share: 1,
             class: "page".into(),
             weight: self.rng.random_range(1..3),
+            objective: None,
         };
         let idle = self.now.saturating_sub(self.model.last_busy) >= Duration::from_secs(5);
         if idle && self.model.running.is_empty() {
--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -94,9 +94,9 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Knee {
-    /// Part of the slots in use from which on it does.
+    /// Part of the slots in use up to which it does not.
     pub from: f64,
-    /// Multiple of the usual time with all slots in use.
+    /// Multiple of the usual time with more in use.
     pub factor: f64,
 }
 
@@ -377,7 +377,6 @@
     /// Returns by what work takes longer with some slots in use.
     pub(crate) fn slowdown(&self, used: u32, slots: u32) -> f64 {
         let part = f64::from(used) / f64::from(slots.max(1));
-        let beyond = (part - self.from) / (1.0 - self.from).max(f64::EPSILON);
-        1.0 + (self.factor - 1.0) * beyond.clamp(0.0, 1.0)
+        if part > self.from { self.factor } else { 1.0 }
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -22,6 +22,8 @@
 const REPORT: Duration = Duration::from_millis(100);
 /// Time in which a cold upstream's requests are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Part of a class's deadline that the least patient callers wait.
+const LEAST_PATIENCE: f64 = 0.85;
 /// Status of an answer that its caller can use.
 const OK: u16 = 200;
 /// Status of a run whose call failed.
@@ -62,6 +64,8 @@
     class: usize,
     data_centre: usize,
     first: Duration,
+    /// Time after the first sending for which it waits.
+    patience: Duration,
 }
 
 /// Who waits for an answer.
@@ -303,10 +307,12 @@
         let Some(class) = class else {
             return;
         };
+        let patience = self.rng.random_range(LEAST_PATIENCE..1.0);
         let caller = Caller {
             class,
             data_centre,
             first: self.now,
+            patience: Duration::from_millis(classes[class].deadline_ms).mul_f64(patience),
         };
         self.send(caller, classes[class].returns);
     }
@@ -323,7 +329,7 @@
         }
         let daemon = near[self.rng.random_range(0..near.len())];
         let objective = caller.first + Duration::from_millis(class.objective_ms);
-        let deadline = caller.first + Duration::from_millis(class.deadline_ms);
+        let deadline = caller.first + caller.patience;
         let worth = class.worth;
         self.call(
             (caller.class, daemon, worth),
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -301,6 +301,7 @@
             share: share(&arrival.customer, cx.agent),
             class: arrival.class.clone(),
             weight: arrival.weight,
+            objective: arrival.objective.map(|o| job.arrived + o),
         };
         match self.gate.admit(cx.now, &ask) {
             Ok(Turn::Now) => self.hand_over(job, cx),
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -33,7 +33,7 @@
     pub idempotent: bool,
     /// Weight of its class.
     pub weight: u32,
-    /// Time within which the answer has its full worth, if one is stated.
+    /// Time left until the answer is late, if there is such a time.
     pub objective: Option<Duration>,
     /// Whether the entry saw it in flight at what may have been a crash.
     pub suspected: bool,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,6 +5,7 @@
 mod hedge;
 mod message;
 mod outcome;
+mod patience;
 mod refusal;
 mod request;
 mod route;
@@ -15,6 +16,7 @@
 
 use crate::context::Cx;
 use conf::Settings;
+use patience::Patience;
 use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits};
 use refusal::GiveUp;
 use request::{Active, Purpose};
@@ -62,6 +64,7 @@
     active: BTreeMap<RequestId, Active>,
     waiting: BTreeSet<RequestId>,
     convicted: BTreeMap<Fingerprint, Duration>,
+    patience: Patience,
     attempts: AttemptCount,
     stopping: bool,
 }
@@ -97,6 +100,7 @@
             active: BTreeMap::new(),
             waiting: BTreeSet::new(),
             convicted: BTreeMap::new(),
+            patience: Patience::default(),
             attempts: AttemptCount::default(),
             stopping: false,
         }
@@ -210,7 +214,7 @@
         if self.is_convicted(request.fingerprint, cx) {
             return Err(Reason::Convicted.into());
         }
-        let active = request::prepare(request, cx)?;
+        let active = request::prepare(request, &mut self.patience, cx)?;
         if active.request.routed.is_none() {
             cx.allowances
                 .admit(cx.now, &active.request.customer, cx.agent, cx.tx)?;
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -83,8 +83,7 @@
     if elapsed < SHORTEST_WAIT || there.as_secs_f64() > remains.as_secs_f64() * (1.0 - SAVING) {
         return false;
     }
-    let objective = active.objective.map(|o| active.arrived + o);
-    let target = objective.filter(|at| cx.now + there <= *at);
+    let target = active.late_at.filter(|at| cx.now + there <= *at);
     let target = target.unwrap_or(active.deadline);
     cx.now + there <= target && cx.now.saturating_add(remains) > target
 }
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -89,7 +89,7 @@
     pub believed_slow_percent: u32,
     /// Class that it runs under.
     pub class: ClassId,
-    /// Time within which the answer has its full worth, if one is stated.
+    /// Time left until the answer is late, if there is such a time.
     pub objective: Option<Duration>,
     /// Weight of the class.
     pub weight: u32,
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -1,6 +1,7 @@
 //! A request under way, and the checks before any work is done for it.
 
 use super::message::{Attempt, Request};
+use super::patience::Patience;
 use super::refusal::{GiveUp, Reason};
 use super::route;
 use crate::context::Cx;
@@ -19,6 +20,8 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Retries that the whole call tree below a first call may spend.
 const TREE_RETRIES: u32 = 20;
+/// Time left until an answer is late that stands for none left.
+const SHORTEST: Duration = Duration::from_millis(1);
 /// Part of its objective that a request's work takes, as long as none of its
 /// class was measured.
 const UNMEASURED_WORK: u32 = 4;
@@ -118,7 +121,6 @@
     pub(super) request: Request,
     pub(super) class: Class,
     pub(super) class_name: ClassId,
-    pub(super) arrived: Duration,
     pub(super) deadline: Duration,
     pub(super) claim: ClaimState,
     pub(super) tried: Vec<Tried>,
@@ -128,6 +130,8 @@
     pub(super) max_arrivals: usize,
     /// Time within which the answer has its full worth, if one is stated.
     pub(super) objective: Option<Duration>,
+    /// When the answer is late, if there is such a time.
+    pub(super) late_at: Option<Duration>,
     /// The attempt whose answer the caller gets, and its HTTP status.
     pub(super) relayed: Option<(AttemptId, u16)>,
     /// The only upstream that may run it.
@@ -167,16 +171,21 @@
 
     /// Returns what the request asks of an upstream.
     pub(super) fn demand(&self, now: Duration) -> Demand {
-        let objective = self.objective.filter(|o| !o.is_zero());
-        let taken = now.saturating_sub(self.arrived);
         Demand {
             class: self.class_name.clone(),
-            work: objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK,
+            work: self.objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK,
             bytes: self.request.body_bytes,
-            objective: objective.map(|o| o.saturating_sub(taken)),
+            objective: self.until_late(now),
         }
     }
 
+    /// Returns the time left until the answer is late, if there is such a
+    /// time; never zero, which would stand for none.
+    fn until_late(&self, now: Duration) -> Option<Duration> {
+        let late_at = self.late_at?;
+        Some(late_at.saturating_sub(now).max(SHORTEST))
+    }
+
     /// Begins an attempt.
     pub(super) fn begin(
         &mut self,
@@ -206,7 +215,7 @@
             retry_budget: handed,
             service: self.request.service.clone(),
             class: self.class_name.clone(),
-            objective: self.objective,
+            objective: self.until_late(now),
             weight: self.class.weight,
             idempotent: self.class.idempotent,
             claim: self.claim_number(),
@@ -246,7 +255,11 @@
 }
 
 /// Resolves the class, the deadline and the budget of a request.
-pub(super) fn prepare(mut request: Request, cx: &mut Cx<'_>) -> Result<Active, GiveUp> {
+pub(super) fn prepare(
+    mut request: Request,
+    patience: &mut Patience,
+    cx: &mut Cx<'_>,
+) -> Result<Active, GiveUp> {
     let rules = match request.routed.take() {
         Some(routed) => {
             let rules = route::rules(&mut request, &routed, cx)?;
@@ -271,6 +284,12 @@
     if time.is_zero() {
         return Err(Reason::Deadline.into());
     }
+    let objective = objective.filter(|o| !o.is_zero());
+    let late_at = objective.map(|objective| {
+        let granted = request.deadline.unwrap_or(class.deadline);
+        let waited = patience.waited(cx.now, &class_name, granted);
+        cx.now + objective.saturating_sub(waited)
+    });
     let retry_budget = match request.retry_budget {
         Some(budget) => budget.min(TREE_RETRIES),
         None if request.depth <= 1 => TREE_RETRIES,
@@ -282,7 +301,6 @@
         ClaimState::Needed
     };
     Ok(Active {
-        arrived: cx.now,
         deadline: cx.now + time,
         request,
         class,
@@ -292,6 +310,7 @@
         retry_budget,
         max_arrivals,
         objective,
+        late_at,
         relayed: None,
         only_at: None,
         suspected: false,
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -141,6 +141,11 @@
 }
 
 fn arrive(node: &mut Node, at_ms: u64, id: u64, path: &str) -> Vec<Effect> {
+    arrive_with(node, at_ms, (id, path), 700)
+}
+
+/// A request comes in with so much time left.
+fn arrive_with(node: &mut Node, at_ms: u64, (id, path): (u64, &str), left_ms: u64) -> Vec<Effect> {
     let request = entry::Request {
         id,
         customer: "".into(),
@@ -149,7 +154,7 @@
         safe_method: true,
         fingerprint: id,
         key: None,
-        deadline: Some(Duration::from_millis(700)),
+        deadline: Some(Duration::from_millis(left_ms)),
         retry_budget: None,
         depth: 1,
         routed: Some(entry::Routed {
@@ -322,6 +327,20 @@
     }
 }
 
+/// Load pattern: callers come back after refusals. What they have waited counts
+/// against the objective, as far as the time that they have left shows it.
+#[test_case(700, 200; "first sending")]
+#[test_case(600, 200; "less patient caller")]
+#[test_case(500, 105; "came back")]
+#[test_case(300, 1; "came back too late to be in time")]
+fn arrived_again_has_less_time_to_the_objective(left_ms: u64, objective_ms: u64) {
+    let mut node = ready();
+    arrive(&mut node, 3_010, 1, "/read/x");
+    let again = arrive_with(&mut node, 3_020, (2, "/read/x"), left_ms);
+    let objective = forwarded(&again).unwrap().objective;
+    assert_eq!(objective, Some(Duration::from_millis(objective_ms)));
+}
+
 /// A break leaves it open whether a request ran: the answer must not promise
 /// that it did not.
 #[test]
