Tell by class what is added to an upstream's time, out of saved logs

plumhitch times reads the logs of all processes and shows for requests that needed one attempt their time and what of it was not the run at the upstream, near and far apart.

Reading saved logs moved out of explain into a file of its own.

--- a/crates/plumhitch/src/args.rs
+++ b/crates/plumhitch/src/args.rs
@@ -69,6 +69,7 @@
 pub(crate) enum Command {
     Check(Check),
     Explain(Explain),
+    Times(Times),
     Apply(Apply),
     Status(Status),
     History(History),
@@ -105,6 +106,16 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
+/// Says by class how long answered requests took, and what of that was not
+/// their upstream's, out of the daemons' saved logs; asks no daemon.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "times")]
+pub(crate) struct Times {
+    /// logs of the daemons; standard input if none is given
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Checks the lists that are given and puts them in force, together, in place
 /// of the ones there are.
 #[derive(FromArgs, Debug)]
--- a/crates/plumhitch/src/explain.rs
+++ b/crates/plumhitch/src/explain.rs
@@ -2,21 +2,8 @@
 
 use crate::args::Explain;
 use crate::failure::Failure;
-use std::collections::{BTreeMap, BTreeSet};
-use std::fs;
-use std::io::{self, Read};
-
-/// Longest text read, in bytes.
-const MAX_BYTES: u64 = 4 << 30;
-
-/// One line of a log.
-#[derive(Clone, Debug)]
-struct Line<'a> {
-    /// Where it comes from: the file, or what stands before its time.
-    process: String,
-    time_ms: u64,
-    fields: BTreeMap<&'a str, String>,
-}
+use crate::saved_logs::{Line, lines, read};
+use std::collections::BTreeSet;
 
 /// Prints what a request's lines say, in the order of their times.
 ///
@@ -24,11 +11,8 @@
 ///
 /// Returns that a file can't be read, or that no line names the request.
 pub(crate) fn explain(args: &Explain) -> Result<(), Failure> {
-    let texts = read(args)?;
-    let mut story = Vec::new();
-    for (file, text) in &texts {
-        story.extend(text.lines().filter_map(|l| parse(file, l)));
-    }
+    let texts = read(&args.files)?;
+    let story = lines(&texts);
     let lines = of_request(&story, &args.id);
     if lines.is_empty() {
         let why = format!("no line names {}; was its log level above info?", args.id);
@@ -42,50 +26,6 @@
     Ok(())
 }
 
-fn read(args: &Explain) -> Result<Vec<(String, String)>, Failure> {
-    let failed = |name: &str, err: &io::Error| Failure::Failed(format!("{name}: {err}"));
-    if args.files.is_empty() {
-        let mut text = String::new();
-        let read = io::stdin().take(MAX_BYTES).read_to_string(&mut text);
-        read.map_err(|err| failed("standard input", &err))?;
-        return Ok(vec![(String::new(), text)]);
-    }
-    let files = args.files.iter().map(|path| {
-        let name = path.display().to_string();
-        let text = fs::read(path).map_err(|err| failed(&name, &err))?;
-        Ok((name, String::from_utf8_lossy(&text).into_owned()))
-    });
-    files.collect()
-}
-
-/// Reads a line; one of another kind is none.
-fn parse<'a>(file: &str, line: &'a str) -> Option<Line<'a>> {
-    let at = line.find("time=")?;
-    let before = line[..at].split_whitespace().last().unwrap_or_default();
-    let fields = fields(&line[at..]);
-    fields.contains_key("event").then(|| Line {
-        process: if before.is_empty() { file } else { before }.to_owned(),
-        time_ms: fields.get("time").and_then(|t| t.parse().ok()).unwrap_or(0),
-        fields,
-    })
-}
-
-/// Splits `key=value` pairs; a value in quotes may hold spaces.
-fn fields(text: &str) -> BTreeMap<&str, String> {
-    let mut fields = BTreeMap::new();
-    let mut rest = text;
-    while let Some((key, after)) = rest.split_once('=') {
-        let key = key.trim_start();
-        let (value, next) = match after.strip_prefix('"') {
-            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
-            None => after.split_once(' ').unwrap_or((after, "")),
-        };
-        fields.insert(key, value.to_owned());
-        rest = next;
-    }
-    fields
-}
-
 /// Returns the lines of a request: those that name the caller's id, or the
 /// number that its daemon gave it.
 fn of_request<'l, 'a>(all: &'l [Line<'a>], id: &str) -> Vec<&'l Line<'a>> {
--- a/crates/plumhitch/src/main.rs
+++ b/crates/plumhitch/src/main.rs
@@ -7,7 +7,9 @@
 mod explain;
 mod failure;
 mod output;
+mod saved_logs;
 mod time;
+mod times;
 
 use crate::args::{Args, Command, State};
 use crate::client::Client;
@@ -34,6 +36,7 @@
     let operation = match &args.command {
         Command::Check(files) => return check::check(files, out),
         Command::Explain(explain) => return explain::explain(explain),
+        Command::Times(times) => return times::times(times),
         Command::Status(_) => return status(args, out).await,
         Command::History(history) => return self::history(args, history.limit, out).await,
         Command::Initialise(_) => return initialise(args, out).await,
--- a/crates/plumhitch/tests/explain.rs
+++ b/crates/plumhitch/tests/explain.rs
@@ -65,6 +65,54 @@
     assert!(text.contains("attempt 1 goes to b-2"), "{text}");
 }
 
+/// One file with the lines of all processes, each after the process's name, as
+/// a collector saves them.
+const COLLECTED: &str = "\
+e-1 time=900 level=INFO event=started daemon=e-1 data_centre=ams
+b-1 time=900 level=INFO event=started daemon=b-1 data_centre=ams
+b-2 time=900 level=INFO event=started daemon=b-2 data_centre=utr
+b-1 time=1002 level=INFO event=run attempt_id=a1 class=read outcome=Whole(200) took_us=20000
+e-1 time=1003 level=INFO event=request id=1 attempt_id=a1 service=\"s\" class=\"read\" \
+outcome=answered attempts=1 upstream=b-1 took_us=21000
+b-2 time=1005 level=INFO event=run attempt_id=a2 class=read outcome=Whole(200) took_us=20000
+e-1 time=1006 level=INFO event=request id=2 attempt_id=a2 service=\"s\" class=\"read\" \
+outcome=answered attempts=1 upstream=b-2 took_us=24000
+e-1 time=1007 level=INFO event=request id=3 attempt_id=a3 service=\"s\" class=\"read\" \
+outcome=refused attempts=1 upstream=b-2 took_us=5000
+";
+
+fn times(text: &str) -> Output {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("all");
+    fs::write(&path, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_plumhitch"));
+    command.arg("times").arg(path).output().unwrap()
+}
+
+#[test]
+fn times_tells_what_was_added_by_class_and_way() {
+    let output = times(COLLECTED);
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).unwrap();
+    let rows: Vec<Vec<&str>> = text
+        .lines()
+        .map(|l| l.split_whitespace().collect())
+        .collect();
+    assert_eq!(rows[1][..4], ["s", "read", "far", "1"], "{text}");
+    assert_eq!(rows[2][..4], ["s", "read", "near", "1"], "{text}");
+    let added = |row: usize| rows[row][6].parse::<f64>().unwrap();
+    assert!(
+        (added(1) - 4.0).abs() < 0.01 && (added(2) - 1.0).abs() < 0.01,
+        "{text}"
+    );
+}
+
+#[test]
+fn times_without_answers_fails() {
+    let output = times("e-1 time=900 level=INFO event=started daemon=e-1 data_centre=ams\n");
+    assert!(!output.status.success());
+}
+
 #[test]
 fn explain_of_an_unknown_id_fails() {
     let output = explain("nobody");
