Test the sign of life of links, and the budget of all entries together

A gate that is frozen with a request under way is given up long before the caller's deadline of 30 s; the test is red when links aren't watched (15 s and more). A gate that lives is waited for. What eight entries with unequal traffic repeat while every upstream fails stays within the fleet's part and what each saves up; the test is red with a ratio of 0.5 (720 repeats where 304 are allowed).

--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -77,13 +77,22 @@
 pub(crate) fn print(experiment: &Experiment, rows: &[Row]) {
     println!("{}", experiment.name);
     println!(
-        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>6}",
-        "variant", "load_%", "worth_%", "answ_%", "p50_ms", "p99_ms", "far_kb/s", "runs/rq", "cold"
+        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7} {:>6}",
+        "variant",
+        "load_%",
+        "worth_%",
+        "answ_%",
+        "p50_ms",
+        "p99_ms",
+        "far_kb/s",
+        "runs/rq",
+        "again_%",
+        "cold"
     );
     for point in points(rows) {
         let asked = |t: &Tally| t.classes.iter().map(|c| c.asked).sum::<u64>() as f64;
         println!(
-            "{:<22} {:>6.0} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>9.1} {:>7.2} {:>6.1}",
+            "{:<22} {:>6.0} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>9.1} {:>7.2} {:>7.2} {:>6.1}",
             point.variant,
             point.load * HUNDREDTHS,
             point.earned() * HUNDREDTHS,
@@ -92,6 +101,7 @@
             point.ms(TAIL),
             point.mean(|t| t.far_bytes as f64) / 1_024.0 / experiment.times().0.as_secs_f64(),
             point.mean(|t| t.runs as f64 / asked(t).max(1.0)),
+            point.mean(|t| t.again as f64 / (t.runs - t.again).max(1) as f64) * HUNDREDTHS,
             point.mean(|t| t.beyond_cold as f64),
         );
     }
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -43,6 +43,8 @@
     pub classes: Vec<ClassTally>,
     /// Requests that upstreams got.
     pub runs: u64,
+    /// Those that were repeats: a second run, or a call of one.
+    pub again: u64,
     /// Requests that cold upstreams got beyond what they bear.
     pub beyond_cold: u64,
     /// Bytes that went to other data centres.
@@ -65,6 +67,7 @@
         Self {
             classes: classes.collect(),
             runs: 0,
+            again: 0,
             beyond_cold: 0,
             far_bytes: 0,
         }
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -15,6 +15,8 @@
 /// A request that an upstream works on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
+    /// Whether it counts as a repeat.
+    pub(crate) again: bool,
     /// Seconds of work that are left at the usual pace.
     pub(crate) left: f64,
     /// Number of the call that it waits for, if any.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -88,6 +88,9 @@
 struct Open {
     arrival: Arrival,
     origin: Origin,
+    /// Whether a run of it counts as a repeat: an upstream has got it before,
+    /// or the run that calls is a repeat.
+    again: bool,
 }
 
 struct World<'a> {
@@ -374,7 +377,19 @@
             worth,
             depth,
         };
-        self.open.insert(arrival.call, Open { arrival, origin });
+        let again = match origin {
+            Origin::Caller(..) => false,
+            Origin::Run(upstream, ticket) => {
+                let run = self.upstreams[upstream].runs.get(&ticket);
+                run.is_some_and(|run| run.again)
+            }
+        };
+        let open = Open {
+            arrival,
+            origin,
+            again,
+        };
+        self.open.insert(arrival.call, open);
         self.at(deadline, What::Deadline(arrival.call));
         self.route(|router, cx| router.arrived(arrival, cx));
     }
@@ -413,12 +428,17 @@
             return;
         }
         self.tally.runs += 1;
+        if let Some(open) = self.open.get_mut(&call) {
+            self.tally.again += u64::from(open.again);
+            open.again = true;
+        }
         if self.now < upstream.cold_until {
             self.count_cold(number);
         }
         let upstream = &mut self.upstreams[number];
         upstream.pass(self.now);
         let run = Run {
+            again: open.is_some_and(|open| open.again),
             left: open.map_or(0.0, |open| open.arrival.work),
             waits_for: None,
             stands: false,
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -12,6 +12,13 @@
     Routing, ServiceDelta, UpstreamInfo,
 };
 
+/// Part of the requests that may be repeated, and repeats that an entry may
+/// save up for a service.
+const RATIO: f64 = 0.2;
+const SAVED: f64 = 2.0;
+/// Entries of a fleet.
+const ENTRIES: u64 = 8;
+
 fn node() -> Node {
     let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
     let listen = ListenSettings {
@@ -29,8 +36,8 @@
     settings.gate.isolate_suspects = false;
     settings.routing.repicks = 4;
     settings.routing.by_expected_finish = true;
-    settings.routing.shared_retries = Some(2.0);
-    settings.routing.retry_ratio = 0.2;
+    settings.routing.shared_retries = Some(SAVED);
+    settings.routing.retry_ratio = RATIO;
     settings.routing.hedge_ratio = 0.2;
     Node::new(NodeOptions {
         settings,
@@ -341,6 +348,33 @@
     assert_eq!(objective, Some(Duration::from_millis(objective_ms)));
 }
 
+/// Load pattern: every upstream fails for long. What all entries repeat
+/// together stays within the fleet's part of the requests, and what each may
+/// save up, however unevenly the requests come in.
+#[test]
+fn broken_everywhere_repeats_of_all_entries_stay_in_the_budget() {
+    let (mut first, mut again) = (0, 0);
+    for entry in 1..=ENTRIES {
+        let mut node = ready();
+        for id in 1..=entry * 40 {
+            let at_ms = 3_000 + id * 10;
+            first += 1;
+            let mut effects = arrive(&mut node, at_ms, id, "/read/x");
+            while let Some(attempt) = forwarded(&effects) {
+                again += u64::from(attempt.attempt > 1);
+                let broken = entry::Event::Broken(id, attempt.attempt, None);
+                effects = run(&mut node, at_ms + 1, Event::Entry(broken));
+            }
+        }
+    }
+    let allowed = RATIO * first as f64 + SAVED * ENTRIES as f64;
+    assert!(again as f64 <= allowed, "{again} of {allowed}");
+    assert!(
+        again as f64 >= RATIO * first as f64 * 0.5,
+        "{again} repeats"
+    );
+}
+
 /// A break leaves it open whether a request ran: the answer must not promise
 /// that it did not.
 #[test]
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -145,6 +145,33 @@
     assert!(res.headers().contains_key("plumhitch-reason"));
 }
 
+/// A peer that owes an answer and is silent is asked for a sign of life; the
+/// caller need not wait for its deadline of 30 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn gate_silent_is_given_up_long_before_the_deadline() {
+    let pair = Pair::start("", "").await;
+    let before = pair.seen.begun.load(Ordering::SeqCst);
+    let call = tokio::spawn(pair.request("GET", "/slow").send());
+    until("the request", async || {
+        pair.seen.begun.load(Ordering::SeqCst) > before
+    })
+    .await;
+    pair.gate.signal("STOP");
+    let begun = Instant::now();
+    let res = call.await.unwrap().unwrap();
+    assert!(begun.elapsed() < Duration::from_secs(15));
+    assert!(res.status().is_server_error(), "{}", res.status());
+    assert_eq!(res.headers()["plumhitch-run"], "may-have-run");
+}
+
+/// A gate that gives signs of life is not given up while its upstream works.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_slow_behind_a_gate_that_lives_is_waited_for() {
+    let pair = Pair::start("", "").await;
+    let res = pair.request("GET", "/slow").send().await.unwrap();
+    assert_eq!(res.status(), 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_gone_cancels_at_the_upstream() {
     let pair = Pair::start("", "").await;
