--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 use support::{Pair, until};
 use test_case::test_case;
+use tokio::task::JoinHandle;
 
 const MB: usize = 1024 * 1024;
 /// Most memory that a daemon may use while it passes big bodies on.
@@ -35,6 +36,18 @@
     (reqwest::Body::wrap_stream(body), said)
 }
 
+/// Sends a request on which its upstream works for a while, and waits until it
+/// has begun.
+async fn slow_call(pair: &Pair) -> JoinHandle<reqwest::Result<reqwest::Response>> {
+    let before = pair.seen.begun.load(Ordering::SeqCst);
+    let call = tokio::spawn(pair.request("GET", "/slow").send());
+    until("the request", async || {
+        pair.seen.begun.load(Ordering::SeqCst) > before
+    })
+    .await;
+    call
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_comes_back_whole() {
     let pair = Pair::start("", "").await;
@@ -150,12 +163,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn gate_silent_is_given_up_long_before_the_deadline() {
     let pair = Pair::start("", "").await;
-    let before = pair.seen.begun.load(Ordering::SeqCst);
-    let call = tokio::spawn(pair.request("GET", "/slow").send());
-    until("the request", async || {
-        pair.seen.begun.load(Ordering::SeqCst) > before
-    })
-    .await;
+    let call = slow_call(&pair).await;
     pair.gate.signal("STOP");
     let begun = Instant::now();
     let res = call.await.unwrap().unwrap();
@@ -175,12 +183,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_gone_cancels_at_the_upstream() {
     let pair = Pair::start("", "").await;
-    let before = pair.seen.begun.load(Ordering::SeqCst);
-    let call = tokio::spawn(pair.request("GET", "/slow").send());
-    until("the request", async || {
-        pair.seen.begun.load(Ordering::SeqCst) > before
-    })
-    .await;
+    let call = slow_call(&pair).await;
     call.abort();
     until("the cancellation", async || {
         pair.seen.cancelled.load(Ordering::SeqCst) == 1
