Tell daemons what changed in the routing, not the whole

The leader now remembers by name which routes and services each change set or removed, and sends these. Daemons say that they take changes; others get the whole.

Ruled out: registrations (an announcement that only counts up makes no new version), the list of quota homes (32 at most).

--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -22,7 +22,7 @@
 
 use crate::lists::parse_plans;
 use configuration::set_customers;
-use kept::{KeptChange, KeptChanges};
+use kept::{KeptChange, KeptChanges, RoutingPart};
 use remembered::RememberedChanges;
 use routing::AcceptedRouting;
 use std::collections::VecDeque;
@@ -119,7 +119,7 @@
             version,
             customers: command.customers,
             plans_changed,
-            routing_changed: false,
+            routing: RoutingPart::None,
         });
         ChangeOutcome {
             result: ChangeResult::Accepted as i32,
--- a/crates/conf/src/state/receiver.rs
+++ b/crates/conf/src/state/receiver.rs
@@ -2,6 +2,7 @@
 
 use super::Configuration;
 use super::configuration::set_customers;
+use super::routing::changed;
 use crate::finding::Findings;
 use crate::lists::{Customers, parse_plans};
 use crate::routes::RouteTable;
@@ -110,6 +111,9 @@
     if let Some(routing) = &last.routing {
         config.routing = RouteTable::new(routing.clone());
     }
+    if let Some(change) = &last.routing_change {
+        config.routing = RouteTable::new(changed(config.routing.content(), change));
+    }
     config.version = last.to;
     Ok(())
 }
--- a/crates/conf/src/state/routing.rs
+++ b/crates/conf/src/state/routing.rs
@@ -1,7 +1,7 @@
 //! Changes of the routing as the replicated state machine applies them.
 
 use super::ConfigState;
-use super::kept::KeptChange;
+use super::kept::{KeptChange, RoutingPart};
 use crate::routes::{RouteTable, findings};
 use prost::Message;
 use wire::{
@@ -49,8 +49,9 @@
         if !wrong.is_empty() {
             return self.routing_outcome(ChangeResult::Invalid, wrong);
         }
+        let part = RoutingPart::between(current, &next);
         self.current.routing = RouteTable::new(next);
-        self.advance(true);
+        self.advance(part);
         self.routing_changes.push_back(accepted);
         while self.routing_changes.len() > MAX_ACCEPTED {
             self.routing_changes.pop_front();
@@ -71,18 +72,18 @@
                 false => OperationKind::DataCentreReturn,
             };
             self.current.operate(kind, &order.data_centre);
-            self.advance(false);
+            self.advance(RoutingPart::None);
         }
         self.routing_outcome(ChangeResult::Accepted, Vec::new())
     }
 
-    fn advance(&mut self, routing_changed: bool) {
+    fn advance(&mut self, routing: RoutingPart) {
         self.current.version += 1;
         self.kept.push(KeptChange {
             version: self.current.version,
             customers: Vec::new(),
             plans_changed: false,
-            routing_changed,
+            routing,
         });
     }
 
@@ -101,7 +102,7 @@
 }
 
 /// Returns the routing that a change makes of another.
-fn changed(current: &Routing, change: &RoutingChange) -> Routing {
+pub(super) fn changed(current: &Routing, change: &RoutingChange) -> Routing {
     if change.whole {
         return Routing {
             version: change.version,
--- a/crates/conf/src/state/snapshot.rs
+++ b/crates/conf/src/state/snapshot.rs
@@ -2,7 +2,7 @@
 
 use super::ConfigState;
 use super::configuration::set_customers;
-use super::kept::{KeptChange, KeptChanges};
+use super::kept::{KeptChange, KeptChanges, RoutingPart};
 use super::remembered::RememberedChanges;
 use super::routing::AcceptedRouting;
 use crate::finding::Findings;
@@ -119,7 +119,11 @@
                 version: record.version,
                 customers: record.customers,
                 plans_changed: record.plans_changed,
-                routing_changed: record.routing_changed,
+                // Names aren't kept in snapshots.
+                routing: match record.routing_changed {
+                    true => RoutingPart::Whole,
+                    false => RoutingPart::None,
+                },
             });
         }
         state.current.routing = RouteTable::new(snapshot.routing.unwrap_or_default());
@@ -148,7 +152,7 @@
         version: change.version,
         customers: change.customers.clone(),
         plans_changed: change.plans_changed,
-        routing_changed: change.routing_changed,
+        routing_changed: change.routing != RoutingPart::None,
     });
     records.collect()
 }
--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -1,9 +1,9 @@
 //! Configuration news for daemons, in pages.
 
 use super::ConfigState;
-use super::kept::customer_bytes;
+use super::kept::{RoutingPart, customer_bytes};
 use std::collections::BTreeMap;
-use wire::{ConfigDelta, ConfigVersion, CustomerPlan};
+use wire::{ConfigDelta, ConfigVersion, CustomerPlan, Routing, RoutingChange};
 
 /// Bytes of a page, about.
 pub const MAX_PAGE_BYTES: usize = 256 * 1024;
@@ -14,17 +14,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct Transfers {
     to: ConfigVersion,
-    pages: BTreeMap<ConfigVersion, Vec<ConfigDelta>>,
+    pages: BTreeMap<(ConfigVersion, bool), Vec<ConfigDelta>>,
 }
 
 impl Transfers {
     /// Returns a page of what a daemon lacks that holds version `held`, or
-    /// `None` when it lacks nothing. `page` counts from 1; 0 is the first.
+    /// `None` when it lacks nothing. `page` counts from 1; 0 is the first. One
+    /// that doesn't take changes of the routing gets the whole of it.
     pub fn page(
         &mut self,
         state: &ConfigState,
         held: ConfigVersion,
         page: u64,
+        takes_changes: bool,
     ) -> Option<ConfigDelta> {
         let to = state.current().version;
         if held >= to {
@@ -34,22 +36,25 @@
             self.pages.clear();
             self.to = to;
         }
-        if !self.pages.contains_key(&held) && self.pages.len() >= MAX_TRANSFERS {
+        let key = (held, takes_changes);
+        if !self.pages.contains_key(&key) && self.pages.len() >= MAX_TRANSFERS {
             self.pages.pop_first();
         }
-        let pages = self.pages.entry(held).or_insert_with(|| split(state, held));
+        let pages = self.pages.entry(key);
+        let pages = pages.or_insert_with(|| split(state, held, takes_changes));
         let index = usize::try_from(page.saturating_sub(1)).ok()?;
         pages.get(index).or_else(|| pages.first()).cloned()
     }
 }
 
 /// Splits what changed since `held`, or the whole, into pages.
-fn split(state: &ConfigState, held: ConfigVersion) -> Vec<ConfigDelta> {
+fn split(state: &ConfigState, held: ConfigVersion, takes_changes: bool) -> Vec<ConfigDelta> {
     let current = state.current();
     let merged = state.kept.since(held);
     let from = if merged.is_some() { held } else { 0 };
     let with_plans = merged.as_ref().is_none_or(|m| m.plans_changed);
-    let with_routing = merged.as_ref().is_none_or(|m| m.routing_changed);
+    let part = merged.as_ref().map_or(&RoutingPart::Whole, |m| &m.routing);
+    let (routing, routing_change) = routing(current.routing.content(), part, takes_changes);
     let customers = merged.map_or_else(|| whole(state), |m| m.customers);
     let mut pages = split_customers(customers);
     let last = pages.pop().unwrap_or_default();
@@ -73,11 +78,44 @@
         out_upstreams: names(&current.out_upstreams),
         page: if count == 0 { 0 } else { count + 1 },
         last: true,
-        routing: with_routing.then(|| current.routing.content().clone()),
+        routing,
+        routing_change,
     });
     deltas
 }
 
+/// Returns the routing, or what changed of it.
+fn routing(
+    current: &Routing,
+    part: &RoutingPart,
+    takes_changes: bool,
+) -> (Option<Routing>, Option<Box<RoutingChange>>) {
+    match part {
+        RoutingPart::None => (None, None),
+        RoutingPart::Named { routes, services } if takes_changes => {
+            let set_routes = current.routes.iter().filter(|r| routes.contains(&r.name));
+            let set_services = current.services.iter();
+            let set_services = set_services.filter(|s| services.contains(&s.name));
+            let has_route = |name: &&String| current.routes.iter().any(|r| r.name == **name);
+            let has_service = |name: &&String| current.services.iter().any(|s| s.name == **name);
+            let removed_routes = routes.iter().filter(|name| !has_route(name));
+            let removed_services = services.iter().filter(|name| !has_service(name));
+            let change = RoutingChange {
+                version: current.version,
+                base: 0,
+                whole: false,
+                routes: set_routes.cloned().collect(),
+                services: set_services.cloned().collect(),
+                limits: current.limits,
+                removed_routes: removed_routes.cloned().collect(),
+                removed_services: removed_services.cloned().collect(),
+            };
+            (None, Some(Box::new(change)))
+        }
+        RoutingPart::Named { .. } | RoutingPart::Whole => (Some(current.clone()), None),
+    }
+}
+
 fn whole(state: &ConfigState) -> Vec<CustomerPlan> {
     let customers = state.current().customers.iter();
     customers
--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -2,10 +2,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use conf::{ConfigState, Configuration, Receiver, RouteTable, Transfers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use test_case::test_case;
 use wire::{
-    ChangeResult, DataCentreOrder, Route, RouteKind, RoutePart, Routing, RoutingChange,
-    ServiceRules,
+    CallerLimits, ChangeResult, DataCentreOrder, Route, RouteKind, RoutePart, Routing,
+    RoutingChange, ServiceRules,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -168,15 +170,109 @@
     result(&mut state, &whole(7, 0));
     let (mut transfers, mut config) = (Transfers::default(), Configuration::default());
     let mut receiver = Receiver::default();
-    let delta = transfers.page(&state, 0, 0).unwrap();
+    let delta = transfers.page(&state, 0, 0, true).unwrap();
     receiver.take(&mut config, 1, delta).unwrap();
     assert_eq!(config, *state.current());
     state.apply_data_centre(&DataCentreOrder {
         data_centre: "ams".into(),
         out: true,
     });
-    let delta = transfers.page(&state, config.version, 0).unwrap();
+    let delta = transfers.page(&state, config.version, 0, true).unwrap();
     assert!(delta.routing.is_none());
     receiver.take(&mut config, 1, delta).unwrap();
     assert_eq!(config, *state.current());
 }
+
+/// Returns the routing with its lists in the order of names: a daemon that
+/// takes changes may hold another order, which no request can tell.
+fn sorted(routing: &Routing) -> Routing {
+    let mut routing = routing.clone();
+    routing.routes.sort_by(|a, b| a.name.cmp(&b.name));
+    routing.services.sort_by(|a, b| a.name.cmp(&b.name));
+    routing
+}
+
+/// Draws a change that the current routing allows.
+fn drawn(rng: &mut SmallRng, state: &ConfigState) -> RoutingChange {
+    let current = state.current().routing.content();
+    let mut change = RoutingChange {
+        version: current.version + rng.random_range(1..3),
+        base: current.version,
+        whole: rng.random_bool(0.3),
+        services: vec![service("booking")],
+        ..RoutingChange::default()
+    };
+    for n in 0..6 {
+        let mut drawn = route(&format!("r{n}"), "a.example", &format!("/{n}/"));
+        drawn.timeout_ms = rng.random_range(500..503);
+        match rng.random_range(0..3) {
+            0 => change.routes.push(drawn),
+            1 => change.removed_routes.push(drawn.name),
+            _ => {}
+        }
+    }
+    if rng.random_bool(0.3) {
+        change.services.push(service("club"));
+    }
+    if change.whole || rng.random_bool(0.2) {
+        change.limits = Some(CallerLimits {
+            body_bytes: rng.random_range(1_000..1_005),
+            ..CallerLimits::default()
+        });
+    }
+    change
+}
+
+/// Whatever version a daemon holds, what it is told makes its routing the
+/// current one, also from a leader that was restored out of a snapshot, and for
+/// a daemon of an earlier program that takes the whole only.
+#[test_case(true; "changes")]
+#[test_case(false; "whole only")]
+fn transfer_of_changes_makes_the_current_routing(takes_changes: bool) {
+    let mut rng = SmallRng::seed_from_u64(11);
+    for _ in 0..50 {
+        let mut state = founded();
+        assert_eq!(result(&mut state, &whole(7, 0)), ChangeResult::Accepted);
+        let mut daemons = vec![(Configuration::default(), Receiver::default()); 4];
+        let mut transfers = Transfers::default();
+        for _ in 0..30 {
+            let change = drawn(&mut rng, &state);
+            result(&mut state, &change);
+            if rng.random_bool(0.1) {
+                state = ConfigState::restore(state.snapshot()).unwrap();
+            }
+            let (config, receiver) = &mut daemons[rng.random_range(0..4)];
+            if let Some(page) = transfers.page(&state, config.version, 0, takes_changes) {
+                assert!(takes_changes || page.routing_change.is_none());
+                receiver.take(config, 1, page).unwrap();
+            }
+            let (held, current) = (config.routing.content(), state.current().routing.content());
+            assert_eq!(sorted(held), sorted(current));
+            assert_eq!(config.version, state.current().version);
+        }
+    }
+}
+
+/// A change of one route among many is told as that route.
+#[test]
+fn transfer_of_a_small_change_is_small() {
+    let mut state = founded();
+    let routes = (0..200).map(|n| route(&format!("r{n}"), "a.example", &format!("/{n}/")));
+    let first = RoutingChange {
+        routes: routes.collect(),
+        ..whole(7, 0)
+    };
+    assert_eq!(result(&mut state, &first), ChangeResult::Accepted);
+    let held = state.current().version;
+    let mut second = RoutingChange {
+        version: 8,
+        base: 7,
+        ..first
+    };
+    second.routes[3].timeout_ms = 900;
+    assert_eq!(result(&mut state, &second), ChangeResult::Accepted);
+    let page = Transfers::default().page(&state, held, 0, true).unwrap();
+    let change = page.routing_change.unwrap();
+    assert_eq!((change.routes.len(), change.services.len()), (1, 0));
+    assert!(page.routing.is_none());
+}
--- a/crates/conf/tests/state.rs
+++ b/crates/conf/tests/state.rs
@@ -64,7 +64,7 @@
 fn transfer(state: &ConfigState, config: &mut Configuration) -> usize {
     let (mut transfers, mut receiver) = (Transfers::default(), Receiver::default());
     let mut pages = 0;
-    while let Some(page) = transfers.page(state, config.version, receiver.wanted()) {
+    while let Some(page) = transfers.page(state, config.version, receiver.wanted(), true) {
         let before = config.clone();
         pages += 1;
         match receiver.take(config, 1, page).expect("readable") {
@@ -175,7 +175,7 @@
     let changed = all.replace("customer-000007 = gold", "customer-000007 = basic");
     apply(&mut state, &lists("b", 2, Some(changed), None));
     apply(&mut state, &out("c", 3, "dc1"));
-    let page = Transfers::default().page(&state, 2, 0).expect("news");
+    let page = Transfers::default().page(&state, 2, 0, true).expect("news");
     assert_eq!((page.from, page.to, page.customers.len()), (2, 4, 1));
     assert_eq!(page.plans, None);
     assert_eq!(transfer(&state, &mut config), 1);
@@ -188,7 +188,7 @@
     let request = lists("a", 1, Some(customers(100_000, "gold")), Some(PLANS));
     assert_eq!(apply(&mut state, &request).result(), ChangeResult::Accepted);
     let mut transfers = Transfers::default();
-    let page = transfers.page(&state, 0, 1).expect("news");
+    let page = transfers.page(&state, 0, 1, true).expect("news");
     assert!(prost::Message::encoded_len(&page) <= MAX_PAGE_BYTES);
     let mut config = Configuration::default();
     transfer(&state, &mut config);
@@ -202,18 +202,22 @@
     apply(&mut state, &lists("a", 1, Some(all), Some(PLANS)));
     let (mut transfers, mut receiver) = (Transfers::default(), Receiver::default());
     let mut config = Configuration::default();
-    let first = transfers.page(&state, 0, 0).expect("news");
+    let first = transfers.page(&state, 0, 0, true).expect("news");
     receiver
         .take(&mut config, 1, first.clone())
         .expect("readable");
-    let second = transfers.page(&state, 0, receiver.wanted()).expect("news");
+    let second = transfers
+        .page(&state, 0, receiver.wanted(), true)
+        .expect("news");
     let other_leader = receiver.take(&mut config, 2, second.clone());
     assert_eq!(other_leader, Ok(Received::Ignored));
     assert_eq!(receiver.wanted(), 0);
 
     receiver.take(&mut config, 2, first).expect("readable");
     apply(&mut state, &out("b", 2, "dc1"));
-    let newer = transfers.page(&state, 0, receiver.wanted()).expect("news");
+    let newer = transfers
+        .page(&state, 0, receiver.wanted(), true)
+        .expect("news");
     assert_eq!(receiver.take(&mut config, 2, newer), Ok(Received::Ignored));
     assert_eq!(config.version, 0);
     transfer(&state, &mut config);
@@ -224,7 +228,7 @@
 fn receiver_never_goes_back() {
     let mut state = initialised();
     apply(&mut state, &out("a", 1, "dc1"));
-    let old = Transfers::default().page(&state, 0, 0).expect("news");
+    let old = Transfers::default().page(&state, 0, 0, true).expect("news");
     apply(&mut state, &out("b", 2, "dc2"));
     let mut config = Configuration::default();
     transfer(&state, &mut config);
--- a/crates/node/examples/control_cost.rs
+++ b/crates/node/examples/control_cost.rs
@@ -302,7 +302,7 @@
         let (mut taken, mut longest) = (0.0, 0.0f64);
         loop {
             let held = config.version;
-            let (page, split) = timed(|| transfers.page(&state, held, receiver.wanted()));
+            let (page, split) = timed(|| transfers.page(&state, held, receiver.wanted(), true));
             let page = page.expect("news");
             first += split;
             pages += 1;
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -136,7 +136,12 @@
             leader: String::new(),
             replicas: self.replica_addresses(),
             config_version: config.current().version,
-            config: self.transfers.page(config, held, heartbeat.config_page),
+            config: self.transfers.page(
+                config,
+                held,
+                heartbeat.config_page,
+                heartbeat.takes_routing_changes,
+            ),
             services: subscriptions
                 .filter_map(|s| self.registry.delta(now, s))
                 .collect(),
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -38,6 +38,10 @@
     /// Time since the daemon started, in milliseconds.
     #[prost(uint64, tag = "11")]
     pub age_ms: u64,
+    /// Whether the daemon understands changes of the routing; else it gets the
+    /// whole.
+    #[prost(bool, tag = "12")]
+    pub takes_routing_changes: bool,
 }
 
 /// What an upstream says of itself.
@@ -178,9 +182,13 @@
     /// Whether this is the last page.
     #[prost(bool, tag = "8")]
     pub last: bool,
-    /// The routing, if it changed; counts on the last page.
+    /// The routing, if it changed and is told as a whole; counts on the last
+    /// page.
     #[prost(message, optional, tag = "9")]
     pub routing: Option<crate::routing::Routing>,
+    /// What changed in the routing, if that is told; counts on the last page.
+    #[prost(message, optional, boxed, tag = "10")]
+    pub routing_change: Option<Box<crate::routing::RoutingChange>>,
 }
 
 /// An upstream, as the registry knows it.
