Refuse at once what no upstream is likely to answer in time

The entry knew: the expected time was above the time left. It now refuses such a request as not run and says when to come back. The new test failed before (forwarded).

Ruled out: waiting for a slot at a usual upstream (its queue was full).

--- a/crates/model/tests/patterns.rs
+++ b/crates/model/tests/patterns.rs
@@ -64,10 +64,11 @@
     assert_eq!(tally.beyond_cold, 0);
 }
 
+/// The runs are those of docs/MODEL.md.
 #[test_case(0.8, 0.95; "at 80 percent")]
 #[test_case(1.5, 0.85; "at 150 percent")]
 fn load_earns_its_part_of_what_is_possible(load: f64, part: f64) {
-    let experiment = with("");
+    let experiment = Experiment::parse(COURT).unwrap();
     let mean = |name: &str| -> f64 {
         let earned = SEEDS.map(|seed| {
             let variant = variant(&experiment, name);
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -13,6 +13,9 @@
 /// Requests that wait for word of their service, at most.
 const MAX_WAITING: usize = 1_000;
 
+/// Multiple of the expected time within which an answer is likely to come.
+const SPREAD: f64 = 1.4;
+
 impl Entry {
     /// Makes the first attempt, as soon as the view and the claim are there.
     pub(super) fn forward(&mut self, id: RequestId, cx: &mut Cx<'_>) {
@@ -56,11 +59,30 @@
             Err(give_up) => Err(give_up),
         };
         match chosen {
+            Ok(upstream) if !self.may_answer(id, &upstream, cx) => {
+                self.end_unless_open(id, Reason::Overload.into(), cx);
+            }
             Ok(upstream) => self.send(id, purpose, &upstream, cx),
             Err(give_up) => self.end_unless_open(id, give_up, cx),
         }
     }
 
+    /// Returns whether an answer of an upstream is likely before the caller
+    /// leaves. Else the upstream's slots and the caller's time are better used
+    /// otherwise: it is told when to come back.
+    fn may_answer(&self, id: RequestId, upstream: &str, cx: &Cx<'_>) -> bool {
+        let Some(active) = self.active.get(&id).filter(|a| a.late_at.is_some()) else {
+            return true;
+        };
+        let Some(picker) = self.pickers.get(&active.request.service) else {
+            return true;
+        };
+        let demand = active.demand(cx.now);
+        let wanted = demand.wanted(&cx.agent.data_centre, &[]);
+        let expected = picker.expected(cx.now, upstream, wanted);
+        expected.is_none_or(|expected| cx.now + expected.mul_f64(SPREAD) <= active.deadline)
+    }
+
     /// Chooses an upstream and pays for the attempt.
     fn choose(&mut self, id: RequestId, purpose: Purpose, cx: &mut Cx<'_>) -> Option<UpstreamId> {
         let active = self.active.get(&id)?;
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use test_case::test_case;
 use wire::{
-    Body, ConfigDelta, HeartbeatReply, Load, Refuse, RefuseReason, Route, RouteKind, RoutePart,
-    Routing, ServiceDelta, UpstreamInfo,
+    Body, ConfigDelta, HeartbeatReply, Load, LoadNews, Refuse, RefuseReason, Route, RouteKind,
+    RoutePart, Routing, ServiceDelta, UpstreamInfo,
 };
 
 /// Part of the requests that may be repeated, and repeats that an entry may
@@ -308,6 +308,50 @@
     assert!(forwarded(&refuse(&mut node, 3_412, 2, RefuseReason::Rejected)).is_none());
 }
 
+/// A gate tells that work takes so many times as long at its upstream.
+fn tell(node: &mut Node, at_ms: u64, upstream: &str, slow_percent: u32) {
+    let news = LoadNews {
+        upstream: upstream.into(),
+        load: Load {
+            in_flight: 1,
+            limit: 6,
+            slow_percent,
+            ..Load::default()
+        },
+    };
+    let event = Event::Received {
+        link: None,
+        daemon: upstream.into(),
+        body: Body::LoadNews(news),
+    };
+    run(node, at_ms, event);
+}
+
+/// Load pattern: every upstream with a free slot is slow. A request that none
+/// is expected to answer before its caller leaves is refused at once, and told
+/// when to come back; it runs as soon as one can.
+#[test_case(700, true; "all too slow")]
+#[test_case(300, false; "slow, but in time")]
+fn arrived_when_none_answers_before_the_deadline_is_refused(percent: u32, refused: bool) {
+    let mut node = ready();
+    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 120));
+    for upstream in ["u1", "u2", "u3"] {
+        tell(&mut node, 3_500, upstream, percent);
+    }
+    let effects = arrive(&mut node, 3_501, 1, "/read/x");
+    assert_eq!(forwarded(&effects).is_none(), refused);
+    let refusal = refusal(&effects);
+    assert_eq!(refusal.is_some(), refused);
+    if let Some(refusal) = refusal {
+        let what = (refusal.reason, refusal.run);
+        assert_eq!(what, (Reason::Overload, RunState::NotRun));
+        assert!(refusal.retry_after.is_some());
+    }
+    tell(&mut node, 3_502, "u2", 100);
+    let again = forwarded(&arrive(&mut node, 3_503, 2, "/read/x")).unwrap();
+    assert!(!refused || again.upstream == "u2");
+}
+
 /// Load pattern: an upstream, its VM or the way to it is gone.
 #[test]
 fn tick_hedges_an_idempotent_request_that_is_overdue_for_long() {
