--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -13,9 +13,6 @@
 /// Requests that wait for word of their service, at most.
 const MAX_WAITING: usize = 1_000;
 
-/// Multiple of the expected time within which an answer is likely to come.
-const SPREAD: f64 = 1.4;
-
 impl Entry {
     /// Makes the first attempt, as soon as the view and the claim are there.
     pub(super) fn forward(&mut self, id: RequestId, cx: &mut Cx<'_>) {
@@ -67,7 +64,7 @@
         }
     }
 
-    /// Returns whether an answer of an upstream is likely before the caller
+    /// Returns whether an answer of an upstream is expected before the caller
     /// leaves. Else the upstream's slots and the caller's time are better used
     /// otherwise: it is told when to come back.
     fn may_answer(&self, id: RequestId, upstream: &str, cx: &Cx<'_>) -> bool {
@@ -80,7 +77,7 @@
         let demand = active.demand(cx.now);
         let wanted = demand.wanted(&cx.agent.data_centre, &[]);
         let expected = picker.expected(cx.now, upstream, wanted);
-        expected.is_none_or(|expected| cx.now + expected.mul_f64(SPREAD) <= active.deadline)
+        expected.is_none_or(|expected| cx.now + expected <= active.deadline)
     }
 
     /// Chooses an upstream and pays for the attempt.
