--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -1,34 +1,25 @@
 //! The product's daemons, one beside each upstream, and a stand-in for control
 //! that answers every heartbeat at once.
 
-use crate::experiment::{CONTROL_PORT, Class, Experiment, Variant};
+mod control;
+
+use crate::experiment::{Class, Experiment, Variant};
 use crate::router::{Arrival, CallId, Cx, Output};
 use crate::upstream::Upstream;
+use control::{prefix, routing};
 use gate::{LoadReport, Outcome, Ticket};
 use miette::Result;
 use node::{Effect, Event, Node, NodeOptions, admission, entry, step};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{
-    Announcement, AttemptId, Body, ConfigDelta, Heartbeat, HeartbeatReply, Load, Refuse,
-    RefuseReason, ReplicaAddress, RequestId, Route, RouteKind, RoutePart, Routing, ServiceDelta,
-    ServiceRules, UpstreamInfo,
-};
+use wire::{Announcement, AttemptId, Body, Load, Refuse, RefuseReason, RequestId, Routing};
 
 /// Host of all routes.
 const HOST: &str = "model";
-/// Upstreams that a request may reach.
-const ATTEMPTS: u32 = 3;
-/// Time of a message between a daemon and control.
-const CONTROL_WAY: Duration = Duration::from_millis(1);
 /// Time in which an upstream lets go of a request that is cancelled.
 const LETS_GO: Duration = Duration::from_millis(1);
 /// Bytes of the headers of a request and its answer, about.
 const HEADER_BYTES: u64 = 700;
-/// Connections that an upstream accepts.
-const CONNECTIONS: u32 = 220;
-/// Thousandths in a unit.
-const MILLI: u64 = 1_000;
 /// Statuses that a caller gets for a request that wasn't run, and for one that
 /// may have been.
 const UNAVAILABLE: u16 = 503;
@@ -431,74 +422,6 @@
             event: Box::new(event),
         });
     }
-
-    /// Answers heartbeats; nothing else is asked of control.
-    fn send(&mut self, daemon: usize, body: Body, cx: &mut Cx<'_>) {
-        let Body::Heartbeat(heartbeat) = body else {
-            return;
-        };
-        if self.daemons[daemon].announced != heartbeat.upstream {
-            self.daemons[daemon]
-                .announced
-                .clone_from(&heartbeat.upstream);
-            self.registered += 1;
-        }
-        let event = Event::Received {
-            link: None,
-            daemon: "control".into(),
-            body: Body::HeartbeatReply(self.news(&heartbeat)),
-        };
-        cx.tx.push(Output::Deliver {
-            at: cx.now + CONTROL_WAY,
-            daemon,
-            event: Box::new(event),
-        });
-    }
-
-    fn news(&self, heartbeat: &Heartbeat) -> HeartbeatReply {
-        let due = heartbeat.subscriptions.iter();
-        let due = due.filter(|s| s.version < self.registered);
-        HeartbeatReply {
-            sequence: heartbeat.sequence,
-            confirmed: true,
-            term: 1,
-            replicas: vec![ReplicaAddress {
-                address: format!("127.0.0.1:{CONTROL_PORT}"),
-            }],
-            config_version: self.config,
-            config: (heartbeat.config_version < self.config).then(|| ConfigDelta {
-                from: 0,
-                to: self.config,
-                out_data_centres: self.out.clone(),
-                last: true,
-                routing: Some(self.routing.clone()),
-                ..ConfigDelta::default()
-            }),
-            services: due.map(|s| self.service(&s.service)).collect(),
-            ..HeartbeatReply::default()
-        }
-    }
-
-    fn service(&self, service: &str) -> ServiceDelta {
-        let serving = self.daemons.iter().filter_map(|d| {
-            let announced = d.announced.as_ref().filter(|a| a.service == service)?;
-            Some(UpstreamInfo {
-                upstream: d.name.clone(),
-                address: d.address.clone(),
-                data_centre: d.data_centre.clone(),
-                slots: announced.slots,
-                leaving: announced.leaving,
-            })
-        });
-        ServiceDelta {
-            service: service.into(),
-            epoch: 1,
-            version: self.registered,
-            whole: true,
-            upstreams: serving.collect(),
-            removed: Vec::new(),
-        }
-    }
 }
 
 /// Returns when an upstream has let go of a request that it was asked to
@@ -506,41 +429,3 @@
 pub(crate) fn lets_go_at(now: Duration) -> Duration {
     now + LETS_GO
 }
-
-fn prefix(class: &str) -> String {
-    format!("/{class}/")
-}
-
-fn routing(experiment: &Experiment) -> Routing {
-    let route = |class: &Class| Route {
-        name: class.name.clone(),
-        host: HOST.into(),
-        prefix: prefix(&class.name),
-        kind: match class.idempotent {
-            true => RouteKind::Idempotent.into(),
-            false => RouteKind::NonIdempotent.into(),
-        },
-        timeout_ms: class.deadline_ms,
-        objective_ms: class.objective_ms,
-        priority: class.priority,
-        attempts: ATTEMPTS,
-        parts: vec![RoutePart {
-            service: class.service.clone(),
-            weight: 1,
-        }],
-        split: false,
-    };
-    let rules = |service: &crate::experiment::Service| ServiceRules {
-        name: service.name.clone(),
-        connections: CONNECTIONS,
-        cold_ms: (service.cold.for_s * 1_000.0) as u64,
-        cold_per_s_milli: service.cold.per_s * MILLI,
-        ..ServiceRules::default()
-    };
-    Routing {
-        version: 1,
-        routes: experiment.class.iter().map(route).collect(),
-        services: experiment.service.iter().map(rules).collect(),
-        limits: None,
-    }
-}
--- /dev/null
+++ b/crates/model/src/fleet/control.rs
@@ -0,0 +1,129 @@
+//! The stand-in for control: routes that don't change, and the upstreams that
+//! announced themselves.
+
+use super::{Fleet, HOST};
+use crate::experiment::{CONTROL_PORT, Class, Experiment, Service};
+use crate::router::{Cx, Output};
+use node::Event;
+use std::time::Duration;
+use wire::{
+    Body, ConfigDelta, Heartbeat, HeartbeatReply, ReplicaAddress, Route, RouteKind, RoutePart,
+    Routing, ServiceDelta, ServiceRules, UpstreamInfo,
+};
+
+/// Upstreams that a request may reach.
+const ATTEMPTS: u32 = 3;
+/// Time of a message between a daemon and control.
+const CONTROL_WAY: Duration = Duration::from_millis(1);
+/// Connections that an upstream accepts.
+const CONNECTIONS: u32 = 220;
+/// Thousandths in a unit.
+const MILLI: u64 = 1_000;
+
+impl Fleet {
+    /// Answers heartbeats; nothing else is asked of control.
+    pub(super) fn send(&mut self, daemon: usize, body: Body, cx: &mut Cx<'_>) {
+        let Body::Heartbeat(heartbeat) = body else {
+            return;
+        };
+        if self.daemons[daemon].announced != heartbeat.upstream {
+            self.daemons[daemon]
+                .announced
+                .clone_from(&heartbeat.upstream);
+            self.registered += 1;
+        }
+        let event = Event::Received {
+            link: None,
+            daemon: "control".into(),
+            body: Body::HeartbeatReply(self.news(&heartbeat)),
+        };
+        cx.tx.push(Output::Deliver {
+            at: cx.now + CONTROL_WAY,
+            daemon,
+            event: Box::new(event),
+        });
+    }
+
+    fn news(&self, heartbeat: &Heartbeat) -> HeartbeatReply {
+        let due = heartbeat.subscriptions.iter();
+        let due = due.filter(|s| s.version < self.registered);
+        HeartbeatReply {
+            sequence: heartbeat.sequence,
+            confirmed: true,
+            term: 1,
+            replicas: vec![ReplicaAddress {
+                address: format!("127.0.0.1:{CONTROL_PORT}"),
+            }],
+            config_version: self.config,
+            config: (heartbeat.config_version < self.config).then(|| ConfigDelta {
+                from: 0,
+                to: self.config,
+                out_data_centres: self.out.clone(),
+                last: true,
+                routing: Some(self.routing.clone()),
+                ..ConfigDelta::default()
+            }),
+            services: due.map(|s| self.service(&s.service)).collect(),
+            ..HeartbeatReply::default()
+        }
+    }
+
+    fn service(&self, service: &str) -> ServiceDelta {
+        let serving = self.daemons.iter().filter_map(|d| {
+            let announced = d.announced.as_ref().filter(|a| a.service == service)?;
+            Some(UpstreamInfo {
+                upstream: d.name.clone(),
+                address: d.address.clone(),
+                data_centre: d.data_centre.clone(),
+                slots: announced.slots,
+                leaving: announced.leaving,
+            })
+        });
+        ServiceDelta {
+            service: service.into(),
+            epoch: 1,
+            version: self.registered,
+            whole: true,
+            upstreams: serving.collect(),
+            removed: Vec::new(),
+        }
+    }
+}
+
+pub(super) fn prefix(class: &str) -> String {
+    format!("/{class}/")
+}
+
+pub(super) fn routing(experiment: &Experiment) -> Routing {
+    let route = |class: &Class| Route {
+        name: class.name.clone(),
+        host: HOST.into(),
+        prefix: prefix(&class.name),
+        kind: match class.idempotent {
+            true => RouteKind::Idempotent.into(),
+            false => RouteKind::NonIdempotent.into(),
+        },
+        timeout_ms: class.deadline_ms,
+        objective_ms: class.objective_ms,
+        priority: class.priority,
+        attempts: ATTEMPTS,
+        parts: vec![RoutePart {
+            service: class.service.clone(),
+            weight: 1,
+        }],
+        split: false,
+    };
+    let rules = |service: &Service| ServiceRules {
+        name: service.name.clone(),
+        connections: CONNECTIONS,
+        cold_ms: (service.cold.for_s * 1_000.0) as u64,
+        cold_per_s_milli: service.cold.per_s * MILLI,
+        ..ServiceRules::default()
+    };
+    Routing {
+        version: 1,
+        routes: experiment.class.iter().map(route).collect(),
+        services: experiment.service.iter().map(rules).collect(),
+        limits: None,
+    }
+}
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -1,8 +1,10 @@
 //! Time, callers and upstreams, and what decides between them.
 
+mod callers;
+mod troubles;
+
 use crate::central::Central;
-use crate::experiment::{Class, Experiment, FaultKind, Variant};
-use crate::faults;
+use crate::experiment::{Class, Experiment, Variant};
 use crate::fleet::{Fleet, lets_go_at};
 use crate::router::{Arrival, CallId, Cx, Output, Router};
 use crate::tally::Tally;
@@ -12,7 +14,6 @@
 use node::Event;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp, LogNormal};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,8 +23,6 @@
 const REPORT: Duration = Duration::from_millis(100);
 /// Time in which a cold upstream's requests are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
-/// Part of a class's deadline that the least patient callers wait.
-const LEAST_PATIENCE: f64 = 0.85;
 /// What random numbers are for: callers, spells of upstreams, calls.
 const CALLERS: u64 = 0x6361_6c6c;
 const SPELLS: u64 = 0x7370_656c;
@@ -300,125 +299,6 @@
         }
     }
 
-    fn next_request(&mut self, data_centre: usize) {
-        let name = &self.experiment.data_centres[data_centre];
-        let part = self.experiment.data_centres.len() as f64;
-        let rate = self.rate / part * faults::rate(self.experiment, name, self.now);
-        let Ok(gap) = Exp::new(rate) else {
-            return;
-        };
-        let after = Duration::from_secs_f64(gap.sample(&mut self.callers[data_centre]));
-        self.at(self.now + after, What::Request(data_centre));
-    }
-
-    fn request(&mut self, data_centre: usize) {
-        let classes = &self.experiment.class;
-        let parts: f64 = classes.iter().map(|c| c.part).sum();
-        let rng = &mut self.callers[data_centre];
-        let seed = rng.random();
-        let patience = rng.random_range(LEAST_PATIENCE..1.0);
-        let mut drawn = rng.random::<f64>() * parts;
-        let class = classes.iter().position(|c| {
-            drawn -= c.part;
-            drawn < 0.0
-        });
-        let Some(class) = class else {
-            return;
-        };
-        let caller = Caller {
-            class,
-            data_centre,
-            seed,
-            first: self.now,
-            patience: Duration::from_millis(classes[class].deadline_ms).mul_f64(patience),
-        };
-        self.send(caller, classes[class].returns);
-    }
-
-    /// A caller sends a request to a daemon of its data centre.
-    fn send(&mut self, caller: Caller, returns: u32) {
-        let near = |number: &usize| self.upstreams[*number].data_centre == caller.data_centre;
-        let near: Vec<usize> = (0..self.upstreams.len()).filter(near).collect();
-        let class = &self.experiment.class[caller.class];
-        if near.is_empty() {
-            self.tally
-                .ended(caller.class, class, TIMED_OUT, Duration::MAX);
-            return;
-        }
-        let mut rng = SmallRng::seed_from_u64(caller.seed.wrapping_add(u64::from(returns)));
-        let daemon = near[rng.random_range(0..near.len())];
-        let objective = caller.first + Duration::from_millis(class.objective_ms);
-        let deadline = caller.first + caller.patience;
-        let worth = class.worth;
-        self.call(
-            (caller.class, daemon, worth, caller.seed),
-            (objective, deadline),
-            1,
-            Origin::Caller(caller, returns),
-        );
-    }
-
-    fn call(
-        &mut self,
-        (class, daemon, worth, seed): (usize, usize, f64, u64),
-        (objective, deadline): (Duration, Duration),
-        depth: u32,
-        origin: Origin,
-    ) {
-        self.next_call += 1;
-        let arrival = Arrival {
-            call: self.next_call,
-            class,
-            daemon,
-            seed,
-            work: work(&self.experiment.class[class], seed),
-            objective,
-            deadline,
-            worth,
-            depth,
-        };
-        let again = match origin {
-            Origin::Caller(..) => false,
-            Origin::Run(upstream, ticket) => {
-                let run = self.upstreams[upstream].runs.get(&ticket);
-                run.is_some_and(|run| run.again)
-            }
-        };
-        let open = Open {
-            arrival,
-            origin,
-            again,
-        };
-        self.open.insert(arrival.call, open);
-        self.at(deadline, What::Deadline(arrival.call));
-        self.route(|router, cx| router.arrived(arrival, cx));
-    }
-
-    fn answer(&mut self, call: CallId, status: u16, retry_after: Option<Duration>) {
-        let Some(open) = self.open.remove(&call) else {
-            return;
-        };
-        match open.origin {
-            Origin::Run(upstream, ticket) => self.called(upstream, ticket, status),
-            Origin::Caller(caller, returns) => {
-                let class = &self.experiment.class[caller.class];
-                let wait = match class.impatient {
-                    true => Some(Duration::ZERO),
-                    false => retry_after,
-                };
-                let back = wait.map(|wait| self.now + wait);
-                let back =
-                    back.filter(|at| status != OK && returns > 0 && *at < open.arrival.deadline);
-                if let Some(at) = back {
-                    self.at(at, What::Return(caller, returns - 1));
-                } else if caller.first >= self.experiment.times().1 {
-                    let took = self.now - caller.first;
-                    self.tally.ended(caller.class, class, status, took);
-                }
-            }
-        }
-    }
-
     /// An upstream gets a request.
     fn run(&mut self, number: usize, ticket: Ticket, call: CallId) {
         let upstream = &mut self.upstreams[number];
@@ -536,44 +416,6 @@
             self.at(at, What::Work(number, self.foreseen[number]));
         }
     }
-
-    fn fault(&mut self, number: usize, begins: bool) {
-        let fault = &self.experiment.fault[number];
-        let struck = fault.upstreams(self.experiment, &self.upstreams);
-        match fault.kind {
-            FaultKind::Burst => {}
-            FaultKind::Out => {
-                let out = faults::out(self.experiment, self.now);
-                self.router.out(&out);
-            }
-            FaultKind::Slow => {
-                for upstream in struck {
-                    self.upstreams[upstream].pass(self.now);
-                    self.upstreams[upstream].fault = if begins { fault.factor } else { 1.0 };
-                    self.foresee(upstream);
-                }
-            }
-            FaultKind::Crash if begins => {
-                for upstream in struck {
-                    self.upstreams[upstream].up = false;
-                    let runs: Vec<Ticket> = self.upstreams[upstream].runs.keys().copied().collect();
-                    for ticket in runs {
-                        self.let_go(upstream, ticket, Outcome::Broken);
-                    }
-                }
-            }
-            FaultKind::Crash => {
-                for upstream in struck {
-                    let back = &mut self.upstreams[upstream];
-                    back.up = true;
-                    back.start += 1;
-                    let cold = Duration::from_secs_f64(back.service.cold.for_s);
-                    back.cold_until = self.now + cold;
-                    self.route(|router, cx| router.started(upstream, cx));
-                }
-            }
-        }
-    }
 }
 
 /// Returns random numbers for each of some places, out of a seed.
@@ -582,12 +424,3 @@
     let of_place = || SmallRng::seed_from_u64(of_what.random());
     std::iter::repeat_with(of_place).take(places).collect()
 }
-
-/// Draws the work of a request, in seconds.
-fn work(class: &Class, seed: u64) -> f64 {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mean = class.work_ms / 1_000.0;
-    // The mean of a log-normal variable is exp(mu + sigma^2 / 2).
-    let mu = mean.ln() - class.spread.powi(2) / 2.0;
-    LogNormal::new(mu, class.spread).map_or(mean, |drawn| drawn.sample(&mut rng))
-}
