Serve from cold upstreams when all of them are slower than believed

Cause: after the fleet lost power and came back, every upstream was cold and told a slowness of 200 % or more, while entries believed 100 % of each that they had not heard of. Gates with no request under way refused as slower than believed, seven times a request, and the request was refused.

Change: an upstream that has not told is believed to be as slow as the third that is least slow of its peers heard within a second (no fewer than three of them); the last attempt that is free tells no slowness to be checked against. An entry looks at an upstream once a choice, not three times, and no longer compares each upstream with each other for the last sign of life.

Ruled out: late elections (the leader stood 0.13 s after the third voter was back). Not changed: the second in which a gate that has just started counts the cold rate as used, and the wait for a view; both bind next.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -54,7 +54,7 @@
 pub struct Entry {
     pick: PickSettings,
     by_expected_finish: bool,
-    repicks: u32,
+    repicks: usize,
     isolates: bool,
     retry_after: Duration,
     pickers: BTreeMap<ServiceId, Picker>,
@@ -90,7 +90,7 @@
                 },
             },
             by_expected_finish: routing.by_expected_finish,
-            repicks: routing.repicks,
+            repicks: usize::try_from(routing.repicks).unwrap_or(usize::MAX),
             isolates: settings.gate.isolate_suspects,
             retry_after: routing.retry_after,
             pickers: BTreeMap::new(),
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -7,8 +7,8 @@
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
-use pick::{Candidate, Picker};
-use wire::{RequestId, SettleKind, UpstreamId};
+use pick::{Candidate, Look, Picker};
+use wire::{RequestId, SettleKind};
 
 /// Requests that wait for word of their service, at most.
 const MAX_WAITING: usize = 1_000;
@@ -56,10 +56,10 @@
             Err(give_up) => Err(give_up),
         };
         match chosen {
-            Ok(upstream) if !self.may_answer(id, &upstream, cx) => {
+            Ok(look) if !self.may_answer(id, &look, cx) => {
                 self.end_unless_open(id, Reason::Overload.into(), cx);
             }
-            Ok(upstream) => self.send(id, purpose, &upstream, cx),
+            Ok(look) => self.send(id, purpose, &look, cx),
             Err(give_up) => self.end_unless_open(id, give_up, cx),
         }
     }
@@ -67,21 +67,13 @@
     /// Returns whether an answer of an upstream is expected before the caller
     /// leaves. Else the upstream's slots and the caller's time are better used
     /// otherwise: it is told when to come back.
-    fn may_answer(&self, id: RequestId, upstream: &str, cx: &Cx<'_>) -> bool {
-        let Some(active) = self.active.get(&id).filter(|a| a.late_at.is_some()) else {
-            return true;
-        };
-        let Some(picker) = self.pickers.get(&active.request.service) else {
-            return true;
-        };
-        let demand = active.demand(cx.now);
-        let wanted = demand.wanted(&cx.agent.data_centre, &[]);
-        let expected = picker.expected(cx.now, upstream, wanted);
-        expected.is_none_or(|expected| cx.now + expected <= active.deadline)
+    fn may_answer(&self, id: RequestId, look: &Look, cx: &Cx<'_>) -> bool {
+        let active = self.active.get(&id).filter(|a| a.late_at.is_some());
+        active.is_none_or(|a| look.finish <= a.deadline.saturating_sub(cx.now))
     }
 
     /// Chooses an upstream and pays for the attempt.
-    fn choose(&mut self, id: RequestId, purpose: Purpose, cx: &mut Cx<'_>) -> Option<UpstreamId> {
+    fn choose(&mut self, id: RequestId, purpose: Purpose, cx: &mut Cx<'_>) -> Option<Look> {
         let active = self.active.get(&id)?;
         let service = active.request.service.clone();
         let tried = active.tried_upstreams();
@@ -92,7 +84,8 @@
         let now = cx.now;
         let picker = self.refresh(&service, cx)?;
         let chosen = match only_at {
-            Some(only) => Some(only).filter(|o| picker.has(o) && !tried.contains(o)),
+            Some(only) if tried.contains(&only) => None,
+            Some(only) => picker.look(now, &only, wanted),
             None => picker.choose(now, cx.rng, wanted),
         };
         let paid = match purpose {
@@ -103,24 +96,25 @@
         chosen.filter(|_| paid)
     }
 
-    fn send(&mut self, id: RequestId, purpose: Purpose, upstream: &UpstreamId, cx: &mut Cx<'_>) {
+    fn send(&mut self, id: RequestId, purpose: Purpose, look: &Look, cx: &mut Cx<'_>) {
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
-        let data_centre = cx.agent.data_centre.clone();
+        let upstream = &look.upstream;
         let view = cx.agent.service(&active.request.service);
         let Some(known) = view.and_then(|view| view.upstreams.get(upstream)) else {
             return;
         };
         let address = known.address.clone();
+        let is_last = active.count(Fate::NotRun) >= self.repicks;
         let mut attempt = active.begin(purpose, upstream, address, cx.now);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             if self.by_expected_finish {
-                attempt.believed_slow_percent = picker.believed_slow_percent(cx.now, upstream);
-                let demand = active.demand(cx.now);
-                let wanted = demand.wanted(&data_centre, &[]);
-                let expected = picker.expected(cx.now, upstream, wanted);
-                active.expect(attempt.attempt, expected.unwrap_or_default());
+                // The last attempt that is free is taken as it is: a gate that
+                // is slower than believed serves better than none.
+                let believed = look.believed_slow_percent;
+                attempt.believed_slow_percent = if is_last { 0 } else { believed };
+                active.expect(attempt.attempt, look.finish);
             }
             picker.sent(cx.now, upstream);
         }
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -73,14 +73,17 @@
     let demand = active.demand(cx.now);
     let wanted = demand.wanted(&cx.agent.data_centre, &upstreams);
     let elapsed = cx.now.saturating_sub(tried.sent);
-    let Some(here) = picker.expected(cx.now, &tried.upstream, wanted) else {
+    if elapsed < SHORTEST_WAIT {
+        return false;
+    }
+    let Some(here) = picker.look(cx.now, &tried.upstream, wanted) else {
         return false;
     };
     let Some(there) = picker.best(cx.now, wanted) else {
         return false;
     };
-    let remains = remaining(elapsed, tried.expected, here);
-    if elapsed < SHORTEST_WAIT || there.as_secs_f64() > remains.as_secs_f64() * (1.0 - SAVING) {
+    let remains = remaining(elapsed, tried.expected, here.finish);
+    if there.as_secs_f64() > remains.as_secs_f64() * (1.0 - SAVING) {
         return false;
     }
     let target = active.late_at.filter(|at| cx.now + there <= *at);
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -260,13 +260,11 @@
             return;
         }
         let repicks = active.count(Fate::NotRun);
-        let free = active.arrivals() == 0
-            && repicks <= usize::try_from(self.repicks).unwrap_or(usize::MAX)
-            && self.repicks > 0;
+        let free = active.arrivals() == 0 && repicks <= self.repicks && self.repicks > 0;
         if free {
             return self.attempt(id, Purpose::Repick, give_up, cx);
         }
-        let most = MAX_ATTEMPTS + usize::try_from(self.repicks).unwrap_or(usize::MAX);
+        let most = MAX_ATTEMPTS + self.repicks;
         let spent = active.arrivals() >= active.max_arrivals || active.tried.len() >= most;
         if active.retry_budget == 0 || spent {
             return self.give_up(id, give_up, cx);
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -292,6 +292,26 @@
     assert!(forwards > 3, "{forwards} attempts at three upstreams");
 }
 
+/// Load pattern: all upstreams come back cold at once. Every gate is slower
+/// than believed; the last free attempt tells nothing that a gate could be
+/// slower than, so that the request runs instead of being refused beside free
+/// slots.
+#[test]
+fn refused_as_slow_everywhere_is_taken_as_it_is_at_last() {
+    let mut node = ready();
+    let mut believed = vec![forwarded(&arrive(&mut node, 3_010, 1, "/read/x")).unwrap()];
+    for attempt in 1..=4 {
+        let at_ms = 3_010 + u64::from(attempt);
+        let effects = refuse(&mut node, at_ms, attempt, RefuseReason::Slow);
+        believed.push(forwarded(&effects).unwrap());
+    }
+    let checked: Vec<bool> = believed
+        .iter()
+        .map(|attempt| attempt.believed_slow_percent > 0)
+        .collect();
+    assert_eq!(checked, [true, true, true, true, false]);
+}
+
 /// A request that an upstream got and did not run counts as an arrival: it is
 /// paid for, and the route's limit holds.
 #[test]
--- a/crates/pick/src/eject.rs
+++ b/crates/pick/src/eject.rs
@@ -18,7 +18,7 @@
             record.readmit(now);
         }
     }
-    let allowed = allowed(records.len(), ratio);
+    let allowed = part_of(records.len(), ratio);
     let ejected = records
         .values()
         .filter(|r| r.ejected_until.is_some())
@@ -31,12 +31,13 @@
     }
 }
 
+/// Returns a part of a number of upstreams, rounded down.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     clippy::cast_precision_loss,
     reason = "counts of upstreams are small"
 )]
-fn allowed(len: usize, ratio: f64) -> usize {
+pub(crate) fn part_of(len: usize, ratio: f64) -> usize {
     (len as f64 * ratio.clamp(0.0, 1.0)).floor() as usize
 }
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -1,12 +1,16 @@
 //! When a request would be done at an upstream.
 
-use crate::record::{Record, half_life};
+use crate::eject::part_of;
+use crate::record::{Heard, Record, half_life};
 use std::time::Duration;
 
 /// Time in which what is known of an upstream's slowness loses half its worth.
 const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Slowness that is believed of an upstream of which nothing is known.
-const UNKNOWN_SLOWNESS: f64 = 1.75;
+/// Slowness on average: what was heard of an upstream ages towards it.
+const AVERAGE_SLOWNESS: f64 = 1.75;
+/// Part of the upstreams heard lately that are no slower than one unheard is
+/// believed to be: low enough that a few slow ones say nothing of the rest.
+const UNHEARD_QUANTILE: f64 = 1.0 / 3.0;
 /// Part of the work by which a full upstream is slower than an idle one, for
 /// what its own reports don't show.
 const CROWDING: f64 = 0.5;
@@ -17,6 +21,8 @@
 /// objective: the power of the ratio of the two. Times at an upstream vary by
 /// about a third, and what is known of it is not quite new.
 const LATE_POWER: i32 = 4;
+/// Slowness of an upstream that works as usual.
+pub(crate) const AS_USUAL: f64 = 1.0;
 /// Hundredths in a unit.
 pub(crate) const HUNDREDTHS: f64 = 100.0;
 
@@ -56,13 +62,7 @@
 }
 
 /// Returns the expected time to the answer, in seconds.
-pub(crate) fn expected(
-    record: &Record,
-    slots: u32,
-    straggling: f64,
-    job: Job,
-    now: Duration,
-) -> f64 {
+pub(crate) fn expected(record: &Record, slots: u32, slowness: f64, job: Job, now: Duration) -> f64 {
     let heard = record.heard.as_ref();
     let limit = heard.map_or(slots, |h| h.load.limit.min(slots)).max(1);
     let others = heard.map_or(0.0, |heard| {
@@ -74,17 +74,36 @@
     let limit = f64::from(limit);
     let queued = (work_there + 1.0 - limit).max(0.0) / limit;
     let crowding = 1.0 + CROWDING * (work_there / limit).min(1.0);
-    let slowness = slowness(record, now).max(straggling);
     job.work * slowness * (crowding + queued) + job.way
 }
 
+/// Returns how slow an upstream is believed to be that has not told, where 1 is
+/// as usual: about as slow as its peers that told lately. After a power cut all
+/// are cold at once, and none is as usual.
+pub(crate) fn unheard<'a>(records: impl Iterator<Item = &'a Record>, now: Duration) -> f64 {
+    let recent = records.filter_map(|record| {
+        let heard = record.heard.as_ref()?;
+        let is_recent = now.saturating_sub(heard.at) <= SLOWNESS_HALF_LIFE;
+        said(heard).filter(|_| is_recent)
+    });
+    let mut all: Vec<f64> = std::iter::once(AS_USUAL).chain(recent).collect();
+    all.sort_unstable_by(f64::total_cmp);
+    let position = part_of(all.len() - 1, UNHEARD_QUANTILE);
+    all.get(position).copied().unwrap_or(AS_USUAL)
+}
+
 /// Returns how long work takes at an upstream, where 1 is as usual: what it
-/// was heard to say, on its way back to what is usual of one that is unknown.
-pub(crate) fn slowness(record: &Record, now: Duration) -> f64 {
-    let told = record.heard.as_ref().filter(|h| h.load.slow_percent > 0);
-    told.map_or(1.0, |heard| {
-        let said = f64::from(heard.load.slow_percent) / HUNDREDTHS;
-        let age = now.saturating_sub(heard.at);
-        UNKNOWN_SLOWNESS + (said - UNKNOWN_SLOWNESS) * half_life(age, SLOWNESS_HALF_LIFE)
-    })
+/// was heard to say, on its way back to the average, or `unheard`.
+pub(crate) fn slowness(record: &Record, unheard: f64, now: Duration) -> f64 {
+    let Some((at, said)) = record.heard.as_ref().and_then(|h| Some((h.at, said(h)?))) else {
+        return unheard;
+    };
+    let average = AVERAGE_SLOWNESS.max(unheard);
+    average + (said - average) * half_life(now.saturating_sub(at), SLOWNESS_HALF_LIFE)
+}
+
+/// Returns what a gate said of its upstream's slowness, if it said something.
+fn said(heard: &Heard) -> Option<f64> {
+    let percent = heard.load.slow_percent;
+    (percent > 0).then(|| f64::from(percent) / HUNDREDTHS)
 }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod eject;
 mod finish;
+mod peers;
 mod picker;
 mod policy;
 mod quantile;
@@ -12,7 +13,7 @@
 mod straggler;
 
 pub use budget::{MeasuringBudget, MeasuringCount, RatioBudget, RatioLimits};
-pub use picker::{Candidate, PickSettings, Picker, Reply, Wanted};
+pub use picker::{Candidate, Look, PickSettings, Picker, Reply, Wanted};
 pub use policy::{Choice, Policy};
 pub use quantile::Quantiles;
 pub use rendezvous::rendezvous;
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -2,6 +2,7 @@
 
 use crate::eject;
 use crate::finish::{self, Job, Worth};
+use crate::peers::Peers;
 use crate::policy::{Choice, Policy};
 use crate::quantile::Quantiles;
 use crate::record::Record;
@@ -81,6 +82,17 @@
     Shun(Duration),
 }
 
+/// What is believed of an upstream at the moment of a choice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Look {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Expected time to the answer.
+    pub finish: Duration,
+    /// How slow it is believed to be, in hundredths of the usual.
+    pub believed_slow_percent: u32,
+}
+
 /// The load view of one service.
 #[derive(Debug)]
 pub struct Picker {
@@ -162,13 +174,15 @@
         now: Duration,
         rng: &mut SmallRng,
         wanted: Wanted<'_>,
-    ) -> Option<UpstreamId> {
+    ) -> Option<Look> {
         eject::update(&mut self.records, self.settings.eject_ratio, now);
-        let choices = self.choices(now, wanted);
         let turn = self.turn;
         self.turn += 1;
+        let peers = Peers::new(&self.records, now);
+        let choices = self.choices_among(now, &peers, wanted);
         let index = (self.settings.policy.choose)(rng, &choices, turn)?;
-        self.candidates.get(index).map(|c| c.upstream.clone())
+        let choice = choices.iter().find(|c| c.index == index)?;
+        self.look_at(now, &peers, choice)
     }
 
     /// Records that a request was sent to an upstream.
@@ -189,7 +203,8 @@
         record.word(now, load);
         match reply {
             Reply::Answer(latency) => {
-                let usual = latency.div_f64(finish::slowness(record, now).max(1.0));
+                let usual = latency
+                    .div_f64(finish::slowness(record, finish::AS_USUAL, now).max(finish::AS_USUAL));
                 record.succeeded(now, usual);
             }
             Reply::Failure => record.failed(now),
@@ -203,7 +218,8 @@
         let Some(record) = self.records.get(upstream) else {
             return;
         };
-        let usual = latency.as_secs_f64() / finish::slowness(record, now).max(1.0);
+        let usual = latency.as_secs_f64()
+            / finish::slowness(record, finish::AS_USUAL, now).max(finish::AS_USUAL);
         smooth(&mut self.work, class, usual);
     }
 
@@ -213,22 +229,32 @@
         smooth(&mut self.answer_bytes, class, bytes as f64);
     }
 
-    /// Returns the expected time to the answer at an upstream.
+    /// Returns what is believed of an upstream.
     #[must_use]
-    pub fn expected(&self, now: Duration, upstream: &str, wanted: Wanted<'_>) -> Option<Duration> {
-        let choices = self.choices(
-            now,
-            Wanted {
-                tried: &[],
-                ..wanted
-            },
-        );
-        let position = self
+    pub fn look(&self, now: Duration, upstream: &str, wanted: Wanted<'_>) -> Option<Look> {
+        let peers = Peers::new(&self.records, now);
+        let index = self
             .candidates
             .iter()
             .position(|c| c.upstream == upstream)?;
-        let choice = choices.iter().find(|c| c.index == position)?;
-        Duration::try_from_secs_f64(choice.finish).ok()
+        let choice = self.choice(now, &peers, index, wanted)?;
+        self.look_at(now, &peers, &choice)
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "casts of floats saturate"
+    )]
+    fn look_at(&self, now: Duration, peers: &Peers<'_>, choice: &Choice) -> Option<Look> {
+        let candidate = self.candidates.get(choice.index)?;
+        let record = self.records.get(&candidate.upstream)?;
+        let slowness = finish::slowness(record, peers.unheard, now);
+        Some(Look {
+            upstream: candidate.upstream.clone(),
+            finish: Duration::try_from_secs_f64(choice.finish).unwrap_or(Duration::MAX),
+            believed_slow_percent: (slowness * finish::HUNDREDTHS).round() as u32,
+        })
     }
 
     /// Returns the expected time to the answer at the upstream that costs
@@ -241,20 +267,6 @@
         Duration::try_from_secs_f64(best.finish).ok()
     }
 
-    /// Returns how slow an upstream is believed to be by now, in hundredths of
-    /// the usual.
-    #[must_use]
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "casts of floats saturate"
-    )]
-    pub fn believed_slow_percent(&self, now: Duration, upstream: &str) -> u32 {
-        let record = self.records.get(upstream);
-        let believed = record.map_or(1.0, |record| finish::slowness(record, now));
-        (believed * finish::HUNDREDTHS).round() as u32
-    }
-
     /// Takes in what an upstream's gate told without being asked.
     pub fn told(&mut self, now: Duration, upstream: &str, load: Load) {
         if let Some(record) = self.records.get_mut(upstream) {
@@ -285,27 +297,27 @@
     /// Returns what the policy sees of each upstream that was not tried yet.
     #[must_use]
     pub fn choices(&self, now: Duration, wanted: Wanted<'_>) -> Vec<Choice> {
-        let median = straggler::median(self.records.values());
-        self.candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, c)| !wanted.tried.contains(&c.upstream))
-            .filter_map(|(index, c)| {
-                let record = self.records.get(&c.upstream)?;
-                Some(self.choice(now, (index, c), record, median, wanted))
-            })
+        self.choices_among(now, &Peers::new(&self.records, now), wanted)
+    }
+
+    fn choices_among(&self, now: Duration, peers: &Peers<'_>, wanted: Wanted<'_>) -> Vec<Choice> {
+        let all = self.candidates.iter().enumerate();
+        let untried = all.filter(|(_, c)| !wanted.tried.contains(&c.upstream));
+        untried
+            .filter_map(|(index, _)| self.choice(now, peers, index, wanted))
             .collect()
     }
 
     fn choice(
         &self,
         now: Duration,
-        (index, candidate): (usize, &Candidate),
-        record: &Record,
-        median: Option<f64>,
+        peers: &Peers<'_>,
+        index: usize,
         wanted: Wanted<'_>,
-    ) -> Choice {
-        let slowness = straggler::slowness(record, median, now);
+    ) -> Option<Choice> {
+        let candidate = self.candidates.get(index)?;
+        let record = self.records.get(&candidate.upstream)?;
+        let straggling = straggler::slowness(record, peers.median, now);
         let local = candidate.data_centre == wanted.data_centre;
         let far = if local { 0.0 } else { 1.0 };
         let job = Job {
@@ -317,19 +329,20 @@
             objective: wanted.objective.map(|o| o.as_secs_f64()),
             late: self.settings.late_cost.as_secs_f64(),
         };
+        let slowness = finish::slowness(record, peers.unheard, now).max(straggling);
         let finish = finish::expected(record, candidate.slots, slowness, job, now);
-        let word = self.last_word_of_peers(&candidate.upstream);
-        let frozen = straggler::is_frozen(record, median, word, now);
-        Choice {
+        let word = peers.last_word_but_of(&candidate.upstream);
+        let frozen = straggler::is_frozen(record, peers.median, word, now);
+        Some(Choice {
             index,
             local,
             finish,
             cost: finish::cost(finish, worth),
-            score: score::score(record, candidate.slots, now) * slowness,
+            score: score::score(record, candidate.slots, now) * straggling,
             own: record.own,
             part: self.part(record, now),
             avoid: frozen || record.shunned_until > now || record.ejected_until.is_some(),
-        }
+        })
     }
 
     /// Returns the time that the work takes at an upstream as usual, in
@@ -348,11 +361,6 @@
         self.settings.far_per_kb.as_secs_f64() * bytes / KILOBYTE
     }
 
-    fn last_word_of_peers(&self, upstream: &str) -> Option<Duration> {
-        let peers = self.records.iter().filter(|(name, _)| *name != upstream);
-        peers.filter_map(|(_, record)| record.last_word).max()
-    }
-
     /// Returns the part of its traffic that an upstream may get on its ramp.
     fn part(&self, record: &Record, now: Duration) -> f64 {
         let ramp = self.settings.return_ramp.as_secs_f64();
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -63,7 +63,7 @@
     let mut taken = [0; 6];
     for _ in 0..600 {
         let chosen = picker.choose(ms(at), &mut rng, wanted(bytes)).unwrap();
-        let n: usize = chosen[1..].parse().unwrap();
+        let n: usize = chosen.upstream[1..].parse().unwrap();
         taken[n] += 1;
     }
     taken
@@ -148,28 +148,61 @@
             ..wanted(60_000)
         };
         let chosen = picker.choose(ms(1_000), &mut rng, wanted).unwrap();
-        assert_eq!(["u0", "u1"].contains(&chosen.as_str()), stays, "{chosen}");
+        let near = ["u0", "u1"].contains(&chosen.upstream.as_str());
+        assert_eq!(near, stays, "{chosen:?}");
     }
 }
 
 /// What was said long ago counts for less and less.
 #[test]
-fn expected_ages_towards_what_is_usual_of_an_unknown_one() {
+fn look_ages_towards_what_is_usual_of_an_unknown_one() {
     let mut picker = picker(Duration::ZERO);
     picker.told(ms(1_000), "u0", load(1, 700));
-    let at = |picker: &Picker, at| picker.expected(ms(at), "u0", wanted(0)).unwrap();
-    let (now, later, much_later) = (at(&picker, 1_000), at(&picker, 2_000), at(&picker, 9_000));
+    let at = |at| picker.look(ms(at), "u0", wanted(0)).unwrap().finish;
+    let (now, later, much_later) = (at(1_000), at(2_000), at(9_000));
     assert!(now > later && later > much_later);
     assert!(much_later > WORK);
 }
 
+fn believed(picker: &Picker, at: u64, upstream: &str) -> u32 {
+    let look = picker.look(ms(at), upstream, wanted(0)).unwrap();
+    look.believed_slow_percent
+}
+
 /// What the gate is told is what the choice rested on, so that an upstream that
 /// was slow long ago and still is, can say so.
 #[test]
 fn believed_slow_percent_is_what_the_choice_rested_on() {
     let mut picker = picker(Duration::ZERO);
     picker.told(ms(1_000), "u0", load(1, 700));
-    assert_eq!(picker.believed_slow_percent(ms(1_000), "u0"), 700);
-    assert!(picker.believed_slow_percent(ms(5_000), "u0") < 250);
-    assert_eq!(picker.believed_slow_percent(ms(5_000), "unknown"), 100);
+    assert_eq!(believed(&picker, 1_000, "u0"), 700);
+    assert!(believed(&picker, 5_000, "u0") < 250);
+}
+
+/// Twelve upstreams, the first of which told how slow they are.
+fn picker_that_heard(percents: &[u32]) -> Picker {
+    let mut picker = picker(Duration::ZERO);
+    let candidates = (10..22).map(|n| Candidate {
+        upstream: format!("u{n}").into(),
+        data_centre: "dc0".into(),
+        slots: 6,
+    });
+    picker.update(ms(0), candidates.collect());
+    for (n, percent) in (10..).zip(percents) {
+        picker.told(ms(1_000), &format!("u{n}"), load(1, *percent));
+    }
+    picker
+}
+
+/// Load pattern: all upstreams come back cold at once, and noise slows a third
+/// of them further. Those that did not tell yet are as slow as the others, not
+/// as usual; where most are as usual, some slow ones say nothing of the rest.
+#[test_case(&[], 100; "nothing heard")]
+#[test_case(&[1_400, 200], 100; "too few heard")]
+#[test_case(&[200, 1_400, 200], 200; "all cold")]
+#[test_case(&[100, 700, 700, 100, 100, 700], 100; "some slow")]
+fn believed_slow_percent_of_one_unheard_is_that_of_its_peers(percents: &[u32], expected: u32) {
+    let picker = picker_that_heard(percents);
+    assert_eq!(believed(&picker, 1_000, "u21"), expected);
+    assert_eq!(believed(&picker, 4_000, "u21"), 100);
 }
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -117,8 +117,9 @@
                 bytes: 0,
                 objective: None,
             };
-            let name = self.picker.choose(self.now, &mut self.rng, wanted);
-            *chosen.entry(name.unwrap_or("nobody".into())).or_default() += 1;
+            let look = self.picker.choose(self.now, &mut self.rng, wanted);
+            let name = look.map_or("nobody".into(), |look| look.upstream);
+            *chosen.entry(name).or_default() += 1;
         }
         let mut out = String::new();
         for (name, times) in chosen {
