Send at once to a cold upstream that started with its gate

Cause: a gate that has just started counts the last second as filled by a predecessor, from the first announcement on. After a loss of power the upstream starts with it, so nobody can have sent to it, yet the gate let nothing through for a second while it had its configuration after 0.4 s.

Change: the second runs from the gate's own start. It doesn't apply to an upstream that started with the gate, by both its age (new in an announcement) and what is left of its cold start; a late word, a clock that was set or an unknown age count as before. The tests fail without the change ("started together", "started just before").

Also: what is not heard of counts as slow as its peers only for what a gate is told, no longer for the expected time.

--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -7,6 +7,37 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// Requests of a window that are remembered.
 const MAX_SENT: usize = 10_000;
+/// An upstream that started this long before the gate, at most, has got
+/// nothing from a predecessor of it: it would have had to announce itself and
+/// be sent to before that one ended, and this one began after.
+const STARTED_TOGETHER: Duration = Duration::from_millis(50);
+
+/// What a cold upstream bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdLimit {
+    /// Requests a second.
+    pub per_second: u32,
+    /// Time for which it is cold after its start.
+    pub lasts: Duration,
+}
+
+/// What the upstream told first of its start.
+#[derive(Clone, Copy, Debug)]
+struct FirstWord {
+    at: Duration,
+    cold_left: Duration,
+    age: Option<Duration>,
+}
+
+impl FirstWord {
+    /// Returns when the upstream started, at the latest that can be told: its
+    /// word may have come late, or its clock may have been set.
+    fn started(&self, lasts: Duration) -> Option<Duration> {
+        let by_age = self.at.checked_sub(self.age?)?;
+        let by_cold = (self.at + self.cold_left).checked_sub(lasts)?;
+        Some(by_age.min(by_cold))
+    }
+}
 
 /// What was sent lately, and how long the upstream stays cold.
 ///
@@ -14,27 +45,36 @@
 /// cold at any moment.
 #[derive(Debug, Default)]
 pub(crate) struct ColdRate {
-    /// Requests of a window that a cold upstream bears, if it is limited.
-    per_window: Option<u32>,
+    /// What a cold upstream bears, if that is limited.
+    limit: Option<ColdLimit>,
     cold_until: Duration,
     /// Whether the upstream may have turned cold since it last said so.
     doubted: bool,
-    /// Until when a predecessor of this gate may have filled the window.
-    inherited_until: Duration,
+    /// When this gate began.
+    began: Option<Duration>,
+    first_word: Option<FirstWord>,
     sent: VecDeque<Duration>,
 }
 
 impl ColdRate {
-    /// Sets how many requests a second a cold upstream bears, if that is
-    /// limited.
-    pub(crate) fn limit(&mut self, per_second: Option<u32>) {
-        self.per_window = per_second;
+    /// Sets what a cold upstream bears, if that is limited.
+    pub(crate) fn limit(&mut self, limit: Option<ColdLimit>) {
+        self.limit = limit;
+    }
+
+    /// Lets time pass.
+    pub(crate) fn pass(&mut self, now: Duration) {
+        self.began.get_or_insert(now);
     }
 
-    /// Notes that the gate has just started: what a predecessor sent in the
-    /// last window is not known, and counts as all that it could.
-    pub(crate) fn inherit(&mut self, now: Duration) {
-        self.inherited_until = now + WINDOW;
+    /// Takes the first word of an upstream in: how much longer it stays cold,
+    /// and how long ago it started, if that is known.
+    pub(crate) fn first_word(&mut self, now: Duration, cold_left: Duration, age: Option<Duration>) {
+        self.first_word = Some(FirstWord {
+            at: now,
+            cold_left,
+            age,
+        });
     }
 
     /// Takes in how much longer the upstream says that it stays cold.
@@ -50,17 +90,29 @@
 
     /// Returns whether the rate applies now.
     pub(crate) fn is_cold(&self, now: Duration) -> bool {
-        self.per_window.is_some() && (self.doubted || now < self.cold_until)
+        self.limit.is_some() && (self.doubted || now < self.cold_until)
     }
 
     /// Returns whether another request may be sent now.
     pub(crate) fn allows(&self, now: Duration) -> bool {
-        let Some(most) = self.per_window.filter(|_| self.is_cold(now)) else {
+        let Some(limit) = self.limit.filter(|_| self.is_cold(now)) else {
             return true;
         };
         let recent = self.sent.iter().rev();
         let recent = recent.take_while(|at| now.saturating_sub(**at) < WINDOW);
-        now >= self.inherited_until && recent.count() < usize::try_from(most).unwrap_or(usize::MAX)
+        let most = usize::try_from(limit.per_second).unwrap_or(usize::MAX);
+        now >= self.inherited_until(limit) && recent.count() < most
+    }
+
+    /// Returns until when a predecessor of this gate may have filled the
+    /// window: what it sent is not known, and counts as all that it could.
+    fn inherited_until(&self, limit: ColdLimit) -> Duration {
+        let began = self.began.unwrap_or_default();
+        let started = self.first_word.and_then(|w| w.started(limit.lasts));
+        if started.is_some_and(|at| at + STARTED_TOGETHER >= began) {
+            return Duration::ZERO;
+        }
+        began + WINDOW
     }
 
     /// Notes that a request is sent.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,6 @@
 //! The gate: the count of an upstream's work, and the limit on it.
 
-use crate::cold::ColdRate;
+use crate::cold::{ColdLimit, ColdRate};
 use crate::inheritance::Inheritance;
 use crate::knee::Knee;
 use crate::pace::Pace;
@@ -147,8 +147,9 @@
         announcement.slots = announcement.slots.min(MAX_SLOTS);
         self.ramp.clamp(announcement.slots);
         let start = self.restarts.announced(&announcement.boot);
-        self.cold
-            .stated(now, Duration::from_millis(announcement.cold_ms));
+        let cold_left = Duration::from_millis(announcement.cold_ms);
+        let age = announcement.age_ms.map(Duration::from_millis);
+        self.cold.stated(now, cold_left);
         let new_service = announcement.service.clone();
         let stays = !announcement.leaving;
         if self
@@ -163,7 +164,7 @@
         match start {
             Start::First => {
                 self.inheritance.begin(now);
-                self.cold.inherit(now);
+                self.cold.first_word(now, cold_left, age);
             }
             Start::Same if changed => self.doubt(now),
             Start::Same => {}
@@ -208,10 +209,9 @@
         }
     }
 
-    /// Sets how many requests a second a cold upstream bears, if that is
-    /// limited.
-    pub fn limit_cold(&mut self, per_second: Option<u32>) {
-        self.cold.limit(per_second);
+    /// Sets what a cold upstream bears, if that is limited.
+    pub fn limit_cold(&mut self, limit: Option<ColdLimit>) {
+        self.cold.limit(limit);
     }
 
     /// Counts the upstream as cold: it may have started again, or its data
@@ -317,6 +317,7 @@
     /// Lets time pass.
     pub fn pass(&mut self, now: Duration) {
         self.seen = self.seen.max(now);
+        self.cold.pass(now);
     }
 
     fn serves(&self, service: &str) -> Result<(), RefuseReason> {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod restart;
 mod slots;
 
+pub use cold::ColdLimit;
 pub use gate::{Gate, GateLimits, LoadReport, MAX_SLOTS, Outcome, Turn};
 pub use queue::Ask;
 pub use slots::Ticket;
--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -1,13 +1,14 @@
 //! A cold upstream never gets more a second than it bears.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use gate::{Ask, Gate, GateLimits, LoadReport, Outcome, Turn};
+use gate::{Ask, ColdLimit, Gate, GateLimits, LoadReport, Outcome, Turn};
 use std::collections::VecDeque;
 use std::time::Duration;
 use test_case::test_case;
 use wire::Announcement;
 
 const PER_SECOND: u32 = 10;
+const COLD: Duration = Duration::from_secs(3);
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -23,7 +24,10 @@
         expects_reports: false,
         unlimited: false,
     });
-    gate.limit_cold(Some(PER_SECOND));
+    gate.limit_cold(Some(ColdLimit {
+        per_second: PER_SECOND,
+        lasts: COLD,
+    }));
     gate
 }
 
@@ -89,6 +93,38 @@
     assert!(admitted[0] >= 6_000, "{admitted:?}");
 }
 
+/// Load pattern: a VM, or all of them, get power again: the upstream and the
+/// gate start together. Nobody can have sent to this start of it, unless it may
+/// be older than it seems: its word came late, its clock was set, or it does
+/// not say.
+#[test_case(2_990, Some(10), 0; "started together")]
+#[test_case(2_960, Some(40), 0; "started just before")]
+#[test_case(2_800, Some(200), 1_000; "started before")]
+#[test_case(2_990, Some(900), 1_000; "its word came late")]
+#[test_case(2_100, Some(0), 1_000; "its clock was set")]
+#[test_case(2_990, None, 1_000; "its age is not known")]
+fn admit_beside_an_upstream_that_started(cold_ms: u64, age_ms: Option<u64>, from: u64) {
+    let mut gate = gate();
+    gate.pass(ms(5_000));
+    let announcement = Announcement {
+        age_ms,
+        ..announcement("b1", cold_ms)
+    };
+    gate.announce(ms(5_005), announcement);
+    let admitted = offer(&mut gate, 5_005, 7_000);
+    assert!((from..from + 10).contains(&(admitted[0] - 5_000)));
+    assert_eq!(busiest_second(&admitted), PER_SECOND as usize);
+}
+
+/// A gate that has been there for a second knows all that was sent.
+#[test]
+fn admit_beside_an_upstream_that_started_later_waits_for_nothing() {
+    let mut gate = gate();
+    gate.pass(ms(5_000));
+    gate.announce(ms(6_005), announcement("b1", 2_000));
+    assert_eq!(offer(&mut gate, 6_005, 7_000)[0], 6_005);
+}
+
 #[test]
 fn admit_counts_what_was_sent_while_warm() {
     let mut gate = gate();
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -14,7 +14,7 @@
 use crate::effect::LogLine;
 use check::share;
 use conf::Settings;
-use gate::{Ask, Gate, GateLimits, Outcome, Ticket, Turn};
+use gate::{Ask, ColdLimit, Gate, GateLimits, Outcome, Ticket, Turn};
 use handed::HandedClaims;
 use jobs::{Job, Jobs, Stage};
 use pick::{MeasuringBudget, MeasuringCount};
@@ -210,9 +210,11 @@
     fn limit_cold(&mut self, cx: &Cx<'_>) {
         let service = self.service();
         let rules = cx.agent.config.routing.service(&service);
-        let per_second = rules.map(|r| r.cold_per_s_milli / MILLI);
-        let per_second = per_second.map(|n| u32::try_from(n).unwrap_or(u32::MAX));
-        self.gate.limit_cold(per_second.filter(|n| *n > 0));
+        let limit = rules.map(|r| ColdLimit {
+            per_second: u32::try_from(r.cold_per_s_milli / MILLI).unwrap_or(u32::MAX),
+            lasts: Duration::from_millis(r.cold_ms),
+        });
+        self.gate.limit_cold(limit.filter(|l| l.per_second > 0));
     }
 
     /// Counts the upstream as cold when operators have returned it.
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -166,6 +166,7 @@
         // What changes with every announcement is of no interest to others.
         announcement.sequence = 0;
         announcement.cold_ms = 0;
+        announcement.age_ms = None;
         if self.upstream.as_ref() != Some(&announcement) {
             self.upstream = Some(announcement);
             self.heartbeats.hurry();
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -77,9 +77,11 @@
     job.work * slowness * (crowding + queued) + job.way
 }
 
-/// Returns how slow an upstream is believed to be that has not told, where 1 is
-/// as usual: about as slow as its peers that told lately. After a power cut all
-/// are cold at once, and none is as usual.
+/// Returns how slow an upstream may be that has not told, where 1 is as usual,
+/// before it is worth looking for a better one: about as slow as its peers that
+/// told lately. After a power cut all are cold at once, and none is as usual.
+/// The expected time does not rest on it: while those that are not heard of
+/// seemed slow, nothing would be sent, nor heard of them.
 pub(crate) fn unheard<'a>(records: impl Iterator<Item = &'a Record>, now: Duration) -> f64 {
     let recent = records.filter_map(|record| {
         let heard = record.heard.as_ref()?;
@@ -98,8 +100,8 @@
     let Some((at, said)) = record.heard.as_ref().and_then(|h| Some((h.at, said(h)?))) else {
         return unheard;
     };
-    let average = AVERAGE_SLOWNESS.max(unheard);
-    average + (said - average) * half_life(now.saturating_sub(at), SLOWNESS_HALF_LIFE)
+    let age = now.saturating_sub(at);
+    AVERAGE_SLOWNESS + (said - AVERAGE_SLOWNESS) * half_life(age, SLOWNESS_HALF_LIFE)
 }
 
 /// Returns what a gate said of its upstream's slowness, if it said something.
--- a/crates/pick/src/peers.rs
+++ b/crates/pick/src/peers.rs
@@ -10,7 +10,7 @@
 pub(crate) struct Peers<'a> {
     /// Median of their latencies in seconds, if enough were measured.
     pub(crate) median: Option<f64>,
-    /// Slowness that is believed of one that has not told.
+    /// Slowness that is put up with in one that has not told.
     pub(crate) unheard: f64,
     /// The one with the newest sign of life, and when that came.
     newest: Option<(&'a UpstreamId, Duration)>,
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -89,7 +89,8 @@
     pub upstream: UpstreamId,
     /// Expected time to the answer.
     pub finish: Duration,
-    /// How slow it is believed to be, in hundredths of the usual.
+    /// How slow it is believed to be, in hundredths of the usual; one that has
+    /// not told, as slow as its peers.
     pub believed_slow_percent: u32,
 }
 
@@ -329,7 +330,7 @@
             objective: wanted.objective.map(|o| o.as_secs_f64()),
             late: self.settings.late_cost.as_secs_f64(),
         };
-        let slowness = finish::slowness(record, peers.unheard, now).max(straggling);
+        let slowness = finish::slowness(record, finish::AS_USUAL, now).max(straggling);
         let finish = finish::expected(record, candidate.slots, slowness, job, now);
         let word = peers.last_word_but_of(&candidate.upstream);
         let frozen = straggler::is_frozen(record, peers.median, word, now);
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -206,3 +206,15 @@
     assert_eq!(believed(&picker, 1_000, "u21"), expected);
     assert_eq!(believed(&picker, 4_000, "u21"), 100);
 }
+
+/// Load pattern: every upstream that was heard of is slow for a moment. What
+/// is expected of the others stays, or no request would go there, and nothing
+/// would ever be heard of them.
+#[test]
+fn look_at_one_unheard_expects_what_is_usual_while_its_peers_are_slow() {
+    let expected = |percents| {
+        let picker = picker_that_heard(percents);
+        picker.look(ms(1_000), "u21", wanted(0)).unwrap().finish
+    };
+    assert_eq!(expected(&[700, 700, 700, 700]), expected(&[]));
+}
--- a/crates/plumhitchd/src/clock.rs
+++ b/crates/plumhitchd/src/clock.rs
@@ -8,8 +8,10 @@
     Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
 }
 
-/// Returns the wall clock in milliseconds since the Unix epoch; for people only.
-pub(crate) fn unix_ms() -> u64 {
+/// Returns the wall clock in milliseconds since the Unix epoch; for people, and
+/// beside what another process on the VM says.
+#[must_use]
+pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -20,6 +20,7 @@
 mod runtime;
 mod stop;
 
+pub use clock::unix_ms;
 pub use dialect::{
     Answering, ApiRequest, ApiResponse, Dialect, Endpoint, HeaderNames, ReadSettings, Respond,
     SettingsSource,
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -72,6 +72,9 @@
     /// Number of the announcement within the start, higher for each.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
+    /// Time since its start by the clock of its VM, in milliseconds, if known.
+    #[prost(uint64, optional, tag = "9")]
+    pub age_ms: Option<u64>,
 }
 
 /// A service, and the version of its upstreams that the daemon holds.
