Lead and answer sooner after a power cut

Change: a replica that has just started stands after an eighth of an election timeout; the others promise nothing while a leader is there. A replica that knows no leader lets a heartbeat wait for one, 100 ms at most, instead of turning the daemon away; the wait is bounded in number and shorter than the time after which a daemon believes a replica silent.

Ruled out: shorter delays between a daemon's tries, which would cost each replica thousands of heartbeats a second at 960 daemons while none leads.

The test of the wait fails without it ("met no leader").

Also: a test floods the log while nobody reads it, and the line of a choice tells the request's weight and the time to its objective.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -8,6 +8,7 @@
 mod batch;
 mod command;
 mod drive;
+mod held;
 mod lead;
 mod lines;
 mod machine;
@@ -22,6 +23,7 @@
 use command::Item;
 use conf::{Settings, Transfers};
 use fleet::Registry;
+use held::HeldHeartbeats;
 use lead::Lead;
 use machine::Machine;
 use reads::{Asked, Reads};
@@ -49,6 +51,7 @@
     transfers: Transfers,
     suspects: Suspects,
     reads: Reads,
+    held: HeldHeartbeats,
     batch: Batch,
     last_token: u64,
 }
@@ -75,6 +78,7 @@
             transfers: Transfers::default(),
             suspects: Suspects::default(),
             reads: Reads::default(),
+            held: HeldHeartbeats::default(),
             batch: Batch::default(),
             last_token: 0,
         }
@@ -112,6 +116,7 @@
     /// Drops what waits for a connection that closed.
     pub fn link_closed(&mut self, link: LinkId) {
         self.reads.link_closed(link);
+        self.held.link_closed(link);
     }
 
     /// Takes a finished disk operation in.
@@ -162,12 +167,44 @@
         heartbeat: Heartbeat,
         tx: &mut Vec<Effect>,
     ) {
-        if !self.is_ready() {
+        if self.is_ready() {
+            self.registry.heard(now, &heartbeat);
+            self.ask(now, Asked::Heartbeat(link, heartbeat), tx);
+            return;
+        }
+        let refused = match self.expects_a_leader() {
+            true => self.held.push(now, link, heartbeat),
+            false => Some(heartbeat),
+        };
+        if let Some(heartbeat) = refused {
             self.answer_not_leader(&Asked::Heartbeat(link, heartbeat), tx);
+        }
+    }
+
+    /// Answers the heartbeats that need wait no longer.
+    fn release_held(&mut self, now: Duration, tx: &mut Vec<Effect>) {
+        if self.held.is_empty() {
             return;
         }
-        self.registry.heard(now, &heartbeat);
-        self.ask(now, Asked::Heartbeat(link, heartbeat), tx);
+        if self.is_ready() {
+            for (link, heartbeat) in self.held.take_all() {
+                self.heartbeat(now, link, heartbeat, tx);
+            }
+            return;
+        }
+        let released = match self.expects_a_leader() {
+            true => self.held.take_late(now),
+            false => self.held.take_all(),
+        };
+        for (link, heartbeat) in released {
+            self.answer_not_leader(&Asked::Heartbeat(link, heartbeat), tx);
+        }
+    }
+
+    /// Returns whether no replica is known to lead, or this one does and can't
+    /// answer yet.
+    fn expects_a_leader(&self) -> bool {
+        !self.halted && !self.is_ready() && self.leader_hint().is_empty()
     }
 
     fn request(
--- a/crates/node/src/control/drive.rs
+++ b/crates/node/src/control/drive.rs
@@ -32,6 +32,7 @@
                 inputs.extend(self.next_input(now));
             }
         }
+        self.release_held(now, tx);
     }
 
     /// Returns the read or proposal that is due, if there is one.
--- a/crates/node/tests/control_rounds.rs
+++ b/crates/node/tests/control_rounds.rs
@@ -85,3 +85,47 @@
     assert!(took < lease * 3 / 4, "{took:?}");
     assert!(confirmed(&mut world).is_empty());
 }
+
+/// Returns the answers to a link's heartbeats, of which each was sent once:
+/// whether it was confirmed, and which leader it named.
+fn answers(world: &World, asked: u64) -> Vec<(bool, String)> {
+    let of_link = world.stray.iter().filter(|(link, _)| *link == asked);
+    let answers = of_link.filter_map(|(_, body)| match body {
+        Body::HeartbeatReply(reply) => Some((reply.confirmed, reply.leader.clone())),
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// Load pattern: all VMs get power again at once. Heartbeats that come before
+/// any replica leads are answered as soon as one does, or after 100 ms, so that
+/// daemons don't go from one replica to the other until they meet the leader.
+#[test]
+fn heartbeat_before_a_replica_leads_waits_for_the_leader() {
+    const STEP: Duration = Duration::from_millis(10);
+    const HOLD: Duration = Duration::from_millis(100);
+    let (mut world, _) = settled();
+    (0..3).for_each(|i| world.kill(i));
+    world.run(Duration::from_millis(100));
+    (0..3).for_each(|i| world.start(i));
+    let (begun, mut sent) = (world.now, Vec::new());
+    while !world.daemons.iter().any(|d| d.leads()) {
+        let link = FIRST + sent.len() as u64;
+        heartbeat(&mut world, 0, link);
+        sent.push((link, world.now));
+        world.run(STEP);
+        assert!(world.now - begun < Duration::from_secs(5), "no leader");
+    }
+    let led = world.now;
+    let waits = |at: Duration| at + HOLD >= led + STEP * 2;
+    world.run(HOLD);
+    let gave_up = |at: Duration| at + HOLD + STEP * 2 <= led;
+    for (link, at) in sent {
+        let answers = answers(&world, link);
+        assert_eq!(answers.len(), 1, "{link}");
+        let (confirmed, leader) = &answers[0];
+        let answered = *confirmed || !leader.is_empty();
+        assert!(answered || !waits(at), "{link} met no leader");
+        assert!(!answered || !gave_up(at), "{link} waited for too long");
+    }
+}
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -99,13 +99,15 @@
     pub(super) fn log_attempt(&self, attempt: &entry::Attempt) {
         log::info!(
             "event=chosen id={} attempt_id={} attempt={} class={:?} upstream={} \
-             deadline_ms={} believed_slow_percent={} suspected={}",
+             deadline_ms={} objective_ms={} weight={} believed_slow_percent={} suspected={}",
             self.id,
             self.attempt_id,
             attempt.attempt,
             attempt.class,
             attempt.upstream,
             attempt.deadline.as_millis(),
+            attempt.objective.map_or(0, |left| left.as_millis()),
+            attempt.weight,
             attempt.believed_slow_percent,
             attempt.suspected,
         );
--- a/crates/plumhitchd/tests/support/mod.rs
+++ b/crates/plumhitchd/tests/support/mod.rs
@@ -56,6 +56,11 @@
 
 impl Daemon {
     pub fn start(options: Options<'_>) -> Self {
+        Self::start_with_log(options, Stdio::inherit())
+    }
+
+    /// Starts a daemon whose log goes elsewhere.
+    pub fn start_with_log(options: Options<'_>, log: Stdio) -> Self {
         let (callers, operators, peers) = (free_address(), free_address(), options.peers);
         let folder = TempDir::new().unwrap();
         let data = match options.replicas.contains(&peers) {
@@ -74,7 +79,7 @@
             options.settings
         );
         std::fs::write(folder.path().join("plumhitchd.ini"), text).unwrap();
-        let child = spawn(&folder.path().join("plumhitchd.ini"));
+        let child = spawn(&folder.path().join("plumhitchd.ini"), log);
         Self {
             child,
             callers,
@@ -86,7 +91,8 @@
 
     /// Starts the daemon again with the same settings and data folder.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.folder.path().join("plumhitchd.ini"));
+        let settings = self.folder.path().join("plumhitchd.ini");
+        self.child = spawn(&settings, Stdio::inherit());
     }
 
     /// Ends the daemon without a chance to do anything more.
@@ -103,11 +109,12 @@
     }
 }
 
-fn spawn(settings: &Path) -> Child {
+fn spawn(settings: &Path, log: Stdio) -> Child {
     Command::new(env!("CARGO_BIN_EXE_plumhitchd"))
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
+        .stderr(log)
         .spawn()
         .unwrap()
 }
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -22,8 +22,9 @@
 }
 
 /// Part of an election timeout after which a replica that has just started
-/// stands: if a leader is there, the others promise it no vote.
-const STARTED_PART: u32 = 2;
+/// stands: if a leader is there, the others promise it no vote. After a power
+/// cut the last one of a majority that starts soon finds a leader, or leads.
+const STARTED_PART: u32 = 8;
 
 impl Election {
     pub(super) fn new(options: &ReplicaOptions, now: Duration, rng: &mut SmallRng) -> Self {
