Dial again when the first packet is lost; stay with a waiting replica

Cause: after a power cut VMs come back at different moments. A replica that knew no leader sent daemons on to others, often to one without power.

Change: dialling begins anew every 200 ms within its bound (2 s; 0.4 s where a caller waits). A daemon asks a replica that knows no leader four times, with the wait for a leader in between, before it turns to another.

Ruled out: the wait for a leader alone (the same delay with it, in the trace before this change).

The tests of dialling run in paused time against a peer whose first packets are lost; that of the daemon fails without the change.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -259,7 +259,8 @@
         }
     }
 
-    /// Follows a hint, or turns to the next replica after a delay.
+    /// Follows a hint, asks again a replica that knows no leader, or turns to
+    /// the next replica after a delay.
     fn unconfirmed(&mut self, now: Duration, sent: &Sent, leader: &str) {
         if Some(&sent.target) != self.replicas.target() {
             return;
@@ -268,6 +269,9 @@
             self.leader = None;
             self.heartbeats.hurry();
             self.requests.turned(now, &mut self.rng);
+        } else if leader.is_empty() && self.replicas.knows_no_leader() {
+            self.leader = None;
+            self.heartbeats.hurry();
         } else {
             self.turn_away(now);
         }
--- a/crates/node/src/agent/replicas.rs
+++ b/crates/node/src/agent/replicas.rs
@@ -11,6 +11,9 @@
 const MAX_LEARNED: usize = 16;
 /// Doublings of the delay after failures in a row.
 const MAX_DOUBLINGS: u32 = 1;
+/// Answers in a row of a replica that knows no leader, after which another one
+/// is asked: this one may be cut off. It answers after a wait for a leader.
+const MAX_LEADERLESS: u32 = 4;
 
 /// The replicas' addresses, the one talked to, and failures in a row.
 #[derive(Debug)]
@@ -21,6 +24,8 @@
     /// The replica that last broke off or was silent.
     broken: Option<CompactString>,
     failures: u32,
+    /// Answers in a row of the target that knew no leader.
+    leaderless: u32,
 }
 
 impl Replicas {
@@ -32,6 +37,7 @@
             learned: Vec::new(),
             broken: None,
             failures: 0,
+            leaderless: 0,
         }
     }
 
@@ -69,8 +75,16 @@
         self.broken.clone_from(&self.target);
     }
 
+    /// Records that the target knows no leader; returns whether it is to be
+    /// asked again. Others may be down, and learn of a leader no sooner.
+    pub(super) fn knows_no_leader(&mut self) -> bool {
+        self.leaderless += 1;
+        self.leaderless < MAX_LEADERLESS
+    }
+
     fn turn_to(&mut self, address: &str) -> bool {
         let turned = self.target.as_deref() != Some(address);
+        self.leaderless = 0;
         self.target = Some(address.into());
         turned
     }
@@ -82,6 +96,7 @@
         let position = all.iter().position(|a| Some(*a) == self.target.as_ref());
         let next = position.map_or(0, |p| (p + 1) % all.len().max(1));
         self.target = all.get(next).map(|a| (*a).clone());
+        self.leaderless = 0;
     }
 
     /// Records that a replica answered as the confirmed leader, and turns to
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -182,6 +182,31 @@
     assert!(at >= sent + ms(500) && at <= sent + ms(760), "{at:?}");
 }
 
+/// Load pattern: all VMs get power again at once, those of some replicas later
+/// than others. A replica that is there and waits for a leader is asked again,
+/// rather than one that may be down; not for ever, since it may be cut off.
+#[test]
+fn heartbeat_stays_with_a_replica_that_knows_no_leader_for_a_while() {
+    const HELD: Duration = Duration::from_millis(100);
+    let mut agent = agent(1);
+    let mut at = ms(0);
+    let mut asked = Vec::new();
+    for _ in 0..5 {
+        let (sent, address, heartbeat) = next_heartbeat(&mut agent, at);
+        asked.push(address);
+        let unled = HeartbeatReply {
+            sequence: heartbeat.sequence,
+            ..HeartbeatReply::default()
+        };
+        let soon = asked.len() == 5 || sent < at + ms(50);
+        assert!(soon, "asked again after {:?}", sent - at);
+        at = sent + HELD;
+        agent.heartbeat_reply(at, unled, &mut Vec::new());
+    }
+    assert!(asked[..4].iter().all(|a| *a == asked[0]), "{asked:?}");
+    assert_ne!(asked[4], asked[0]);
+}
+
 #[test]
 fn heartbeat_does_not_follow_to_a_leader_that_broke_off() {
     let mut agent = informed();
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -26,4 +26,5 @@
     SettingsSource,
 };
 pub use handle::Handle;
+pub use links::persist;
 pub use options::{main, run};
--- a/crates/plumhitchd/src/links.rs
+++ b/crates/plumhitchd/src/links.rs
@@ -5,6 +5,7 @@
 mod dial;
 mod framing;
 mod link;
+mod persist;
 mod socket;
 mod stream;
 
@@ -12,6 +13,7 @@
 pub(crate) use credit::{Credit, Window};
 pub(crate) use dial::{link_to, send, watch};
 pub(crate) use link::Link;
+pub use persist::persist;
 pub(crate) use stream::Slot;
 
 use compact_str::CompactString;
@@ -28,6 +30,9 @@
 const DIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that dialling may take where a caller waits for it.
 const DATA_DIAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that one try of dialling may take: longer than the way to a peer and
+/// back, shorter than the second after which the system tries again.
+const TRY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between looks at connections on which requests are under way.
 const WATCH: Duration = Duration::from_millis(150);
 /// Time that a peer may take to introduce itself.
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -2,15 +2,15 @@
 
 use super::framing::{Side, run};
 use super::link::{FrameRx, Link};
+use super::persist::persist;
 use super::socket::prepare;
-use super::{DATA_DIAL_TIMEOUT, DIAL_TIMEOUT, IDLE, WATCH};
+use super::{DATA_DIAL_TIMEOUT, DIAL_TIMEOUT, IDLE, TRY_TIMEOUT, WATCH};
 use crate::runtime::{Daemon, lock};
 use compact_str::CompactString;
 use node::Event;
 use std::io;
 use std::sync::Arc;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use wire::{Body, LinkKind};
 
 /// Number of the connections that this daemon dialled.
@@ -75,11 +75,8 @@
         LinkKind::Data => DATA_DIAL_TIMEOUT,
         _ => DIAL_TIMEOUT,
     };
-    let connecting = TcpStream::connect(address.as_str());
-    let Ok(connected) = timeout(bound, connecting).await else {
-        return Err(io::ErrorKind::TimedOut.into());
-    };
-    let stream = connected?;
+    let dial = || TcpStream::connect(address.as_str());
+    let stream = persist(bound, TRY_TIMEOUT, dial).await?;
     prepare(&stream)?;
     Ok(stream)
 }
