--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -1,9 +1,12 @@
 //! A cold upstream never gets more a second than it bears.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use gate::{Ask, ColdLimit, Gate, GateLimits, LoadReport, Outcome, Turn};
+mod support;
+
+use gate::{ColdLimit, Gate, GateLimits, LoadReport, Outcome, Turn};
 use std::collections::VecDeque;
 use std::time::Duration;
+use support::ask;
 use test_case::test_case;
 use wire::Announcement;
 
@@ -45,16 +48,7 @@
 fn offer(gate: &mut Gate, from: u64, to: u64) -> Vec<u64> {
     let mut admitted = Vec::new();
     for at in (from..to).step_by(5) {
-        let ask = Ask {
-            ticket: at,
-            service: "booking".into(),
-            customer: "".into(),
-            share: 1,
-            class: "page".into(),
-            weight: 1,
-            objective: None,
-        };
-        if gate.admit(ms(at), &ask) == Ok(Turn::Now) {
+        if gate.admit(ms(at), &ask(at)) == Ok(Turn::Now) {
             admitted.push(at);
             gate.finish(ms(at + 1), at, Outcome::Whole(200));
         }
@@ -148,16 +142,7 @@
     gate.announce(ms(0), announcement("b1", 0));
     let first = offer(&mut gate, 2_000, 2_005);
     assert_eq!(first.len(), 1);
-    let ask = Ask {
-        ticket: 1,
-        service: "booking".into(),
-        customer: "".into(),
-        share: 1,
-        class: "page".into(),
-        weight: 1,
-        objective: None,
-    };
-    gate.admit(ms(2_010), &ask).unwrap();
+    gate.admit(ms(2_010), &ask(1)).unwrap();
     gate.finish(ms(2_011), 1, outcome);
     let admitted = offer(&mut gate, 2_015, 2_900);
     assert_eq!(admitted.len() + 2, PER_SECOND as usize);
@@ -177,15 +162,6 @@
 fn report_with_an_answer_does_not_count_own_requests_as_foreign() {
     let mut gate = gate();
     gate.announce(ms(0), announcement("b1", 0));
-    let ask = |ticket| Ask {
-        ticket,
-        service: "booking".into(),
-        customer: "".into(),
-        share: 1,
-        class: "page".into(),
-        weight: 1,
-        objective: None,
-    };
     for ticket in 0..60 {
         assert_eq!(gate.admit(ms(2_000), &ask(ticket)), Ok(Turn::Now));
     }
--- a/crates/gate/tests/knee.rs
+++ b/crates/gate/tests/knee.rs
@@ -1,9 +1,12 @@
 //! Load pattern: an upstream that slows down when it is nearly full.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use gate::{Ask, Gate, GateLimits, LoadReport, Outcome, Ticket, Turn};
+mod support;
+
+use gate::{Gate, GateLimits, LoadReport, Outcome, Ticket, Turn};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use support::ask;
 use test_case::test_case;
 use wire::Announcement;
 
@@ -130,15 +133,7 @@
 
     fn arrive(&mut self) {
         self.ticket += 1;
-        let ask = Ask {
-            ticket: self.ticket,
-            service: "booking".into(),
-            customer: "".into(),
-            share: 1,
-            class: "page".into(),
-            weight: 1,
-            objective: None,
-        };
+        let ask = ask(self.ticket);
         let now = Duration::from_millis(self.now_ms);
         if self.gate.admit(now, &ask) == Ok(Turn::Now) {
             self.left.insert(self.ticket, WORK_MS);
--- /dev/null
+++ b/crates/gate/tests/support/mod.rs
@@ -0,0 +1,17 @@
+//! What the tests of a gate ask it for.
+#![allow(unreachable_pub)]
+
+use gate::{Ask, Ticket};
+
+/// Returns a request for a slot of the tests' service.
+pub fn ask(ticket: Ticket) -> Ask {
+    Ask {
+        ticket,
+        service: "booking".into(),
+        customer: "".into(),
+        share: 1,
+        class: "page".into(),
+        weight: 1,
+        objective: None,
+    }
+}
