Name the held heartbeats' fields and the time without slowness

Read as a newcomer would: what waits at a replica was a nameless triple, and the time of work as usual was written twice in the picker. No behaviour changes.

--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -25,7 +25,9 @@
 #[derive(Clone, Copy, Debug)]
 struct FirstWord {
     at: Duration,
+    /// How much longer it stays cold.
     cold_left: Duration,
+    /// Time since its start by its VM's clock, if known.
     age: Option<Duration>,
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -23,7 +23,7 @@
 use command::Item;
 use conf::{Settings, Transfers};
 use fleet::Registry;
-use held::HeldHeartbeats;
+use held::{Held, HeldHeartbeats};
 use lead::Lead;
 use machine::Machine;
 use reads::{Asked, Reads};
@@ -172,11 +172,24 @@
             self.ask(now, Asked::Heartbeat(link, heartbeat), tx);
             return;
         }
+        let held = Held {
+            link,
+            heartbeat,
+            at: now,
+        };
         let refused = match self.expects_a_leader() {
-            true => self.held.push(now, link, heartbeat),
-            false => Some(heartbeat),
+            true => self.held.push(held),
+            false => Some(held),
         };
-        if let Some(heartbeat) = refused {
+        self.turn_away(refused, tx);
+    }
+
+    /// Answers heartbeats that this replica does not lead.
+    fn turn_away(&self, refused: impl IntoIterator<Item = Held>, tx: &mut Vec<Effect>) {
+        for Held {
+            link, heartbeat, ..
+        } in refused
+        {
             self.answer_not_leader(&Asked::Heartbeat(link, heartbeat), tx);
         }
     }
@@ -187,8 +200,8 @@
             return;
         }
         if self.is_ready() {
-            for (link, heartbeat) in self.held.take_all() {
-                self.heartbeat(now, link, heartbeat, tx);
+            for held in self.held.take_all() {
+                self.heartbeat(now, held.link, held.heartbeat, tx);
             }
             return;
         }
@@ -196,9 +209,7 @@
             true => self.held.take_late(now),
             false => self.held.take_all(),
         };
-        for (link, heartbeat) in released {
-            self.answer_not_leader(&Asked::Heartbeat(link, heartbeat), tx);
-        }
+        self.turn_away(released, tx);
     }
 
     /// Returns whether no replica is known to lead, or this one does and can't
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -104,6 +104,11 @@
     AVERAGE_SLOWNESS + (said - AVERAGE_SLOWNESS) * half_life(age, SLOWNESS_HALF_LIFE)
 }
 
+/// Returns what a time at an upstream would have been there as usual.
+pub(crate) fn as_usual(record: &Record, took: Duration, now: Duration) -> Duration {
+    took.div_f64(slowness(record, AS_USUAL, now).max(AS_USUAL))
+}
+
 /// Returns what a gate said of its upstream's slowness, if it said something.
 fn said(heard: &Heard) -> Option<f64> {
     let percent = heard.load.slow_percent;
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -204,8 +204,7 @@
         record.word(now, load);
         match reply {
             Reply::Answer(latency) => {
-                let usual = latency
-                    .div_f64(finish::slowness(record, finish::AS_USUAL, now).max(finish::AS_USUAL));
+                let usual = finish::as_usual(record, latency, now);
                 record.succeeded(now, usual);
             }
             Reply::Failure => record.failed(now),
@@ -219,9 +218,8 @@
         let Some(record) = self.records.get(upstream) else {
             return;
         };
-        let usual = latency.as_secs_f64()
-            / finish::slowness(record, finish::AS_USUAL, now).max(finish::AS_USUAL);
-        smooth(&mut self.work, class, usual);
+        let usual = finish::as_usual(record, latency, now);
+        smooth(&mut self.work, class, usual.as_secs_f64());
     }
 
     /// Records how many bytes the answer to a request of a class had.
