Send bodies behind small frames and receive them in turn

Cause: on links of 3.4 to 4.1 Mbit/s an upload takes 140 ms, and its frames stood in one queue with heads, refusals and pings. A ping that waited behind bodies, at the sender or in the network, made a busy link pass for a dead one: all its requests failed, among them uploads whose body had not left the entry. A refused upload had cost its whole transfer. Change: crate flow. The send queue puts pieces of bodies (16 KB) behind all other frames and subtracts the time in the queue from the times that a request states. The gate asks for the body of an upload once it would admit it, receives bodies one after the other with 80 ms of its link in transit, and admits the request when the body is complete, so a slot isn't held during the transfer. Until then the request has not run, and after a failed link the entry sends it elsewhere (only with peers of protocol 2, which hold bodies). Accepted bytes that had to wait are a sign of life. Setting link-bytes, from which the choice of an upstream also knows how long a transfer takes. Tests: crates/flow/tests, pick/tests/finish.rs. Without the order, the time in the queue or the limit of the intake they fail, since nothing else keeps them.

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -41,6 +41,7 @@
 const BODY_BYTES: RangeInclusive<u64> = 1..=1 << 40;
 const BUFFERED_BODY_BYTES: RangeInclusive<u64> = 0..=16 << 20;
 const WINDOW_BYTES: RangeInclusive<u64> = 4 << 10..=64 << 20;
+const LINK_BYTES: RangeInclusive<u64> = 0..=1 << 40;
 
 const HEARTBEAT: RangeInclusive<Duration> = ms(10)..=MINUTE;
 const LEASE: RangeInclusive<Duration> = ms(50)..=MINUTE;
@@ -336,6 +337,7 @@
     keys.set("window-size", &mut cfg.window_bytes, |t| {
         bytes(t, WINDOW_BYTES)
     });
+    keys.set("link-bytes", &mut cfg.link_bytes, |t| size(t, LINK_BYTES));
     keys.report_unknown_keys();
     cfg
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -192,6 +192,9 @@
     /// Flow-control window of a stream: body bytes that may be in transit without
     /// credit from the receiver.
     pub window_bytes: usize,
+    /// Bytes a second that the VM's network link carries in each direction; 0 if
+    /// unknown. Bodies are received and upstreams chosen accordingly.
+    pub link_bytes: u64,
 }
 
 /// Graceful stop.
@@ -325,6 +328,7 @@
             body_bytes: 1024 * 1024 * 1024,
             buffered_body_bytes: 64 * 1024,
             window_bytes: 256 * 1024,
+            link_bytes: 0,
         }
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -249,6 +249,32 @@
         self.enqueue(now, request)
     }
 
+    /// Checks whether a request would get a slot or a place in the queue now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which it would be refused.
+    pub fn check_room(&mut self, now: Duration, request: &SlotRequest) -> Result<(), RefuseReason> {
+        self.advance_clock(now);
+        self.check_service(&request.service)?;
+        if self.limits.unlimited || self.has_free_slot() {
+            return Ok(());
+        }
+        let load = self.load();
+        let cx = QueueContext {
+            now,
+            slots: &self.slots,
+            limit: load.limit,
+            service_times: &self.service_times,
+            slowness: self.slowness(),
+        };
+        let capacity = self.queue_capacity(load.limit);
+        match self.queue.has_room(request, capacity, cx) {
+            true => Ok(()),
+            false => Err(full_reason(&load)),
+        }
+    }
+
     /// Gives a free slot to the queued request with the highest rank.
     pub fn admit_queued(&mut self, now: Duration) -> Option<Ticket> {
         self.advance_clock(now);
@@ -396,8 +422,7 @@
             PushResult::Displaced(ticket) => Ok(Placement::Queued {
                 displaced: Some(ticket),
             }),
-            PushResult::Full if load.cold => Err(RefuseReason::Cold),
-            PushResult::Full => Err(RefuseReason::NoSlot),
+            PushResult::Full => Err(full_reason(&load)),
         }
     }
 
@@ -454,3 +479,11 @@
             .min(self.knee.limit().unwrap_or(u32::MAX))
     }
 }
+
+/// Returns why a gate without room refuses a request.
+fn full_reason(load: &Load) -> RefuseReason {
+    match load.cold {
+        true => RefuseReason::Cold,
+        false => RefuseReason::NoSlot,
+    }
+}
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -70,6 +70,16 @@
     Full,
 }
 
+/// Place of a new request in the queue.
+enum Place {
+    /// There is room.
+    Free,
+    /// That of the request at this index, which has a lower rank.
+    Of(usize),
+    /// None.
+    None,
+}
+
 impl Queue {
     pub(crate) fn len(&self) -> u32 {
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
@@ -85,22 +95,48 @@
         capacity: u32,
         cx: QueueContext<'_>,
     ) -> PushResult {
-        let request = request.clone();
+        let place = self.place(request, capacity, cx);
+        let waiting = Waiting {
+            request: request.clone(),
+            expires,
+        };
+        match place {
+            Place::Free => {
+                self.waiting.push(waiting);
+                PushResult::Queued
+            }
+            Place::Of(index) => {
+                let displaced = self.waiting.remove(index).request.ticket;
+                self.waiting.push(waiting);
+                PushResult::Displaced(displaced)
+            }
+            Place::None => PushResult::Full,
+        }
+    }
+
+    /// Returns whether [`Queue::push`] would queue a request.
+    pub(crate) fn has_room(
+        &self,
+        request: &SlotRequest,
+        capacity: u32,
+        cx: QueueContext<'_>,
+    ) -> bool {
+        !matches!(self.place(request, capacity, cx), Place::None)
+    }
+
+    fn place(&self, request: &SlotRequest, capacity: u32, cx: QueueContext<'_>) -> Place {
         if self.len() < capacity {
-            self.waiting.push(Waiting { request, expires });
-            return PushResult::Queued;
+            return Place::Free;
         }
-        let shares = FairShares::of(cx, &self.waiting, Some(&request));
+        let shares = FairShares::of(cx, &self.waiting, Some(request));
         let ranks = self.waiting.iter().map(|w| shares.rank(&w.request));
         let last = ranks
             .enumerate()
             .min_by_key(|(index, rank)| (*rank, usize::MAX - index));
-        let Some((index, _)) = last.filter(|(_, rank)| *rank < shares.rank(&request)) else {
-            return PushResult::Full;
-        };
-        let displaced = self.waiting.remove(index).request.ticket;
-        self.waiting.push(Waiting { request, expires });
-        PushResult::Displaced(displaced)
+        match last.filter(|(_, rank)| *rank < shares.rank(request)) {
+            Some((index, _)) => Place::Of(index),
+            None => Place::None,
+        }
     }
 
     /// Removes and returns the request with the highest rank.
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -369,6 +369,8 @@
         cx: &mut Cx<'_>,
     ) {
         match effect {
+            // Requests arrive here with their bodies.
+            admission::Effect::Receive(_) => {}
             admission::Effect::Run(ticket) => {
                 if let Some(sent) = self.forwarded.get(&ticket) {
                     cx.tx.push(Output::Run {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -14,6 +14,7 @@
 
 pub use message::{Arrival, Effect, Event};
 
+use crate::agent::Agent;
 use crate::context::Cx;
 use crate::effect::LogLine;
 use check::customer_share;
@@ -135,6 +136,10 @@
     pub fn step(&mut self, event: Event, cx: &mut Cx<'_>) {
         self.update_out_state(cx);
         match event {
+            Event::Offered(arrival) => {
+                self.recent_entries.record_request(cx.now, arrival.link);
+                self.offer(&arrival, cx);
+            }
             Event::Arrived(arrival) => {
                 self.recent_entries.record_request(cx.now, arrival.link);
                 self.schedule(Job::new(arrival, cx.now), cx);
@@ -289,6 +294,25 @@
         }
     }
 
+    /// Asks for the body of a request, unless the request would be refused now: its
+    /// body would only delay others on the network link.
+    fn offer(&mut self, arrival: &Arrival, cx: &mut Cx<'_>) {
+        let ticket = arrival.ticket;
+        let request = slot_request(arrival, cx.now, cx.agent);
+        let room = match self.permit(arrival, cx) {
+            Ok(Permit::Elsewhere(only_at)) => {
+                return self.refuse(ticket, RefuseReason::Suspect, Some(only_at), cx);
+            }
+            Ok(Permit::Unrestricted) => self.gate.check_room(cx.now, &request),
+            Ok(Permit::Exclusive) => Ok(()),
+            Err(reason) => Err(reason),
+        };
+        match room {
+            Ok(()) => push(cx, Effect::Receive(ticket)),
+            Err(reason) => self.refuse(ticket, reason, None, cx),
+        }
+    }
+
     /// Checks a request and returns how it may run. A request that the entry
     /// marked as suspected runs exclusively even if the verdict of the gate
     /// where it broke has not arrived yet.
@@ -307,17 +331,8 @@
 
     /// Dispatches a request if a slot is free; otherwise queues or refuses it.
     fn admit(&mut self, mut job: Job, cx: &mut Cx<'_>) {
-        let arrival = &job.arrival;
-        let ticket = arrival.ticket;
-        let request = SlotRequest {
-            ticket,
-            service: arrival.service.clone(),
-            customer: arrival.customer.clone(),
-            share: customer_share(&arrival.customer, cx.agent),
-            class: arrival.class.clone(),
-            weight: arrival.weight,
-            objective: arrival.objective.map(|o| job.arrived + o),
-        };
+        let ticket = job.arrival.ticket;
+        let request = slot_request(&job.arrival, job.arrived, cx.agent);
         match self.gate.admit(cx.now, &request) {
             Ok(Placement::Running) => self.dispatch(job, cx),
             Ok(Placement::Queued { .. }) if job.exclusive => {
@@ -508,6 +523,19 @@
     }
 }
 
+/// Returns the request for a slot of a request that arrived at a time.
+fn slot_request(arrival: &Arrival, arrived: Duration, agent: &Agent) -> SlotRequest {
+    SlotRequest {
+        ticket: arrival.ticket,
+        service: arrival.service.clone(),
+        customer: arrival.customer.clone(),
+        share: customer_share(&arrival.customer, agent),
+        class: arrival.class.clone(),
+        weight: arrival.weight,
+        objective: arrival.objective.map(|o| arrived + o),
+    }
+}
+
 fn push(cx: &mut Cx<'_>, effect: Effect) {
     cx.tx.push(crate::Effect::Admission(effect));
 }
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -42,7 +42,9 @@
 /// An event at the upstream beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
-    /// A request arrived from an entry.
+    /// An entry offers a request whose body it sends once the gate asks for it.
+    Offered(Arrival),
+    /// A request arrived completely from an entry.
     Arrived(Arrival),
     /// The entry cancelled the request.
     Cancelled(Ticket),
@@ -59,6 +61,9 @@
 /// An action at the upstream beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
+    /// Asks the entry for the body of an offered request. [`Event::Arrived`] follows
+    /// when it is complete.
+    Receive(Ticket),
     /// Sends the request to the upstream.
     Run(Ticket),
     /// Reports to the entry that the request was not run.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -88,6 +88,7 @@
                 return_ramp: routing.return_ramp,
                 far_per_kb: routing.far_per_kb,
                 late_cost: routing.late_cost,
+                link_bytes: settings.limits.link_bytes,
                 policy: match routing.by_expected_finish {
                     true => Policy::EXPECTED_FINISH,
                     false => policy,
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -82,7 +82,8 @@
         let only_at = active.only_at.clone();
         let demand = active.demand(cx.now);
         let data_centre = cx.agent.data_centre.clone();
-        let request = demand.pick_request(&data_centre, &tried);
+        let own_upstream = cx.agent.name.clone();
+        let request = demand.pick_request(&data_centre, &own_upstream, &tried);
         let now = cx.now;
         let picker = self.refresh_picker(&service, cx)?;
         let chosen = match only_at {
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -74,7 +74,7 @@
 fn saves_time(picker: &Picker, active: &ActiveRequest, sent: &SentAttempt, cx: &Cx<'_>) -> bool {
     let upstreams = active.tried_upstreams();
     let demand = active.demand(cx.now);
-    let request = demand.pick_request(&cx.agent.data_centre, &upstreams);
+    let request = demand.pick_request(&cx.agent.data_centre, &cx.agent.name, &upstreams);
     let elapsed = cx.now.saturating_sub(sent.sent_at);
     if elapsed < MIN_HEDGE_DELAY {
         return false;
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -103,10 +103,12 @@
     pub(super) fn pick_request<'a>(
         &'a self,
         data_centre: &'a str,
+        own_upstream: &'a str,
         tried: &'a [UpstreamId],
     ) -> PickRequest<'a> {
         PickRequest {
             data_centre,
+            own_upstream,
             tried,
             class: &self.class,
             default_work: self.default_work,
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -690,6 +690,7 @@
 
     fn admission(&mut self, name: &str, effect: admission::Effect) {
         match effect {
+            admission::Effect::Receive(ticket) => panic!("{ticket} was not offered"),
             admission::Effect::Run(ticket) => {
                 writeln!(self.log, "{name} runs {}", self.name_of(ticket)).unwrap();
                 self.daemons.get_mut(name).unwrap().running.insert(ticket);
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -32,8 +32,8 @@
 pub(crate) struct Work {
     /// Service time at normal speed, in seconds.
     pub(crate) service_time: f64,
-    /// Network round-trip time to the upstream, in seconds.
-    pub(crate) round_trip: f64,
+    /// Network time to the upstream and back, in seconds.
+    pub(crate) network: f64,
 }
 
 /// Inputs of the cost of a response besides its response time, in seconds.
@@ -80,7 +80,7 @@
     let limit = f64::from(limit);
     let queued = (load + 1.0 - limit).max(0.0) / limit;
     let contention = 1.0 + CONTENTION_FACTOR * (load / limit).min(1.0);
-    work.service_time * slowness * (contention + queued) + work.round_trip
+    work.service_time * slowness * (contention + queued) + work.network
 }
 
 /// Returns the slowness assumed for upstreams without a report: about that of
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -48,6 +48,8 @@
     /// Cost of a response after its objective, as the response time that it is
     /// worth.
     pub late_cost: Duration,
+    /// Bytes a second that the network link of a VM carries; 0 if unknown.
+    pub link_bytes: u64,
     /// Load balancing policy.
     pub policy: Policy,
 }
@@ -57,6 +59,8 @@
 pub struct PickRequest<'a> {
     /// Data centre of the entry.
     pub data_centre: &'a str,
+    /// Upstream on the VM of the entry; its requests use no network link.
+    pub own_upstream: &'a str,
     /// Upstreams that were already tried.
     pub tried: &'a [UpstreamId],
     /// Class of the request.
@@ -353,9 +357,13 @@
         let relative_latency = straggler::relative_latency(stats, peers.median, now);
         let local = candidate.data_centre == request.data_centre;
         let far = if local { 0.0 } else { 1.0 };
+        let transfer = match candidate.upstream == request.own_upstream {
+            true => 0.0,
+            false => self.transfer_time(request),
+        };
         let work = Work {
             service_time: self.service_time(request),
-            round_trip: far * FAR_ROUND_TRIP.as_secs_f64(),
+            network: far * FAR_ROUND_TRIP.as_secs_f64() + transfer,
         };
         let inputs = CostInputs {
             transfer: far * self.transfer_cost(request),
@@ -386,11 +394,24 @@
 
     /// Returns the cost of transferring the request and response between data
     /// centres, in seconds.
-    #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
     fn transfer_cost(&self, request: PickRequest<'_>) -> f64 {
+        self.settings.far_per_kb.as_secs_f64() * self.transferred_bytes(request) / KILOBYTE
+    }
+
+    /// Returns how long the request and response take on a network link, in seconds.
+    #[expect(clippy::cast_precision_loss, reason = "links are slow enough")]
+    fn transfer_time(&self, request: PickRequest<'_>) -> f64 {
+        match self.settings.link_bytes {
+            0 => 0.0,
+            rate => self.transferred_bytes(request) / rate as f64,
+        }
+    }
+
+    /// Returns the size of the request and the expected response.
+    #[expect(clippy::cast_precision_loss, reason = "bodies are short enough")]
+    fn transferred_bytes(&self, request: PickRequest<'_>) -> f64 {
         let response = self.response_bytes.get(request.class).copied();
-        let bytes = request.bytes as f64 + response.unwrap_or_default() + HEADER_BYTES;
-        self.settings.far_per_kb.as_secs_f64() * bytes / KILOBYTE
+        request.bytes as f64 + response.unwrap_or_default() + HEADER_BYTES
     }
 
     /// Returns the share of its normal traffic that an upstream may receive on
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -28,11 +28,17 @@
 /// Returns a picker with six upstreams, two per data centre, that have all
 /// reported normal speed.
 fn picker(far_per_kb: Duration) -> Picker {
+    picker_behind(far_per_kb, 0)
+}
+
+/// Returns the same on VMs whose network links carry this many bytes a second.
+fn picker_behind(far_per_kb: Duration, link_bytes: u64) -> Picker {
     let mut picker = Picker::new(PickSettings {
         eject_ratio: 0.3,
         return_ramp: Duration::ZERO,
         far_per_kb,
         late_cost: ms(500),
+        link_bytes,
         policy: Policy::EXPECTED_FINISH,
     });
     let candidates = (0..6).map(|n| Candidate {
@@ -50,6 +56,7 @@
 fn pick_request(bytes: u64) -> PickRequest<'static> {
     PickRequest {
         data_centre: "dc0",
+        own_upstream: "u0",
         tried: &[],
         class: "page",
         default_work: WORK,
@@ -89,6 +96,34 @@
     }
 }
 
+/// Load pattern: uploads over network links on which one takes longer than its work.
+#[test]
+fn choose_large_body_stays_on_the_vm_behind_a_slow_link() {
+    let mut picker = picker_behind(Duration::ZERO, 425_000);
+    picker.record_load(ms(1_000), "u0", load(5, 100));
+    assert_eq!(choose(&mut picker, 1_000, 0)[0], 0);
+    assert_eq!(choose(&mut picker, 1_000, 60_000)[0], 600);
+}
+
+#[test]
+fn choose_large_body_leaves_the_vm_if_its_upstream_is_slow() {
+    let mut picker = picker_behind(Duration::ZERO, 425_000);
+    picker.record_load(ms(1_000), "u0", load(1, 700));
+    assert_eq!(choose(&mut picker, 1_000, 60_000)[0], 0);
+}
+
+#[test]
+fn estimate_includes_the_time_on_the_network_link() {
+    let picker = picker_behind(Duration::ZERO, 425_000);
+    let finish = |upstream: &str, bytes| {
+        let estimate = picker.estimate(ms(1_000), upstream, pick_request(bytes));
+        estimate.unwrap().finish
+    };
+    assert_eq!(finish("u0", 60_000), finish("u0", 0));
+    let transfer = finish("u1", 60_000).saturating_sub(finish("u1", 0));
+    assert!((ms(140)..ms(143)).contains(&transfer), "{transfer:?}");
+}
+
 #[test]
 fn choose_spreads_over_equal_upstreams() {
     let mut picker = picker(Duration::ZERO);
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -33,6 +33,7 @@
         policy,
         far_per_kb: Duration::ZERO,
         late_cost: Duration::ZERO,
+        link_bytes: 0,
     }
 }
 
@@ -85,6 +86,7 @@
     fn scores(&self) -> Result<String, Box<dyn Error>> {
         let request = PickRequest {
             data_centre: "ams",
+            own_upstream: "",
             tried: &[],
             class: "",
             default_work: Duration::from_millis(100),
@@ -111,6 +113,7 @@
         for _ in 0..count {
             let request = PickRequest {
                 data_centre: "ams",
+                own_upstream: "",
                 tried,
                 class: "",
                 default_work: Duration::from_millis(100),
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt of a request: its stream to a gate and the response on it.
 
 use super::inbound::Inbound;
-use super::upload::{Upload, UploadTarget};
-use crate::links::{self, Credit, Link, StreamHandle, Window};
+use super::upload::{Upload, UploadTarget, send_buffered};
+use crate::links::{self, Credit, Link, SendProgress, StreamHandle, Window};
 use crate::runtime::Daemon;
 use crate::task_messages::TaskTx;
 use bytes::Bytes;
@@ -17,11 +17,18 @@
 /// HTTP statuses whose responses have no body, whatever length they declare.
 const BODYLESS: [u32; 2] = [204, 304];
 
+/// Maximum size of a buffered body that is sent with the head, in bytes. The gate
+/// asks for the rest of a longer one, which a refused request does not send at all.
+const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
+
 /// The parts of a request that are the same in each of its attempts.
 #[derive(Debug)]
 pub(super) struct OutgoingRequest {
     inbound: Inbound,
+    /// The bytes that are sent with the head.
     body_start: Bytes,
+    /// The rest of a body that is buffered completely.
+    buffered_rest: Bytes,
     fingerprint: Fingerprint,
     body_buffered: bool,
 }
@@ -29,18 +36,36 @@
 impl OutgoingRequest {
     pub(super) fn new(
         inbound: Inbound,
-        body_start: Bytes,
+        mut body_start: Bytes,
         fingerprint: Fingerprint,
         body_buffered: bool,
     ) -> Self {
+        let buffered_rest = match body_buffered {
+            true => body_start.split_off(body_start.len().min(MAX_INLINE_BODY_BYTES)),
+            false => Bytes::new(),
+        };
         Self {
             inbound,
             body_start,
+            buffered_rest,
             fingerprint,
             body_buffered,
         }
     }
 
+    /// Returns whether the gate has to receive the rest of the body before it runs the
+    /// request.
+    fn holds_body(&self) -> bool {
+        !self.buffered_rest.is_empty()
+    }
+
+    fn body_len(&self) -> Option<u64> {
+        match self.holds_body() {
+            true => Some((self.body_start.len() + self.buffered_rest.len()) as u64),
+            false => self.inbound.body_len,
+        }
+    }
+
     fn open(&self, attempt: &entry::Attempt) -> Open {
         let inbound = &self.inbound;
         Open {
@@ -57,9 +82,10 @@
             fingerprint: self.fingerprint,
             claim: attempt.claim,
             idempotent: attempt.idempotent,
-            body_len: inbound.body_len,
+            body_len: self.body_len(),
             body: self.body_start.clone(),
-            end: self.body_buffered,
+            end: self.body_buffered && !self.holds_body(),
+            hold_body: self.holds_body(),
             weight: attempt.weight,
             suspected: attempt.suspected,
             believed_slow_percent: attempt.believed_slow_percent,
@@ -112,7 +138,7 @@
             attempt: attempt.attempt,
             credit: credit.clone(),
             window: window.clone(),
-            sent: false,
+            progress: SendProgress::Queued,
         };
         let open = outgoing.open(attempt);
         let (link, stream) = open_stream(daemon, &attempt.address, stream_handle, &open);
@@ -123,7 +149,15 @@
             credit,
             offset: outgoing.body_start.len() as u64,
         };
-        let upload_task = upload.map(|u| tokio::spawn(u.clone().send(target)).abort_handle());
+        let upload_task = match upload {
+            Some(upload) => Some(tokio::spawn(upload.clone().send(target))),
+            None if outgoing.holds_body() => {
+                let rest = outgoing.buffered_rest.clone();
+                Some(tokio::spawn(send_buffered(target, rest)))
+            }
+            None => None,
+        };
+        let upload_task = upload_task.map(|task| task.abort_handle());
         Self {
             id: attempt.attempt,
             response: None,
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -210,8 +210,10 @@
     fn on_stream_event(&mut self, id: AttemptId, event: StreamEvent) {
         match event {
             StreamEvent::Frame(body) => self.on_frame(id, *body),
-            StreamEvent::Lost { sent: true } => self.on_broken(id, None),
-            StreamEvent::Lost { sent: false } => {
+            StreamEvent::Lost { may_have_run: true } => self.on_broken(id, None),
+            StreamEvent::Lost {
+                may_have_run: false,
+            } => {
                 self.drop_attempt(id);
                 self.report(entry::Event::NotSent(self.id, id));
             }
--- a/crates/plumhitchd/src/entry_http/upload.rs
+++ b/crates/plumhitchd/src/entry_http/upload.rs
@@ -1,17 +1,15 @@
-//! Streams the rest of a request body that does not fit the buffer.
+//! Sends the rest of a request body that is not in the first frame.
 
 use super::body::BodyRx;
 use crate::links::{Credit, Link};
 use crate::task_messages::{TaskMessage, TaskTx, UploadError};
 use bytes::Bytes;
+use flow::MAX_PIECE_BYTES;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::Mutex;
 use wire::{Body, Data, StreamId};
 
-/// Maximum size of a piece of a body in one frame, in bytes.
-const MAX_PIECE_BYTES: usize = 64 * 1024;
-
 /// The unread rest of a request body. It is read only once a gate grants
 /// credit, so that a request that a gate refuses can still be sent to another
 /// one.
@@ -82,6 +80,16 @@
     }
 }
 
+/// Sends the rest of a buffered body as the gate grants credit. The rest can be sent
+/// to another gate as well.
+pub(super) async fn send_buffered(mut target: UploadTarget, mut rest: Bytes) {
+    while !rest.is_empty() {
+        let credit = target.credit.take(rest.len().min(MAX_PIECE_BYTES)).await;
+        let piece = rest.split_to(credit);
+        target.send(piece, rest.is_empty());
+    }
+}
+
 impl UploadTarget {
     fn send(&mut self, bytes: Bytes, end: bool) {
         let offset = self.offset;
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -5,6 +5,7 @@
 //! waits for admission, dispatches the request to the upstream and returns the
 //! response to the entry.
 
+mod body_intake;
 mod cancel;
 mod exchange;
 mod job;
@@ -13,10 +14,11 @@
 mod reply_sender;
 mod upstream_request;
 
+pub(crate) use body_intake::BodyIntake;
 pub(crate) use load_report::poll_load_report;
 pub(crate) use pool::Pool;
 
-use crate::links::{Credit, Link, StreamHandle, Window};
+use crate::links::{Credit, Link, SendProgress, StreamHandle, Window};
 use crate::runtime::{Daemon, lock};
 use gate::Ticket;
 use job::Job;
@@ -30,8 +32,11 @@
 /// Returns the request that an effect belongs to.
 pub(crate) fn ticket_of(effect: &Effect) -> Ticket {
     match effect {
-        Effect::Run(ticket) | Effect::Cancel(ticket) | Effect::Expire(ticket) => *ticket,
-        Effect::Refuse { ticket, .. } => *ticket,
+        Effect::Receive(ticket)
+        | Effect::Run(ticket)
+        | Effect::Cancel(ticket)
+        | Effect::Expire(ticket)
+        | Effect::Refuse { ticket, .. } => *ticket,
     }
 }
 
@@ -47,7 +52,7 @@
         attempt: 0,
         credit: credit.clone(),
         window: window.clone(),
-        sent: true,
+        progress: SendProgress::MayRun,
     };
     if !link.insert(open.stream, stream_handle) {
         return;
@@ -64,6 +69,10 @@
     };
     lock(&daemon.gate_tasks).insert(ticket, tx);
     let arrival = arrival(ticket, link.id(), &open);
+    let event = match open.hold_body && !open.end {
+        true => admission::Event::Offered(arrival),
+        false => admission::Event::Arrived(arrival),
+    };
     let job = Job::new(
         daemon.clone(),
         link.clone(),
@@ -71,7 +80,7 @@
         (rx, credit, window),
         open,
     );
-    daemon.handle_event(Event::Admission(admission::Event::Arrived(arrival)));
+    daemon.handle_event(Event::Admission(event));
     tokio::spawn(job.run(method));
 }
 
--- a/crates/plumhitchd/src/links.rs
+++ b/crates/plumhitchd/src/links.rs
@@ -15,7 +15,7 @@
 pub(crate) use dial::{link_to, monitor, send};
 pub(crate) use link::Link;
 pub use retry::dial_with_retries;
-pub(crate) use stream::StreamHandle;
+pub(crate) use stream::{SendProgress, StreamHandle};
 
 use compact_str::CompactString;
 use node::LinkId;
--- a/crates/plumhitchd/src/links/accept.rs
+++ b/crates/plumhitchd/src/links/accept.rs
@@ -32,11 +32,11 @@
     if let Err(err) = configure(&stream) {
         log::warn!("event=socket_option_refused reason=\"{err}\"");
     }
-    let (link, rx) = Link::new(id);
+    let link = Link::new(id);
     lock(&daemon.links.accepted).insert(id, link.clone());
-    let reason = run(&daemon, &link, stream, rx, Side::Accepted(id)).await;
+    let reason = run(&daemon, &link, stream, Side::Accepted(id)).await;
     log::debug!("event=link_closed link={id} reason=\"{reason}\"");
     lock(&daemon.links.accepted).remove(&id);
-    link.streams.close();
+    link.close();
     daemon.handle_event(Event::LinkClosed(id));
 }
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -1,7 +1,7 @@
 //! Dials connections to peers, and closes them when idle or unresponsive.
 
 use super::framing::{Side, run};
-use super::link::{FrameRx, Link};
+use super::link::Link;
 use super::retry::dial_with_retries;
 use super::socket::configure;
 use super::{
@@ -48,15 +48,15 @@
 }
 
 fn dial(daemon: &Arc<Daemon>, key: Key) -> Arc<Link> {
-    let (link, rx) = Link::new(DIALLED);
-    tokio::spawn(connect(daemon.clone(), key, link.clone(), rx));
+    let link = Link::new(DIALLED);
+    tokio::spawn(connect(daemon.clone(), key, link.clone()));
     link
 }
 
-async fn connect(daemon: Arc<Daemon>, key: Key, link: Arc<Link>, rx: FrameRx) {
+async fn connect(daemon: Arc<Daemon>, key: Key, link: Arc<Link>) {
     let reason = match open(&key).await {
         Ok(stream) => tokio::select! {
-            err = run(&daemon, &link, stream, rx, Side::Dialled(key.1)) => err.to_string(),
+            err = run(&daemon, &link, stream, Side::Dialled(key.1)) => err.to_string(),
             () = remove_when_idle(&daemon, &key, &link) => return,
             () = link.failed() => "no reply to a ping".to_owned(),
         },
@@ -68,7 +68,7 @@
         key.1
     );
     remove(&daemon, &key, &link);
-    link.streams.close();
+    link.close();
     let (address, kind) = key;
     daemon.handle_event(Event::LinkFailed { address, kind });
 }
--- a/crates/plumhitchd/src/links/framing.rs
+++ b/crates/plumhitchd/src/links/framing.rs
@@ -1,17 +1,17 @@
 //! Reads and writes the frames of one connection and routes received frames.
 
 use super::HELLO_TIMEOUT;
-use super::link::{FrameRx, Link};
+use super::link::Link;
 use super::stream::stream_of;
 use crate::gate_http;
 use crate::runtime::Daemon;
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use compact_str::CompactString;
 use futures_util::StreamExt;
 use node::{Event, LinkId};
 use std::fmt;
+use std::io;
 use std::sync::Arc;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -20,8 +20,9 @@
     Body, CodecError, Frame, FrameCodec, Hello, LinkKind, PROTOCOL_VERSION, Pong, StreamId,
 };
 
-/// Size from which the encoded frames are written out.
-const WRITE_BYTES: usize = 128 * 1024;
+/// Size from which the encoded frames are written out. A frame that is queued
+/// meanwhile waits for them, so they are not much more than a piece of a body.
+const WRITE_BYTES: usize = flow::MAX_PIECE_BYTES;
 /// Oldest supported protocol version.
 const OLDEST_VERSION: u32 = 1;
 
@@ -72,7 +73,6 @@
     daemon: &Arc<Daemon>,
     link: &Arc<Link>,
     stream: TcpStream,
-    rx: FrameRx,
     side: Side,
 ) -> LinkError {
     let (read, write) = stream.into_split();
@@ -85,7 +85,7 @@
         daemon: daemon.cfg.daemon.name.to_string(),
         kind: kind.into(),
     };
-    let writing = write_frames(link, write, rx, Body::Hello(hello));
+    let writing = write_frames(link, write, Body::Hello(hello));
     let reading = read_frames(daemon, link, read, side);
     tokio::select! {
         err = writing => err,
@@ -93,46 +93,53 @@
     }
 }
 
-async fn write_frames(
-    link: &Link,
-    mut write: OwnedWriteHalf,
-    mut rx: FrameRx,
-    hello: Body,
-) -> LinkError {
+async fn write_frames(link: &Link, write: OwnedWriteHalf, hello: Body) -> LinkError {
     let mut codec = FrameCodec::new();
     let mut buf = BytesMut::new();
-    let mut next = Some(hello);
-    while let Some(body) = next {
-        if let Err(err) = encode_queued(link, &mut codec, &mut buf, &mut rx, body) {
+    if let Err(err) = codec.encode(Frame::new(hello), &mut buf) {
+        return err.into();
+    }
+    loop {
+        if let Err(err) = encode_queued(link, &mut codec, &mut buf) {
             return err.into();
         }
-        link.touch();
-        if let Err(err) = write.write_all_buf(&mut buf).await {
+        if buf.is_empty() {
+            link.wait_for_frame().await;
+            continue;
+        }
+        link.record_sent();
+        if let Err(err) = write_out(link, &write, &mut buf).await {
             return CodecError::Io(err).into();
         }
-        next = rx.recv().await;
     }
-    LinkError::Closed
 }
 
-/// Encodes a frame and those queued behind it, up to [`WRITE_BYTES`].
+/// Encodes queued frames, up to [`WRITE_BYTES`].
 fn encode_queued(
     link: &Link,
     codec: &mut FrameCodec,
     buf: &mut BytesMut,
-    rx: &mut FrameRx,
-    first: Body,
 ) -> Result<(), CodecError> {
-    let mut next = Some(first);
-    while let Some(body) = next {
-        if let Body::Open(open) = &body {
-            link.streams.mark_sent(open.stream);
-        }
+    while buf.len() < WRITE_BYTES
+        && let Some(body) = link.next_frame()
+    {
         codec.encode(Frame::new(body), buf)?;
-        next = match buf.len() < WRITE_BYTES {
-            true => rx.try_recv().ok(),
-            false => None,
-        };
+    }
+    Ok(())
+}
+
+/// Writes the buffer to the connection.
+async fn write_out(link: &Link, write: &OwnedWriteHalf, buf: &mut BytesMut) -> io::Result<()> {
+    while !buf.is_empty() {
+        match write.try_write(buf) {
+            Ok(written) => buf.advance(written),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => {
+                // The send buffer is full: space means that the peer accepted bytes.
+                write.writable().await?;
+                link.record_accepted();
+            }
+            Err(err) => return Err(err),
+        }
     }
     Ok(())
 }
@@ -147,20 +154,22 @@
     let Ok(first) = timeout(HELLO_TIMEOUT, frames.next()).await else {
         return LinkError::NoHello;
     };
-    let mut peer = match peer_name(first) {
-        Ok(name) => Peer {
-            name,
-            last_stream: 0,
-        },
+    let hello = match hello(first) {
+        Ok(hello) => hello,
         Err(err) => return err,
     };
+    link.set_peer_version(hello.version);
+    let mut peer = Peer {
+        name: hello.daemon.into(),
+        last_stream: 0,
+    };
     loop {
         let body = match frames.next().await {
             Some(Ok(frame)) => frame.body,
             Some(Err(err)) => return err.into(),
             None => return LinkError::Closed,
         };
-        link.received();
+        link.record_received();
         let Some(body) = body else {
             continue;
         };
@@ -176,7 +185,8 @@
     last_stream: StreamId,
 }
 
-fn peer_name(first: Option<Result<Frame, CodecError>>) -> Result<CompactString, LinkError> {
+/// Returns the `Hello` that a peer sent as its first frame.
+fn hello(first: Option<Result<Frame, CodecError>>) -> Result<Hello, LinkError> {
     let Some(frame) = first else {
         return Err(LinkError::Closed);
     };
@@ -184,7 +194,7 @@
         return Err(LinkError::NoHello);
     };
     match hello.version >= OLDEST_VERSION {
-        true => Ok(hello.daemon.into()),
+        true => Ok(hello),
         false => Err(LinkError::Version(hello.version)),
     }
 }
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -1,21 +1,15 @@
 //! Handle to one connection to another daemon.
 
-use super::stream::{StreamHandle, Streams};
+use super::stream::{SendProgress, StreamHandle, Streams};
 use crate::clock;
+use crate::runtime::lock;
+use flow::{Check, Liveness, SendQueue};
 use node::LinkId;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc};
-use wire::{Body, Open, Ping, StreamId};
-
-/// Time without frames from a peer with open requests, after which it is pinged.
-const PING_AFTER: Duration = Duration::from_millis(250);
-/// Time without any frame after a ping, after which the connection has failed.
-const PONG_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Queue of frames to write to a connection.
-pub(super) type FrameRx = mpsc::UnboundedReceiver<Body>;
+use tokio::sync::Notify;
+use wire::{Body, HOLD_BODY_VERSION, Open, Ping, StreamId};
 
 /// An open connection to another daemon.
 #[derive(Debug)]
@@ -24,29 +18,40 @@
     id: LinkId,
     /// Request streams of the connection.
     pub(super) streams: Streams,
-    tx: mpsc::UnboundedSender<Body>,
-    used_ms: AtomicU64,
-    /// Time at which the latest frame was received.
-    received_ms: AtomicU64,
-    /// Time of the ping that has no reply yet; 0 if there is none.
-    pinged_ms: AtomicU64,
+    state: Mutex<LinkState>,
+    /// Protocol version of the peer; 0 as long as its `Hello` has not arrived.
+    peer_version: AtomicU32,
+    queued: Notify,
     failed: Notify,
 }
 
+#[derive(Debug)]
+struct LinkState {
+    queue: SendQueue,
+    liveness: Liveness,
+    /// Time of the latest frame in either direction.
+    used_at: Duration,
+    closed: bool,
+}
+
 impl Link {
-    /// Creates a handle and the queue that the connection's writer reads.
-    pub(super) fn new(id: LinkId) -> (Arc<Self>, FrameRx) {
-        let (tx, rx) = mpsc::unbounded_channel();
-        let link = Self {
+    /// Creates the handle of a connection.
+    pub(super) fn new(id: LinkId) -> Arc<Self> {
+        let now = clock::now();
+        let state = LinkState {
+            queue: SendQueue::default(),
+            liveness: Liveness::new(now),
+            used_at: now,
+            closed: false,
+        };
+        Arc::new(Self {
             id,
             streams: Streams::default(),
-            tx,
-            used_ms: AtomicU64::new(now_ms()),
-            received_ms: AtomicU64::new(now_ms()),
-            pinged_ms: AtomicU64::new(0),
+            state: Mutex::new(state),
+            peer_version: AtomicU32::new(0),
+            queued: Notify::new(),
             failed: Notify::new(),
-        };
-        (Arc::new(link), rx)
+        })
     }
 
     /// Returns the id of an accepted connection, or 0 for a dialled one.
@@ -56,7 +61,13 @@
 
     /// Queues a frame; it is dropped if the connection is closed.
     pub(crate) fn send(&self, body: Body) {
-        let _ = self.tx.send(body);
+        let mut state = lock(&self.state);
+        if state.closed {
+            return;
+        }
+        state.queue.push(clock::now(), body);
+        drop(state);
+        self.queued.notify_one();
     }
 
     /// Opens a stream with a new id and sends its `Open` frame; returns `None` if
@@ -79,34 +90,77 @@
         self.streams.remove(id);
     }
 
+    /// Returns the next frame to write and records in its stream that it is about to
+    /// be written. Returns `None` if no frame is queued.
+    pub(super) fn next_frame(&self) -> Option<Body> {
+        let body = lock(&self.state).queue.pop(clock::now())?;
+        match &body {
+            Body::Open(open) => {
+                let progress = match open.hold_body {
+                    true => SendProgress::Incomplete,
+                    false => SendProgress::MayRun,
+                };
+                self.streams.record_written(open.stream, progress);
+            }
+            Body::Data(data) if data.end => {
+                self.streams
+                    .record_written(data.stream, SendProgress::MayRun);
+            }
+            _ => {}
+        }
+        Some(body)
+    }
+
+    /// Waits until a frame is queued.
+    pub(super) async fn wait_for_frame(&self) {
+        self.queued.notified().await;
+    }
+
+    /// Records the protocol version of the peer.
+    pub(super) fn set_peer_version(&self, version: u32) {
+        self.peer_version.store(version, Ordering::Release);
+    }
+
+    /// Returns whether the peer is known to run no request before it has the complete
+    /// body, where it is told so.
+    fn peer_holds_bodies(&self) -> bool {
+        self.peer_version.load(Ordering::Acquire) >= HOLD_BODY_VERSION
+    }
+
     /// Returns the time since the last frame in either direction.
     pub(super) fn idle(&self) -> Duration {
-        let used = self.used_ms.load(Ordering::Relaxed);
-        Duration::from_millis(now_ms().saturating_sub(used))
+        clock::now().saturating_sub(lock(&self.state).used_at)
     }
 
-    /// Records that a frame was received. Any frame counts as the reply to a ping.
-    pub(super) fn received(&self) {
-        self.touch();
-        self.received_ms.store(now_ms(), Ordering::Relaxed);
-        self.pinged_ms.store(0, Ordering::Relaxed);
+    /// Records that a frame was received.
+    pub(super) fn record_received(&self) {
+        let now = clock::now();
+        let mut state = lock(&self.state);
+        state.used_at = now;
+        state.liveness.record_sign(now);
+    }
+
+    /// Records that the peer accepted bytes that had to wait.
+    pub(super) fn record_accepted(&self) {
+        lock(&self.state).liveness.record_sign(clock::now());
+    }
+
+    /// Records that frames are sent.
+    pub(super) fn record_sent(&self) {
+        lock(&self.state).used_at = clock::now();
     }
 
     /// Pings a peer with open requests that has been silent, and fails the
-    /// connection if no frame follows the ping.
+    /// connection if no sign of life follows.
     pub(super) fn check_liveness(&self) {
-        if !self.streams.any_sent() {
+        if !self.streams.any_written() {
             return;
         }
-        let now = now_ms();
-        let elapsed_since =
-            |at: &AtomicU64| Duration::from_millis(now.saturating_sub(at.load(Ordering::Relaxed)));
-        let pinged = self.pinged_ms.load(Ordering::Relaxed) > 0;
-        if pinged && elapsed_since(&self.pinged_ms) >= PONG_TIMEOUT {
-            self.failed.notify_one();
-        } else if !pinged && elapsed_since(&self.received_ms) >= PING_AFTER {
-            self.pinged_ms.store(now, Ordering::Relaxed);
-            self.send(Body::Ping(Ping {}));
+        let check = lock(&self.state).liveness.check(clock::now());
+        match check {
+            Check::Wait => {}
+            Check::Ping => self.send(Body::Ping(Ping {})),
+            Check::Fail => self.failed.notify_one(),
         }
     }
 
@@ -115,12 +169,12 @@
         self.failed.notified().await;
     }
 
-    /// Records that a frame was received or sent.
-    pub(super) fn touch(&self) {
-        self.used_ms.store(now_ms(), Ordering::Relaxed);
+    /// Closes the streams, and drops what is and will be queued.
+    pub(super) fn close(&self) {
+        let mut state = lock(&self.state);
+        state.closed = true;
+        state.queue = SendQueue::default();
+        drop(state);
+        self.streams.close(self.peer_holds_bodies());
     }
 }
-
-fn now_ms() -> u64 {
-    u64::try_from(clock::now().as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/plumhitchd/src/links/stream.rs
+++ b/crates/plumhitchd/src/links/stream.rs
@@ -18,8 +18,19 @@
     pub(crate) credit: Arc<Credit>,
     /// Body bytes that may still be received.
     pub(crate) window: Arc<Window>,
-    /// Whether any byte of the `Open` frame may have been sent.
-    pub(crate) sent: bool,
+    /// How much of the request has been written.
+    pub(crate) progress: SendProgress,
+}
+
+/// How much of a request has been written to the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SendProgress {
+    /// Nothing.
+    Queued,
+    /// Some of it, but too little to run it for a peer that holds bodies.
+    Incomplete,
+    /// Enough that the peer may run it.
+    MayRun,
 }
 
 /// All streams of one connection.
@@ -70,10 +81,10 @@
         lock(&self.table).handles.remove(&id);
     }
 
-    /// Records that a stream's `Open` frame is about to be written.
-    pub(crate) fn mark_sent(&self, id: StreamId) {
+    /// Records how much of a request is about to be written.
+    pub(crate) fn record_written(&self, id: StreamId, progress: SendProgress) {
         if let Some(handle) = lock(&self.table).handles.get_mut(&id) {
-            handle.sent = true;
+            handle.progress = progress;
         }
     }
 
@@ -94,7 +105,7 @@
         };
         let event = match within_credit {
             true => StreamEvent::Frame(Box::new(body)),
-            false => StreamEvent::Lost { sent: true },
+            false => StreamEvent::Lost { may_have_run: true },
         };
         let _ = handle.tx.send(TaskMessage::Stream(handle.attempt, event));
         if !within_credit {
@@ -102,9 +113,11 @@
         }
     }
 
-    /// Returns whether any request that was sent is still open.
-    pub(crate) fn any_sent(&self) -> bool {
-        lock(&self.table).handles.values().any(|handle| handle.sent)
+    /// Returns whether any request of which something was written is still open.
+    pub(crate) fn any_written(&self) -> bool {
+        let table = lock(&self.table);
+        let mut handles = table.handles.values();
+        handles.any(|handle| handle.progress != SendProgress::Queued)
     }
 
     /// Closes the table if no stream is open; returns whether it is closed.
@@ -115,12 +128,18 @@
     }
 
     /// Closes the table and notifies every stream's task that the connection is
-    /// lost.
-    pub(crate) fn close(&self) {
+    /// lost. `peer_holds_bodies` is whether the peer runs no request before it has a
+    /// complete body that is to be held.
+    pub(crate) fn close(&self, peer_holds_bodies: bool) {
         let mut table = lock(&self.table);
         table.closed = true;
         for (_, handle) in table.handles.drain() {
-            let event = StreamEvent::Lost { sent: handle.sent };
+            let may_have_run = match handle.progress {
+                SendProgress::Queued => false,
+                SendProgress::Incomplete => !peer_holds_bodies,
+                SendProgress::MayRun => true,
+            };
+            let event = StreamEvent::Lost { may_have_run };
             let _ = handle.tx.send(TaskMessage::Stream(handle.attempt, event));
         }
     }
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use crate::disk::DiskTx;
 use crate::entry_http;
-use crate::gate_http::{self, Pool};
+use crate::gate_http::{self, BodyIntake, Pool};
 use crate::integration::Integration;
 use crate::links::{self, Links};
 use crate::logging;
@@ -52,6 +52,8 @@
     pub(crate) integration: Integration,
     /// Connections to the upstream.
     pub(crate) pool: Pool,
+    /// Request bodies that the gate is receiving.
+    pub(crate) body_intake: BodyIntake,
     /// Counters and histograms.
     pub(crate) metrics: Metrics,
     /// Number of callers' requests whose responses are not yet completely sent.
@@ -97,6 +99,7 @@
         });
         Ok(Arc::new(Self {
             pool: Pool::new(cfg.upstream.as_ref().map(|u| u.address)),
+            body_intake: BodyIntake::new(cfg.limits.link_bytes, cfg.limits.window_bytes as u64),
             integration,
             closing: watch::Sender::new(false),
             metrics: Metrics::new().map_err(io::Error::other)?,
--- a/crates/plumhitchd/src/task_messages.rs
+++ b/crates/plumhitchd/src/task_messages.rs
@@ -29,8 +29,8 @@
     Frame(Box<Body>),
     /// The connection was lost, or the peer exceeded its credit.
     Lost {
-        /// Whether any byte of the request may have been sent.
-        sent: bool,
+        /// Whether the peer may have run the request.
+        may_have_run: bool,
     },
 }
 
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -82,6 +82,22 @@
     /// the normal one, or 0 if its choice does not depend on that.
     #[prost(uint32, tag = "20")]
     pub believed_slow_percent: u32,
+    /// Whether the gate must not run the request before it has received the complete
+    /// body, of which the rest follows in [`Data`] frames. Gates of protocol version 1
+    /// ignore it.
+    #[prost(bool, tag = "21")]
+    pub hold_body: bool,
+}
+
+impl Open {
+    /// Reduces the times that are left by a time that has passed.
+    pub fn subtract_time(&mut self, passed_ms: u64) {
+        self.deadline_ms = self.deadline_ms.saturating_sub(passed_ms);
+        if self.objective_ms > 0 {
+            // Zero would mean that there is no objective.
+            self.objective_ms = self.objective_ms.saturating_sub(passed_ms).max(1);
+        }
+    }
 }
 
 /// Bytes of a body, in either direction.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,7 +28,7 @@
     Cancel, Credit, Data, Header, Load, LoadUpdate, Open, Refuse, RefuseReason, Reset, ResetReason,
     ResponseHead, Suspect, SuspectState, Verdict,
 };
-pub use frame::{Body, Frame, Hello, LinkKind, PROTOCOL_VERSION, Ping, Pong};
+pub use frame::{Body, Frame, HOLD_BODY_VERSION, Hello, LinkKind, PROTOCOL_VERSION, Ping, Pong};
 pub use ids::{
     AttemptId, ChangeId, ClassId, ConfigVersion, CustomerId, DaemonId, DataCentreId, Fingerprint,
     LogIndex, PlanId, ReplicaId, RequestId, ServiceId, StreamId, Term, UpstreamId, fingerprint,
