Avoid unreachable data centres, and bring views up to date by checksums

Cause: (1) behind a partition between data centres an entry found out VM by VM that none can be reached, at up to 400 ms of a caller's time each, again every second. (2) After an election the leader sent each daemon the full list of every service, which on 195 VMs is most of its bytes. (3) An upstream that restarts after its VM's time of day was set back announces a start with a lower number; its gate refused it as outdated for good. Change: (1) a data centre is avoided when the connections to three of its upstreams failed without a reply from another; one request a second probes it, and what could only go there is refused at once as not run. A failed connection makes its upstream unavailable for a second. (2) a subscription of an earlier leader's view states 16 checksums; the leader sends the upstreams of the buckets that differ. (3) a start with a lower number is accepted when the known one has been silent for 5 s. Ruled out: the time of day at the leader. Changes, resends and freshness do not depend on it (scenario stepped_clock). Tests: pick/tests/reachability.rs, node/tests/routed.rs (partition), admission.rs, fleet/tests/registry.rs, scenarios/control/stepped_clock.txt.

--- a/crates/bench/src/session.rs
+++ b/crates/bench/src/session.rs
@@ -126,6 +126,7 @@
         service: service.into(),
         epoch: 0,
         version: 0,
+        checksums: Vec::new(),
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemon keeps them in a [`FleetView`], and a [`Freshness`] tracks how old
 //! control's newest confirmation is.
 
+mod checksums;
 mod freshness;
 mod homes;
 mod registry;
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -2,13 +2,14 @@
 
 mod service;
 
+use crate::checksums::{bucket_of, checksums};
 use crate::homes::{Candidate, Homes};
 use service::{FIRST_VERSION, ServiceLog};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{
     ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId, Subscription,
-    UpstreamInfo,
+    UpstreamInfo, VIEW_BUCKETS,
 };
 
 /// Time between two checks of the leases from which this process must have been
@@ -136,7 +137,11 @@
             .and_then(|l| l.since(subscription.version));
         let full = changed.is_none();
         let daemons = changed.unwrap_or_else(|| self.members(&subscription.service));
-        Some(self.service_delta(&subscription.service, version, full, &daemons))
+        let delta = self.service_delta(&subscription.service, version, full, &daemons);
+        match full && subscription.checksums.len() == VIEW_BUCKETS {
+            true => Some(without_known(delta, &subscription.checksums)),
+            false => Some(delta),
+        }
     }
 
     /// Returns all services with their upstreams.
@@ -234,6 +239,21 @@
     }
 }
 
+/// Reduces a full update to the buckets of upstreams whose checksums differ from those
+/// of the daemon's view.
+fn without_known(mut delta: ServiceDelta, held: &[u64]) -> ServiceDelta {
+    let current = checksums(delta.upstreams.iter());
+    let differing = (0..VIEW_BUCKETS).filter(|bucket| held.get(*bucket) != current.get(*bucket));
+    let replaced = differing.fold(0, |bits, bucket| bits | 1 << bucket);
+    delta
+        .upstreams
+        .retain(|info| replaced & (1 << bucket_of(&info.upstream)) != 0);
+    delta.full = false;
+    delta.base_checksums = held.to_vec();
+    delta.replaced_buckets = replaced;
+    delta
+}
+
 /// Returns the registration that results from a heartbeat, or `None` if the
 /// heartbeat comes from an earlier incarnation or arrives out of order.
 ///
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,9 +1,10 @@
 //! A daemon's view of the services that it subscribes to.
 
+use crate::checksums::{self, bucket_of};
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{DataCentreId, ServiceDelta, ServiceId, Subscription, UpstreamId};
+use wire::{DataCentreId, ServiceDelta, ServiceId, Subscription, UpstreamId, UpstreamInfo};
 
 /// An upstream as last reported by the control leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +30,31 @@
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
 }
 
+impl ServiceView {
+    /// Returns the checksums of the buckets of upstreams.
+    fn checksums(&self) -> Vec<u64> {
+        let upstreams = self.upstreams.iter();
+        let infos: Vec<UpstreamInfo> = upstreams
+            .map(|(name, upstream)| UpstreamInfo {
+                upstream: name.to_string(),
+                address: upstream.address.to_string(),
+                data_centre: upstream.data_centre.to_string(),
+                slots: upstream.slots,
+                leaving: upstream.leaving,
+            })
+            .collect();
+        checksums::checksums(infos.iter())
+    }
+
+    /// Returns whether an update builds on this view.
+    fn is_base_of(&self, delta: &ServiceDelta) -> bool {
+        if delta.full || delta.epoch == self.epoch && delta.base_checksums.is_empty() {
+            return true;
+        }
+        !delta.base_checksums.is_empty() && delta.base_checksums == self.checksums()
+    }
+}
+
 /// Time after which an unused subscription is removed.
 pub const SUBSCRIPTION_IDLE: Duration = Duration::from_secs(600);
 
@@ -66,15 +92,24 @@
             .retain(|_, s| now.saturating_sub(s.last_used) < SUBSCRIPTION_IDLE);
     }
 
-    /// Returns the subscriptions, each with the version that this daemon has.
+    /// Returns the subscriptions, each with the version that this daemon has. A view
+    /// of another epoch than `epoch` is described by its checksums too.
     #[must_use]
-    pub fn subscriptions(&self) -> Vec<Subscription> {
-        self.services
-            .iter()
-            .map(|(service, subscribed)| Subscription {
-                service: service.to_string(),
-                epoch: subscribed.view.epoch,
-                version: subscribed.view.version,
+    pub fn subscriptions(&self, epoch: u64) -> Vec<Subscription> {
+        let services = self.services.iter();
+        services
+            .map(|(service, subscribed)| {
+                let view = &subscribed.view;
+                let outdated = view.version > 0 && view.epoch != epoch;
+                Subscription {
+                    service: service.to_string(),
+                    epoch: view.epoch,
+                    version: view.version,
+                    checksums: match outdated {
+                        true => view.checksums(),
+                        false => Vec::new(),
+                    },
+                }
             })
             .collect()
     }
@@ -86,8 +121,8 @@
         Some(&subscribed.view).filter(|view| view.version > 0)
     }
 
-    /// Applies an update; returns whether it was newer than the view. A delta of
-    /// another epoch is ignored, since it does not build on this view.
+    /// Applies an update; returns whether it was newer than the view. An update that
+    /// does not build on this view is ignored.
     pub fn apply(&mut self, delta: &ServiceDelta) -> bool {
         let Some(subscribed) = self.services.get_mut(delta.service.as_str()) else {
             return false;
@@ -96,12 +131,14 @@
         if (delta.epoch, delta.version) <= (view.epoch, view.version) {
             return false;
         }
-        if !delta.full && delta.epoch != view.epoch {
+        if !view.is_base_of(delta) {
             return false;
         }
         if delta.full {
             view.upstreams.clear();
         }
+        view.upstreams
+            .retain(|name, _| delta.replaced_buckets & (1 << bucket_of(name)) == 0);
         for name in &delta.removed {
             view.upstreams.remove(name.as_str());
         }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use fleet::{FleetView, MAX_HOMES, Registry, SUBSCRIPTION_IDLE, homes_hash};
 use std::time::Duration;
+use test_case::test_case;
 use wire::{Announcement, Heartbeat, ServiceDelta, Subscription};
 
 const LEASE: Duration = Duration::from_secs(4);
@@ -32,8 +33,9 @@
     }
 }
 
+/// Returns the subscription of a daemon that knows no later leader than the first.
 fn subscription(view: &FleetView) -> Subscription {
-    view.subscriptions().remove(0)
+    view.subscriptions(1).remove(0)
 }
 
 fn view() -> FleetView {
@@ -136,6 +138,7 @@
         service: SERVICE.to_owned(),
         epoch: 1,
         version: 9,
+        checksums: Vec::new(),
     };
     assert_eq!(new.delta(secs(13), &old_subscription), None);
     let delta = new.delta(secs(14), &old_subscription).expect("an update");
@@ -194,7 +197,7 @@
     let mut view = view();
     view.subscribe(secs(100), "club");
     view.prune(SUBSCRIPTION_IDLE + secs(50));
-    let services = view.subscriptions();
+    let services = view.subscriptions(1);
     assert_eq!(services.len(), 1);
     assert_eq!(services[0].service, "club");
 }
@@ -219,3 +222,74 @@
     registry.handle_heartbeat(secs(5), &heartbeat("new", 1, 1, 6));
     assert!(registry.homes(secs(5), homes_hash(&homes)).is_empty());
 }
+
+/// A leader of term 2 at which these daemons have registered within the lease, and the
+/// view that a daemon has from the leader of term 1, where `known` had registered.
+fn after_election(known: &[&str], registered: &[(&str, u32)]) -> (Registry, FleetView) {
+    let mut old = Registry::new(1, LEASE, secs(0));
+    for daemon in known {
+        old.handle_heartbeat(secs(0), &heartbeat(daemon, 1, 1, 6));
+    }
+    let mut view = view();
+    view.apply(&old.delta(secs(0), &subscription(&view)).expect("an update"));
+    let mut new = Registry::new(2, LEASE, secs(10));
+    for (daemon, slots) in registered {
+        new.handle_heartbeat(secs(10), &heartbeat(daemon, 1, 2, *slots));
+    }
+    (new, view)
+}
+
+/// Load pattern: an election in a fleet of many daemons. What they know already is not
+/// sent to them again.
+#[test]
+fn delta_after_an_election_contains_nothing_that_is_known() {
+    let known = ["a", "b", "c"];
+    let (new, mut view) = after_election(&known, &[("a", 6), ("b", 6), ("c", 6)]);
+    let states_checksums = view.subscriptions(2).remove(0);
+    let delta = new.delta(secs(14), &states_checksums).expect("an update");
+    assert!(!delta.full && delta.upstreams.is_empty() && delta.removed.is_empty());
+    assert!(view.apply(&delta));
+    assert_eq!(names(&view), ["a:6", "b:6", "c:6"]);
+    assert_eq!(new.delta(secs(14), &view.subscriptions(2)[0]), None);
+}
+
+#[test_case(&[("a", 6), ("b", 3), ("c", 6)], &["a:6", "b:3", "c:6"]; "changed")]
+#[test_case(&[("a", 6), ("c", 6)], &["a:6", "c:6"]; "removed")]
+#[test_case(&[("a", 6), ("b", 6), ("c", 6), ("d", 2)], &["a:6", "b:6", "c:6", "d:2"]; "added")]
+#[test_case(&[], &[]; "all removed")]
+fn delta_after_an_election_brings_the_view_up_to_date(
+    registered: &[(&str, u32)],
+    expected: &[&str],
+) {
+    let (new, mut view) = after_election(&["a", "b", "c"], registered);
+    let delta = new.delta(secs(14), &view.subscriptions(2)[0]);
+    assert!(view.apply(&delta.expect("an update")));
+    assert_eq!(names(&view), expected);
+}
+
+/// An update that was made for an earlier state of the view must not be applied.
+#[test]
+fn view_ignores_an_update_for_other_checksums() {
+    let (new, mut view) = after_election(&["a", "b"], &[("a", 6), ("b", 6), ("c", 6)]);
+    let delta = new.delta(secs(14), &view.subscriptions(2)[0]);
+    let changed = ServiceDelta {
+        service: SERVICE.to_owned(),
+        epoch: 1,
+        version: 99,
+        removed: vec!["a".to_owned()],
+        ..ServiceDelta::default()
+    };
+    assert!(view.apply(&changed));
+    assert!(!view.apply(&delta.expect("an update")));
+    assert_eq!(names(&view), ["b:6"]);
+}
+
+/// A daemon of an earlier program states no checksums and gets the full list.
+#[test]
+fn delta_after_an_election_without_checksums_is_full() {
+    let (new, view) = after_election(&["a", "b"], &[("a", 6), ("b", 6)]);
+    let delta = new
+        .delta(secs(14), &subscription(&view))
+        .expect("an update");
+    assert!(delta.full && delta.upstreams.len() == 2);
+}
--- a/crates/model/src/fleet/control.rs
+++ b/crates/model/src/fleet/control.rs
@@ -84,7 +84,7 @@
             version: self.registry_version,
             full: true,
             upstreams: serving.collect(),
-            removed: Vec::new(),
+            ..ServiceDelta::default()
         }
     }
 }
--- a/crates/node/examples/control_cost.rs
+++ b/crates/node/examples/control_cost.rs
@@ -57,6 +57,7 @@
             service: service(i + n * 4),
             epoch: 0,
             version: 0,
+            checksums: Vec::new(),
         });
         Self {
             heartbeat: Heartbeat {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -25,6 +25,7 @@
 use pick::{MeasuringBudget, MeasuringCount};
 use prost::Message;
 use recent_entries::RecentEntries;
+use std::cmp::Ordering;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible_upstreams};
 use wire::{Announcement, Body, Load, LoadUpdate, RefuseReason, ServiceId, Suspect, UpstreamId};
@@ -36,6 +37,9 @@
 /// Time after its cancellation for which an exclusive request that the upstream
 /// has not finished still keeps others out.
 const HUNG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without an announcement after which an upstream may announce a start with a
+/// lower number than the known one.
+const INCARNATION_SILENCE: Duration = Duration::from_secs(5);
 /// Retry delay sent with a refusal that has another cause than missing slots.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Upper bound of the bytes that reading a load report costs: request and
@@ -61,6 +65,8 @@
     stuck_timeout: Duration,
     isolate_suspects: bool,
     last_break_at: Option<Duration>,
+    /// Time of the latest announcement.
+    announced_at: Duration,
     was_out: bool,
     stopping: bool,
 }
@@ -94,6 +100,7 @@
             stuck_timeout: settings.gate.stuck_timeout,
             isolate_suspects: settings.gate.isolate_suspects,
             last_break_at: None,
+            announced_at: Duration::ZERO,
             was_out: false,
             stopping: false,
         }
@@ -246,17 +253,27 @@
 
     /// Returns whether an announcement is older than one already applied: from
     /// an earlier start of the upstream, or overtaken in transit.
+    ///
+    /// Upstreams number their starts by the time of day, which may be set back. So a
+    /// start with a lower number is accepted once the known one has been silent for
+    /// [`INCARNATION_SILENCE`].
     #[must_use]
-    pub fn is_outdated(&self, announcement: &Announcement) -> bool {
-        let order = |a: &Announcement| (a.incarnation, a.sequence);
-        let known = self.gate.announced();
-        known.is_some_and(|known| known.incarnation > 0 && order(announcement) <= order(known))
+    pub fn is_outdated(&self, now: Duration, announcement: &Announcement) -> bool {
+        let Some(known) = self.gate.announced().filter(|a| a.incarnation > 0) else {
+            return false;
+        };
+        match announcement.incarnation.cmp(&known.incarnation) {
+            Ordering::Greater => false,
+            Ordering::Equal => announcement.sequence <= known.sequence,
+            Ordering::Less => now.saturating_sub(self.announced_at) < INCARNATION_SILENCE,
+        }
     }
 
     fn announce(&mut self, mut announcement: Announcement, cx: &mut Cx<'_>) {
-        if self.is_outdated(&announcement) {
+        if self.is_outdated(cx.now, &announcement) {
             return;
         }
+        self.announced_at = cx.now;
         announcement.leaving |= self.stopping;
         let lost = self.gate.announce(cx.now, announcement);
         let lost: Vec<Job> = lost
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -251,13 +251,7 @@
     }
 
     /// Switches to another replica if the connection to the current one failed.
-    pub fn link_failed(
-        &mut self,
-        now: Duration,
-        address: &str,
-        kind: LinkKind,
-        _tx: &mut Vec<Effect>,
-    ) {
+    pub fn link_failed(&mut self, now: Duration, address: &str, kind: LinkKind) {
         let target = self.replicas.target();
         if kind == LinkKind::Control && target.is_some_and(|a| a == address) {
             self.replicas.target_failed();
@@ -327,7 +321,7 @@
             data_centre: self.data_centre.to_string(),
             config_version: self.config.version,
             upstream: self.upstream.clone(),
-            subscriptions: self.view.subscriptions(),
+            subscriptions: self.view.subscriptions(self.term),
             config_page: self.receiver.next_page(),
             homes_hash: homes_hash(&self.homes),
             supports_routing_changes: true,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod message;
 mod outcome;
+mod reachability;
 mod refusal;
 mod request;
 mod route;
@@ -20,7 +21,7 @@
 
 use crate::context::Cx;
 use conf::Settings;
-use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits};
+use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits, Reachability};
 use refusal::RefusalCause;
 use request::{ActiveRequest, Purpose};
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,6 +63,7 @@
     isolate_suspects: bool,
     retry_after: Duration,
     pickers: BTreeMap<ServiceId, Picker>,
+    reachability: Reachability,
     budgets: BTreeMap<ServiceId, Budgets>,
     retry_limits: RatioLimits,
     hedge_limits: RatioLimits,
@@ -99,6 +101,7 @@
             isolate_suspects: settings.gate.isolate_suspects,
             retry_after: routing.retry_after,
             pickers: BTreeMap::new(),
+            reachability: Reachability::new(),
             budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
             hedge_limits: limits(routing.hedge_ratio),
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -3,7 +3,7 @@
 use super::claim::settle_claim;
 use super::message::Effect;
 use super::refusal::{Reason, RefusalCause, RunState};
-use super::request::{ActiveRequest, AttemptState, ClaimState, Purpose};
+use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose};
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
@@ -74,7 +74,9 @@
         active.is_none_or(|a| estimate.finish <= a.deadline.saturating_sub(cx.now))
     }
 
-    /// Chooses an upstream and charges the attempt to its budget.
+    /// Chooses an upstream and charges the attempt to its budget. A request that could
+    /// only go to an unreachable data centre gets none, because it would wait there in
+    /// vain.
     fn choose(&mut self, id: RequestId, purpose: Purpose, cx: &mut Cx<'_>) -> Option<Estimate> {
         let active = self.active.get(&id)?;
         let service = active.request.service.clone();
@@ -83,14 +85,21 @@
         let demand = active.demand(cx.now);
         let data_centre = cx.agent.data_centre.clone();
         let own_upstream = cx.agent.name.clone();
-        let request = demand.pick_request(&data_centre, &own_upstream, &tried);
         let now = cx.now;
-        let picker = self.refresh_picker(&service, cx)?;
+        self.refresh_picker(&service, cx)?;
+        let entry = EntryView {
+            data_centre: &data_centre,
+            own_upstream: &own_upstream,
+            reachability: &self.reachability,
+        };
+        let request = demand.pick_request(entry, &tried);
+        let picker = self.pickers.get_mut(&service)?;
         let chosen = match only_at {
             Some(only) if tried.contains(&only) => None,
             Some(only) => picker.estimate(now, &only, request),
             None => picker.choose(now, cx.rng, request),
         };
+        let chosen = chosen.filter(|estimate| !estimate.unreachable);
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
             Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
@@ -109,6 +118,7 @@
             return;
         };
         let address = known.address.clone();
+        self.reachability.record_sent(cx.now, &known.data_centre);
         let is_last = active.count(AttemptState::NotRun) >= self.max_repicks;
         let mut attempt = active.start_attempt(purpose, upstream, address, cx.now);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -2,7 +2,7 @@
 
 use super::Entry;
 use super::refusal::Reason;
-use super::request::{ActiveRequest, AttemptState, Purpose, SentAttempt};
+use super::request::{ActiveRequest, AttemptState, EntryView, Purpose, SentAttempt};
 use crate::context::Cx;
 use pick::Picker;
 use std::time::Duration;
@@ -61,37 +61,48 @@
             return false;
         }
         if self.by_expected_finish {
-            return saves_time(picker, active, sent, cx);
+            return self.saves_time(picker, active, sent, cx);
         }
         let first = active.attempts.len() == 1;
         let delay = picker.latency_quantile(HEDGE_QUANTILE).filter(|_| first);
         delay.is_some_and(|delay| cx.now.saturating_sub(sent.sent_at) >= delay.max(MIN_HEDGE_DELAY))
     }
-}
 
-/// Returns whether a hedge is expected to bring the response in time where the
-/// attempt in flight is not.
-fn saves_time(picker: &Picker, active: &ActiveRequest, sent: &SentAttempt, cx: &Cx<'_>) -> bool {
-    let upstreams = active.tried_upstreams();
-    let demand = active.demand(cx.now);
-    let request = demand.pick_request(&cx.agent.data_centre, &cx.agent.name, &upstreams);
-    let elapsed = cx.now.saturating_sub(sent.sent_at);
-    if elapsed < MIN_HEDGE_DELAY {
-        return false;
-    }
-    let Some(current) = picker.estimate(cx.now, &sent.upstream, request) else {
-        return false;
-    };
-    let Some(alternative) = picker.best_finish(cx.now, request) else {
-        return false;
-    };
-    let remains = remaining(elapsed, sent.expected, current.finish);
-    if alternative.as_secs_f64() > remains.as_secs_f64() * (1.0 - MIN_SAVED_RATIO) {
-        return false;
+    /// Returns whether a hedge is expected to bring the response in time where the
+    /// attempt in flight is not.
+    fn saves_time(
+        &self,
+        picker: &Picker,
+        active: &ActiveRequest,
+        sent: &SentAttempt,
+        cx: &Cx<'_>,
+    ) -> bool {
+        let upstreams = active.tried_upstreams();
+        let demand = active.demand(cx.now);
+        let entry = EntryView {
+            data_centre: &cx.agent.data_centre,
+            own_upstream: &cx.agent.name,
+            reachability: &self.reachability,
+        };
+        let request = demand.pick_request(entry, &upstreams);
+        let elapsed = cx.now.saturating_sub(sent.sent_at);
+        if elapsed < MIN_HEDGE_DELAY {
+            return false;
+        }
+        let Some(current) = picker.estimate(cx.now, &sent.upstream, request) else {
+            return false;
+        };
+        let Some(alternative) = picker.best_finish(cx.now, request) else {
+            return false;
+        };
+        let remains = remaining(elapsed, sent.expected, current.finish);
+        if alternative.as_secs_f64() > remains.as_secs_f64() * (1.0 - MIN_SAVED_RATIO) {
+            return false;
+        }
+        let target = active.late_at.filter(|at| cx.now + alternative <= *at);
+        let target = target.unwrap_or(active.deadline);
+        cx.now + alternative <= target && cx.now.saturating_add(remains) > target
     }
-    let target = active.late_at.filter(|at| cx.now + alternative <= *at);
-    let target = target.unwrap_or(active.deadline);
-    cx.now + alternative <= target && cx.now.saturating_add(remains) > target
 }
 
 /// Returns the expected remaining time of an attempt that was estimated at
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -17,7 +17,7 @@
 /// Maximum number of convicted requests kept.
 const MAX_CONVICTED: usize = 10_000;
 /// Time for which an upstream that accepts no work is not chosen.
-const UNAVAILABLE_TIME: Duration = Duration::from_secs(1);
+pub(super) const UNAVAILABLE_TIME: Duration = Duration::from_secs(1);
 /// Time before the deadline in which a broken connection counts as the gate's
 /// own deadline.
 const DEADLINE_SLACK: Duration = Duration::from_millis(20);
@@ -49,11 +49,12 @@
             | RefuseReason::Deadline => Reply::NoSlot,
             _ => Reply::Unavailable(cx.now + UNAVAILABLE_TIME),
         };
-        if self
-            .close(id, attempt, state, reply, refuse.load, cx)
-            .is_none()
-        {
+        let Some(upstream) = self.close(id, attempt, state, reply, refuse.load, cx) else {
             return;
+        };
+        if let Some(active) = self.active.get(&id) {
+            let service = active.request.service.clone();
+            self.record_reachable(&service, &upstream, cx);
         }
         if reason == RefuseReason::Slow {
             self.allow_reselection(id, attempt);
@@ -114,7 +115,9 @@
             Reply::Success(latency)
         };
         let class = active.class_name.clone();
-        if let Some(picker) = self.pickers.get_mut(&active.request.service) {
+        let service = active.request.service.clone();
+        self.record_reachable(&service, &upstream, cx);
+        if let Some(picker) = self.pickers.get_mut(&service) {
             picker.record_reply(cx.now, &upstream, reply, load);
             if status < MIN_SERVER_ERROR {
                 picker.record_service_time(cx.now, &upstream, &class, latency);
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -7,7 +7,7 @@
 use crate::context::Cx;
 use compact_str::CompactString;
 use conf::{Class, KeyRule};
-use pick::PickRequest;
+use pick::{PickRequest, Reachability};
 use std::time::Duration;
 use wire::{AttemptId, ClassId, UpstreamId};
 
@@ -98,17 +98,25 @@
     objective: Option<Duration>,
 }
 
+/// Where the entry is, and what it can reach.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EntryView<'a> {
+    pub(super) data_centre: &'a str,
+    pub(super) own_upstream: &'a str,
+    pub(super) reachability: &'a Reachability,
+}
+
 impl Demand {
     /// Returns the input of the choice of an upstream.
     pub(super) fn pick_request<'a>(
         &'a self,
-        data_centre: &'a str,
-        own_upstream: &'a str,
+        entry: EntryView<'a>,
         tried: &'a [UpstreamId],
     ) -> PickRequest<'a> {
         PickRequest {
-            data_centre,
-            own_upstream,
+            data_centre: entry.data_centre,
+            own_upstream: entry.own_upstream,
+            reachability: entry.reachability,
             tried,
             class: &self.class,
             default_work: self.default_work,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
-use wire::Body;
+use wire::{Body, LinkKind};
 
 /// The parameters of a daemon.
 #[derive(Debug)]
@@ -77,8 +77,11 @@
             }
         }
         Event::LinkFailed { address, kind } => {
-            node.agent.link_failed(now, &address, kind, tx);
+            node.agent.link_failed(now, &address, kind);
             node.allowances.link_failed(now, &address, kind);
+            if kind == LinkKind::Data {
+                with_entry(node, now, tx, |entry, cx| entry.link_failed(&address, cx));
+            }
         }
         Event::Entry(event) => with_entry(node, now, tx, |entry, cx| entry.step(event, cx)),
         Event::Admission(event) => {
--- /dev/null
+++ b/crates/node/tests/admission.rs
@@ -0,0 +1,205 @@
+//! Decisions of a gate on offered requests and on announcements of its upstream.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use conf::{DaemonSettings, ListenSettings, Settings};
+use node::admission::{self, Arrival};
+use node::{Effect, Event, Node, NodeOptions, step};
+use std::net::SocketAddr;
+use std::time::Duration;
+use test_case::test_case;
+use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason};
+
+const SLOTS: u32 = 2;
+
+fn run(node: &mut Node, at_ms: u64, event: Event) -> Vec<Effect> {
+    let mut tx = Vec::new();
+    step(node, Duration::from_millis(at_ms), event, &mut tx);
+    tx
+}
+
+fn admit(node: &mut Node, at_ms: u64, event: admission::Event) -> Vec<admission::Effect> {
+    let effects = run(node, at_ms, Event::Admission(event)).into_iter();
+    let admissions = effects.filter_map(|effect| match effect {
+        Effect::Admission(effect) => Some(effect),
+        _ => None,
+    });
+    admissions.collect()
+}
+
+/// Returns a daemon beside an upstream with [`SLOTS`] slots and no queue.
+fn gate() -> Node {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let listen = ListenSettings {
+        callers: Some(address(7100)),
+        operators: address(7200),
+        peers: address(7300),
+    };
+    let daemon = DaemonSettings {
+        name: "booking-1".into(),
+        data_centre: "ams".into(),
+    };
+    let mut settings = Settings::new(daemon, listen, address(8000));
+    settings.control.replicas = vec![address(7301)];
+    settings.control.serve_stale = true;
+    settings.gate.isolate_suspects = false;
+    settings.gate.cold_slots = SLOTS;
+    settings.gate.queue_ratio = 0.0;
+    let mut node = Node::new(NodeOptions {
+        settings,
+        incarnation: 1,
+        seed: 1,
+        replica: None,
+        policy: pick::Policy::default(),
+    });
+    for effect in run(&mut node, 0, Event::Tick { unix_ms: 0 }) {
+        let Effect::Send {
+            body: Body::Heartbeat(heartbeat),
+            ..
+        } = effect
+        else {
+            continue;
+        };
+        let config = ConfigDelta {
+            to: 1,
+            last: true,
+            ..ConfigDelta::default()
+        };
+        let reply = HeartbeatReply {
+            sequence: heartbeat.sequence,
+            confirmed: true,
+            config_version: 1,
+            config: Some(config),
+            term: 1,
+            ..HeartbeatReply::default()
+        };
+        let received = Event::Received {
+            link: None,
+            daemon: "control-1".into(),
+            body: Body::HeartbeatReply(reply),
+        };
+        run(&mut node, 1, received);
+    }
+    announce(&mut node, 2, 100, 1);
+    node
+}
+
+fn announcement(incarnation: u64, sequence: u64) -> Announcement {
+    Announcement {
+        service: "booking".into(),
+        slots: SLOTS,
+        boot: format!("b{incarnation}"),
+        incarnation,
+        sequence,
+        ..Announcement::default()
+    }
+}
+
+/// Announces a start of the upstream; returns whether it is the known one then.
+fn announce(node: &mut Node, at_ms: u64, incarnation: u64, sequence: u64) -> bool {
+    let announced = admission::Event::Announced(announcement(incarnation, sequence));
+    admit(node, at_ms, announced);
+    let known = node.admission.announced();
+    known.is_some_and(|a| (a.incarnation, a.sequence) == (incarnation, sequence))
+}
+
+fn arrival(ticket: u64) -> Arrival {
+    Arrival {
+        ticket,
+        link: 1,
+        believed_slow_percent: 0,
+        service: "booking".into(),
+        customer: "".into(),
+        class: "upload".into(),
+        deadline: Duration::from_secs(2),
+        fingerprint: ticket,
+        claim: 0,
+        idempotent: false,
+        weight: 1,
+        objective: None,
+        suspected: false,
+    }
+}
+
+fn refused(effects: &[admission::Effect]) -> Option<RefuseReason> {
+    effects.iter().find_map(|effect| match effect {
+        admission::Effect::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+/// Load pattern: uploads over slow links. The gate asks for a body only if it would
+/// admit the request, and the request takes a slot once its body is complete.
+#[test]
+fn offered_request_takes_no_slot_before_its_body_is_complete() {
+    let mut node = gate();
+    for ticket in 1..=3 {
+        let effects = admit(&mut node, 10, admission::Event::Offered(arrival(ticket)));
+        assert_eq!(effects, [admission::Effect::Receive(ticket)]);
+    }
+    assert_eq!(node.admission.load().in_flight, 0);
+    for ticket in 1..=2 {
+        let effects = admit(&mut node, 200, admission::Event::Arrived(arrival(ticket)));
+        assert_eq!(effects, [admission::Effect::Run(ticket)]);
+    }
+}
+
+#[test]
+fn offered_request_is_refused_without_its_body_if_there_is_no_room() {
+    let mut node = gate();
+    for ticket in 1..=u64::from(SLOTS) {
+        admit(&mut node, 10, admission::Event::Arrived(arrival(ticket)));
+    }
+    let effects = admit(&mut node, 20, admission::Event::Offered(arrival(9)));
+    assert!(matches!(
+        refused(&effects),
+        Some(RefuseReason::NoSlot | RefuseReason::Cold)
+    ));
+}
+
+#[test]
+fn offered_request_for_another_service_is_refused_without_its_body() {
+    let other = Arrival {
+        service: "club".into(),
+        ..arrival(1)
+    };
+    let effects = admit(&mut gate(), 10, admission::Event::Offered(other));
+    assert_eq!(refused(&effects), Some(RefuseReason::NoUpstream));
+}
+
+#[test]
+fn offered_request_is_refused_without_its_body_during_a_stop() {
+    let mut node = gate();
+    run(&mut node, 10, Event::Stop);
+    let effects = admit(&mut node, 20, admission::Event::Offered(arrival(1)));
+    assert_eq!(refused(&effects), Some(RefuseReason::Stopping));
+}
+
+/// The time of day is set back between two starts of an upstream, so that the later
+/// start has the lower number.
+#[test_case(4_999, false; "the known start may still be alive")]
+#[test_case(5_000, true; "the known start has been silent")]
+fn announced_start_with_a_lower_number_is_accepted_after_silence(silent_ms: u64, accepted: bool) {
+    let mut node = gate();
+    assert!(announce(&mut node, 1_000, 100, 2));
+    assert_eq!(announce(&mut node, 1_000 + silent_ms, 40, 1), accepted);
+}
+
+/// A delayed announcement must not replace a start that is alive.
+#[test]
+fn announced_start_with_a_lower_number_is_ignored_while_the_known_one_is_alive() {
+    let mut node = gate();
+    for sequence in 2..10 {
+        let at_ms = 1_000 + sequence * 1_500;
+        assert!(announce(&mut node, at_ms, 100, sequence));
+        assert!(!announce(&mut node, at_ms + 1_400, 40, sequence));
+    }
+}
+
+/// Announcements of one start that overtake each other keep their order, however long
+/// they take.
+#[test]
+fn announced_sequence_never_goes_back() {
+    let mut node = gate();
+    assert!(announce(&mut node, 1_000, 100, 5));
+    assert!(!announce(&mut node, 60_000, 100, 4));
+}
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -214,7 +214,7 @@
 fn heartbeat_does_not_follow_hint_to_failed_leader() {
     let mut agent = confirmed_agent();
     let (_, first, _) = next_heartbeat(&mut agent, ms(1_000));
-    agent.link_failed(ms(1_000), &first, LinkKind::Control, &mut Vec::new());
+    agent.link_failed(ms(1_000), &first, LinkKind::Control);
     let (sent, second, heartbeat) = next_heartbeat(&mut agent, ms(1_000));
     let hint = HeartbeatReply {
         sequence: heartbeat.sequence,
@@ -236,7 +236,7 @@
         let (sent, target, heartbeat) = next_heartbeat(&mut agent, ms(0));
         let reply = confirmed(heartbeat.sequence, 1, full_config(1));
         agent.heartbeat_reply(sent, reply, &mut Vec::new());
-        agent.link_failed(ms(100), &target, LinkKind::Control, &mut Vec::new());
+        agent.link_failed(ms(100), &target, LinkKind::Control);
         at.push(next_heartbeat(&mut agent, ms(100)).0);
     }
     let buckets = (0..15).map(|b| ms(100 + b * 20)..ms(120 + b * 20));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -33,6 +33,8 @@
     pub is_control: bool,
     pub starts: u64,
     pub frozen: bool,
+    /// How far the time of day of its VM is ahead, in milliseconds.
+    pub clock_offset_ms: i64,
     /// Whether disk syncs are suspended.
     pub disk_stalled: bool,
     inbox: Vec<Event>,
@@ -239,7 +241,8 @@
             if self.daemons[i].frozen {
                 continue;
             }
-            let unix_ms = self.unix_ms;
+            let offset_ms = self.daemons[i].clock_offset_ms;
+            let unix_ms = self.unix_ms.saturating_add_signed(offset_ms);
             self.event(i, Event::Tick { unix_ms });
         }
     }
@@ -478,6 +481,7 @@
         is_control,
         starts: 0,
         frozen: false,
+        clock_offset_ms: 0,
         disk_stalled: false,
         inbox: Vec::new(),
         logs: Vec::new(),
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -488,6 +488,12 @@
             "kill" | "start" | "wipe" | "freeze" | "thaw" | "isolate" => {
                 return self.fault(command);
             }
+            "set-clock" => {
+                let i = self.daemon(&args.next_pos().ok_or("missing daemon")?.value);
+                let ahead: i64 = args.lookup_parse("ahead")?.unwrap_or_default();
+                let behind: i64 = args.lookup_parse("behind")?.unwrap_or_default();
+                self.sim().daemons[i].clock_offset_ms = ahead - behind;
+            }
             "cut" => {
                 let from = args.next_pos().ok_or("missing sender")?.value.clone();
                 let to = args.next_pos().ok_or("missing receiver")?.value.clone();
@@ -595,6 +601,7 @@
     }
 }
 
+#[test_case("stepped_clock"; "changes_ignore_the_time_of_day")]
 #[test_case("race"; "operators_race")]
 #[test_case("resend"; "resend_gets_first_reply")]
 #[test_case("lists"; "invalid_list_is_rejected_entirely")]
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -572,7 +572,7 @@
             version: self.version,
             full: true,
             upstreams: serving.collect(),
-            removed: Vec::new(),
+            ..ServiceDelta::default()
         }
     }
 
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use test_case::test_case;
 use wire::{
-    Body, ConfigDelta, HeartbeatReply, Load, LoadUpdate, Refuse, RefuseReason, Route,
+    Body, ConfigDelta, HeartbeatReply, LinkKind, Load, LoadUpdate, Refuse, RefuseReason, Route,
     RouteDestination, RouteKind, Routing, ServiceDelta, UpstreamInfo,
 };
 
@@ -72,9 +72,31 @@
     tx
 }
 
-/// Replies to every heartbeat among the effects with three upstreams and with
+/// Name and data centre of an upstream.
+type Place = (&'static str, &'static str);
+
+/// Returns the upstreams of a service, with ports from 9001.
+fn upstreams(places: &[Place]) -> Vec<UpstreamInfo> {
+    let numbered = (1..).zip(places);
+    numbered
+        .map(|(n, (name, data_centre))| UpstreamInfo {
+            upstream: (*name).into(),
+            address: format!("127.0.0.1:{}", 9_000 + n),
+            data_centre: (*data_centre).into(),
+            slots: 6,
+            leaving: false,
+        })
+        .collect()
+}
+
+/// Replies to every heartbeat among the effects with these upstreams and with
 /// routes at this version. Version 0 means a cluster without routes.
-fn reply_to_heartbeats(node: &mut Node, at_ms: u64, effects: Vec<Effect>, version: u64) {
+fn reply_to_heartbeats(
+    node: &mut Node,
+    at_ms: u64,
+    effects: Vec<Effect>,
+    (version, places): (u64, &[Place]),
+) {
     for effect in effects {
         let Effect::Send {
             body: Body::Heartbeat(heartbeat),
@@ -83,13 +105,6 @@
         else {
             continue;
         };
-        let upstreams = (1..=3).map(|n| UpstreamInfo {
-            upstream: format!("u{n}"),
-            address: format!("127.0.0.1:{}", 9_000 + n),
-            data_centre: "ams".into(),
-            slots: 6,
-            leaving: false,
-        });
         let routing = Routing {
             version,
             routes: vec![
@@ -113,8 +128,8 @@
                 epoch: 1,
                 version: 1,
                 full: true,
-                upstreams: upstreams.collect(),
-                removed: Vec::new(),
+                upstreams: upstreams(places),
+                ..ServiceDelta::default()
             }],
             term: 1,
             ..HeartbeatReply::default()
@@ -139,14 +154,28 @@
 }
 
 fn node_with_routing(version: u64) -> Node {
+    prepared_node(version, &[("u1", "ams"), ("u2", "ams"), ("u3", "ams")])
+}
+
+/// Returns the daemon `entry-1` in `ams` with routes and these upstreams.
+fn prepared_node(version: u64, places: &[Place]) -> Node {
     let mut node = node();
     for at in [0, 1_500, 3_000] {
         let effects = run(&mut node, at, Event::Tick { unix_ms: 0 });
-        reply_to_heartbeats(&mut node, at + 1, effects, version);
+        reply_to_heartbeats(&mut node, at + 1, effects, (version, places));
     }
     node
 }
 
+/// Fails the connection to an upstream.
+fn fail_link(node: &mut Node, at_ms: u64, upstream: u32) -> Vec<Effect> {
+    let event = Event::LinkFailed {
+        address: format!("127.0.0.1:{}", 9_000 + upstream).into(),
+        kind: LinkKind::Data,
+    };
+    run(node, at_ms, event)
+}
+
 fn arrive(node: &mut Node, at_ms: u64, id: u64, path: &str) -> Vec<Effect> {
     arrive_with(node, at_ms, (id, path), 700)
 }
@@ -457,3 +486,75 @@
     assert!(forwarded(&effects).is_none());
     assert_eq!(refusal(&effects).unwrap().run, RunState::MayHaveRun);
 }
+
+/// Load pattern: a data centre is cut off while callers still reach its entries. Once
+/// the connections to a few upstreams in another data centre have failed, requests
+/// stay in the reachable one, however loaded it is.
+#[test]
+fn arrived_behind_a_partition_stays_in_the_reachable_data_centre() {
+    let places = [
+        ("u1", "ams"),
+        ("u2", "fra"),
+        ("u3", "fra"),
+        ("u4", "fra"),
+        ("u5", "fra"),
+    ];
+    let mut node = prepared_node(7, &places);
+    serve(&mut node, 3_050, 100, 20);
+    send_load_update(&mut node, 3_100, "u1", 400);
+    let before = forwarded(&arrive(&mut node, 3_110, 1, "/read/x")).unwrap();
+    assert_ne!(before.upstream, "u1");
+    (2..=4).for_each(|upstream| drop(fail_link(&mut node, 3_200, upstream)));
+    for id in 2..20 {
+        let attempt = forwarded(&arrive(&mut node, 3_200 + id, id, "/read/x")).unwrap();
+        assert_eq!(attempt.upstream, "u1");
+    }
+}
+
+/// Load pattern: all upstreams of a service are behind the partition. A request is
+/// refused at once as not run; one a second probes the data centre, and a reply
+/// makes it reachable again.
+#[test]
+fn arrived_with_all_upstreams_behind_a_partition_is_refused_at_once() {
+    let places = [("u1", "fra"), ("u2", "fra"), ("u3", "fra"), ("u4", "fra")];
+    let mut node = prepared_node(7, &places);
+    serve(&mut node, 3_050, 100, 20);
+    let logged: Vec<Effect> = (1..=3)
+        .flat_map(|upstream| fail_link(&mut node, 3_200, upstream))
+        .collect();
+    assert!(logged.iter().any(|effect| matches!(
+        effect,
+        Effect::Log(line) if line.event == "data_centre_unreachable"
+    )));
+    let refusal = refusal(&arrive(&mut node, 3_210, 1, "/pay/x")).unwrap();
+    assert_eq!(
+        (refusal.reason, refusal.run),
+        (Reason::NoUpstream, RunState::NotRun)
+    );
+    assert!(refusal.retry_after.is_some());
+
+    let probe = forwarded(&arrive(&mut node, 4_200, 2, "/read/x")).unwrap();
+    assert!(forwarded(&arrive(&mut node, 4_210, 3, "/read/x")).is_none());
+    let started = entry::Event::ResponseStarted(2, probe.attempt, 200, None);
+    run(&mut node, 4_220, Event::Entry(started));
+    assert!(forwarded(&arrive(&mut node, 4_230, 4, "/read/x")).is_some());
+}
+
+/// An upstream on the same VM is reachable even if the VM is cut off.
+#[test]
+fn arrived_at_a_vm_that_is_cut_off_runs_on_the_same_vm() {
+    let places = [
+        ("u1", "ams"),
+        ("u2", "ams"),
+        ("u3", "ams"),
+        ("entry-1", "ams"),
+    ];
+    let mut node = prepared_node(7, &places);
+    serve(&mut node, 3_050, 100, 20);
+    send_load_update(&mut node, 3_100, "entry-1", 400);
+    (1..=3).for_each(|upstream| drop(fail_link(&mut node, 3_200, upstream)));
+    for id in 1..5 {
+        let attempt = forwarded(&arrive(&mut node, 3_200 + id, id, "/read/x")).unwrap();
+        assert_eq!(attempt.upstream, "entry-1");
+    }
+}
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -5,6 +5,7 @@
 use crate::peers::PeerSummary;
 use crate::policy::{Policy, ScoredCandidate};
 use crate::quantile::LatencyQuantiles;
+use crate::reachability::Reachability;
 use crate::stats::UpstreamStats;
 use crate::{score, straggler};
 use rand::rngs::SmallRng;
@@ -61,6 +62,8 @@
     pub data_centre: &'a str,
     /// Upstream on the VM of the entry; its requests use no network link.
     pub own_upstream: &'a str,
+    /// Data centres that the entry can reach.
+    pub reachability: &'a Reachability,
     /// Upstreams that were already tried.
     pub tried: &'a [UpstreamId],
     /// Class of the request.
@@ -97,6 +100,8 @@
     /// Assumed service time in percent of the normal one; without a report,
     /// that of the peers.
     pub believed_slow_percent: u32,
+    /// Whether the entry cannot reach the data centre of the upstream.
+    pub unreachable: bool,
 }
 
 /// Load and candidates of one service.
@@ -281,6 +286,7 @@
             upstream: candidate.upstream.clone(),
             finish: Duration::try_from_secs_f64(chosen.finish).unwrap_or(Duration::MAX),
             believed_slow_percent: (slowness * finish::HUNDREDTHS).round() as u32,
+            unreachable: chosen.unreachable,
         })
     }
 
@@ -301,6 +307,13 @@
         }
     }
 
+    /// Avoids an upstream until a time, because the connection to it failed.
+    pub fn record_unavailable(&mut self, upstream: &str, until: Duration) {
+        if let Some(stats) = self.all_stats.get_mut(upstream) {
+            stats.unavailable_until = until;
+        }
+    }
+
     /// Records that an attempt has ended.
     pub fn record_end(&mut self, upstream: &str) {
         if let Some(stats) = self.all_stats.get_mut(upstream) {
@@ -357,7 +370,8 @@
         let relative_latency = straggler::relative_latency(stats, peers.median, now);
         let local = candidate.data_centre == request.data_centre;
         let far = if local { 0.0 } else { 1.0 };
-        let transfer = match candidate.upstream == request.own_upstream {
+        let on_own_vm = candidate.upstream == request.own_upstream;
+        let transfer = match on_own_vm {
             true => 0.0,
             false => self.transfer_time(request),
         };
@@ -374,6 +388,7 @@
         let finish = finish::expected(stats, candidate.slots, slowness, work, now);
         let last_peer_activity = peers.last_activity_except(&candidate.upstream);
         let unresponsive = straggler::is_unresponsive(stats, peers.median, last_peer_activity, now);
+        let unreachable = !on_own_vm && request.reachability.avoids(now, &candidate.data_centre);
         Some(ScoredCandidate {
             index,
             local,
@@ -382,7 +397,11 @@
             score: score::score(stats, candidate.slots, now) * relative_latency,
             own_in_flight: stats.own_in_flight,
             ramp_share: self.ramp_share(stats, now),
-            avoid: unresponsive || stats.unavailable_until > now || stats.ejected_until.is_some(),
+            unreachable,
+            avoid: unreachable
+                || unresponsive
+                || stats.unavailable_until > now
+                || stats.ejected_until.is_some(),
         })
     }
 
--- a/crates/pick/src/policy.rs
+++ b/crates/pick/src/policy.rs
@@ -22,8 +22,10 @@
     pub own_in_flight: u32,
     /// Share of its normal traffic that the upstream may receive now, 0 to 1.
     pub ramp_share: f64,
-    /// Whether the upstream should be avoided, because it is unavailable,
-    /// ejected or unresponsive.
+    /// Whether the entry cannot reach its data centre.
+    pub unreachable: bool,
+    /// Whether the upstream should be avoided, because it is unreachable,
+    /// unavailable, ejected or unresponsive.
     pub avoid: bool,
 }
 
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -1,13 +1,14 @@
 //! Tests the choice by expected response time under different load patterns.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use pick::{Candidate, PickRequest, PickSettings, Picker, Policy, Reply};
+use pick::{Candidate, PickRequest, PickSettings, Picker, Policy, Reachability, Reply};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
 use test_case::test_case;
 use wire::Load;
 
+static ALL_REACHABLE: Reachability = Reachability::new();
 const WORK: Duration = Duration::from_millis(60);
 
 fn ms(ms: u64) -> Duration {
@@ -57,6 +58,7 @@
     PickRequest {
         data_centre: "dc0",
         own_upstream: "u0",
+        reachability: &ALL_REACHABLE,
         tried: &[],
         class: "page",
         default_work: WORK,
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use goldenscript::{ArgumentConsumer, Command};
 use pick::{
     Candidate, MeasuringBudget, PickRequest, PickSettings, Picker, Policy, RatioBudget,
-    RatioLimits, Reply,
+    RatioLimits, Reachability, Reply,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -17,6 +17,8 @@
 use test_case::test_case;
 use wire::{Load, UpstreamId};
 
+static ALL_REACHABLE: Reachability = Reachability::new();
+
 struct Runner {
     picker: Picker,
     names: Vec<UpstreamId>,
@@ -87,6 +89,7 @@
         let request = PickRequest {
             data_centre: "ams",
             own_upstream: "",
+            reachability: &ALL_REACHABLE,
             tried: &[],
             class: "",
             default_work: Duration::from_millis(100),
@@ -114,6 +117,7 @@
             let request = PickRequest {
                 data_centre: "ams",
                 own_upstream: "",
+                reachability: &ALL_REACHABLE,
                 tried,
                 class: "",
                 default_work: Duration::from_millis(100),
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -50,7 +50,8 @@
     /// and ignores it if it is older than the current one.
     #[must_use]
     pub fn announce(&self, announcement: Announcement) -> bool {
-        let outdated = |node: &node::Node| node.admission.is_outdated(&announcement);
+        let now = clock::now();
+        let outdated = |node: &node::Node| node.admission.is_outdated(now, &announcement);
         if self.daemon.read(outdated) {
             return false;
         }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -89,8 +89,15 @@
     /// Version within the epoch; 0 for none.
     #[prost(uint64, tag = "3")]
     pub version: u64,
+    /// Checksums of the daemon's view, one for each of [`VIEW_BUCKETS`] buckets of
+    /// upstreams; stated if the version is one of an earlier leader.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub checksums: Vec<u64>,
 }
 
+/// Number of buckets of upstreams in the checksums of a view.
+pub const VIEW_BUCKETS: usize = 16;
+
 /// The control leader's updates for a daemon.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct HeartbeatReply {
@@ -234,6 +241,13 @@
     /// Names of upstreams removed.
     #[prost(string, repeated, tag = "6")]
     pub removed: Vec<String>,
+    /// The checksums that the subscription stated, if the update is made for a view
+    /// with them; then `upstreams` lists all upstreams of the replaced buckets.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub base_checksums: Vec<u64>,
+    /// The replaced buckets, a bit for each.
+    #[prost(uint32, tag = "8")]
+    pub replaced_buckets: u32,
 }
 
 /// A request to the control leader.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,7 @@
     ClaimOutcome, ClaimRequest, ClaimSettle, ConfigDelta, ControlReply, ControlRequest,
     CustomerPlan, Heartbeat, HeartbeatReply, HistoryEntry, HistoryReply, HistoryRequest, Lists,
     OperationKind, QuotaHome, ReplicaAddress, ServiceDelta, SettleKind, StatusReply, StatusRequest,
-    Subscription, UpstreamInfo, control_reply, control_request,
+    Subscription, UpstreamInfo, VIEW_BUCKETS, control_reply, control_request,
 };
 pub use data::{
     Cancel, Credit, Data, Header, Load, LoadUpdate, Open, Refuse, RefuseReason, Reset, ResetReason,
