--- a/crates/plumhitchd/tests/limits.rs
+++ b/crates/plumhitchd/tests/limits.rs
@@ -23,6 +23,21 @@
     (status, run, reason, body["message"].to_string())
 }
 
+/// Waits until no request runs at the upstream. A cold gate has one slot, which an
+/// aborted upload holds until the upstream has let go of it.
+async fn wait_until_idle(pair: &Pair) {
+    let metrics = format!("http://{}/metrics", pair.gate.operators);
+    wait_until("no request runs at the upstream", async || {
+        let Ok(res) = pair.client.get(&metrics).send().await else {
+            return false;
+        };
+        let text = res.text().await.unwrap_or_default();
+        let mut lines = text.lines();
+        lines.any(|line| line == "plumhitch_upstream_in_flight 0")
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_invalid_is_refused_with_its_run_state() {
     let settings = "[limits]\nheader-size = 4 KB\nbody-size = 1 MB\nheld-size = 16 KB\n";
@@ -59,6 +74,7 @@
         (status, run.as_str(), reason.as_str()),
         (413, "may-have-run", "body-too-long")
     );
+    wait_until_idle(&pair).await;
 
     let deadline = pair
         .request("GET", "/ready")
