--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -8,10 +8,12 @@
 mod crash;
 mod dispatched;
 mod jobs;
+mod load;
 mod message;
 mod recent_entries;
 mod suspects;
 
+pub use load::REPORT_READ_COST_BYTES;
 pub use message::{Arrival, Effect, Event};
 
 use crate::agent::Agent;
@@ -22,13 +24,12 @@
 use dispatched::DispatchedClaims;
 use gate::{ColdLimit, Gate, GateLimits, Outcome, Placement, SlotRequest, Ticket};
 use jobs::{Job, Jobs, Stage};
-use pick::{MeasuringBudget, MeasuringCount};
-use prost::Message;
+use pick::MeasuringBudget;
 use recent_entries::RecentEntries;
 use std::cmp::Ordering;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible_upstreams};
-use wire::{Announcement, Body, Load, LoadUpdate, RefuseReason, ServiceId, Suspect, UpstreamId};
+use wire::{Announcement, RefuseReason, ServiceId, Suspect, UpstreamId};
 
 /// Maximum number of requests that wait for exclusive execution.
 const MAX_AWAITING_EXCLUSIVE: usize = 8;
@@ -42,17 +43,8 @@
 const INCARNATION_SILENCE: Duration = Duration::from_secs(5);
 /// Retry delay sent with a refusal that has another cause than missing slots.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Upper bound of the bytes that reading a load report costs: request and
-/// response, with headers.
-pub const REPORT_READ_COST_BYTES: u32 = 512;
 /// Thousandths in a unit.
 const MILLI_PER_UNIT: u64 = 1_000;
-/// Bytes around a load in a response: its tag and its length.
-const LOAD_FIELD_OVERHEAD_BYTES: usize = 2;
-/// Bytes of a separate load update besides the message itself, including the
-/// headers of a TCP segment.
-const LOAD_UPDATE_OVERHEAD_BYTES: usize = 60;
-
 /// The gate of this daemon.
 #[derive(Debug)]
 pub struct Admission {
@@ -106,33 +98,6 @@
         }
     }
 
-    /// Returns the gate's exact load.
-    #[must_use]
-    pub fn load(&self) -> Load {
-        self.gate.load()
-    }
-
-    /// Returns the load to attach to a response, or `None` if the measuring
-    /// budget does not cover its bytes.
-    pub fn load_to_send(&mut self, now: Duration) -> Option<Load> {
-        let load = self.gate.load();
-        let bytes =
-            u32::try_from(load.encoded_len() + LOAD_FIELD_OVERHEAD_BYTES).unwrap_or(u32::MAX);
-        self.measuring.spend(now, bytes, 0).then_some(load)
-    }
-
-    /// Charges the measuring budget for reading the upstream's load report
-    /// once; returns whether the budget covers it.
-    pub fn may_read_report(&mut self, now: Duration) -> bool {
-        self.measuring.spend(now, REPORT_READ_COST_BYTES, 1)
-    }
-
-    /// Returns what measuring the load has cost so far.
-    #[must_use]
-    pub fn measuring(&self) -> MeasuringCount {
-        self.measuring.count()
-    }
-
     /// Returns the upstream's latest announcement.
     #[must_use]
     pub fn announced(&self) -> Option<&Announcement> {
@@ -208,28 +173,6 @@
         announced.map_or_else(ServiceId::default, |a| a.service.as_str().into())
     }
 
-    /// Sends the load to the entries that recently sent requests here if the
-    /// upstream's slowness has changed, as far as the measuring budget allows.
-    fn notify_entries(&mut self, cx: &mut Cx<'_>) {
-        let load = self.gate.load();
-        for link in self
-            .recent_entries
-            .entries_to_notify(cx.now, load.slow_percent)
-        {
-            let update = LoadUpdate {
-                upstream: cx.agent.name.to_string(),
-                load,
-            };
-            let bytes = u32::try_from(update.encoded_len() + LOAD_UPDATE_OVERHEAD_BYTES)
-                .unwrap_or(u32::MAX);
-            if !self.measuring.spend(cx.now, bytes, 1) {
-                return;
-            }
-            let body = Body::LoadUpdate(update);
-            cx.tx.push(crate::Effect::Reply { link, body });
-        }
-    }
-
     /// Limits the requests per second to a cold upstream as the routing rules
     /// of its service demand.
     fn limit_cold(&mut self, cx: &Cx<'_>) {
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -1,7 +1,8 @@
 //! One request at the gate, from its arrival until its run at the upstream has
 //! ended.
 
-use super::body_intake;
+mod receive;
+
 use super::cancel;
 use super::exchange::{self, ExchangeError, UpstreamResponse};
 use super::load_report;
@@ -17,16 +18,13 @@
 use node::admission::{self, Effect};
 use std::io;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::mpsc;
 use wire::{Body, Data, Load, Open, RefuseReason, ResetReason};
 
 /// Maximum size of a response body that is sent with the head, in bytes. The pieces
 /// of a longer one let small frames pass.
 const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
-/// Interval at which a request that waits for its body checks whether other senders
-/// have stalled.
-const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The task of a request at the gate.
 #[derive(Debug)]
@@ -126,82 +124,6 @@
         false
     }
 
-    /// Receives the rest of the body and reports that the request has arrived.
-    /// Returns false if the request ends before that.
-    async fn receive_body(&mut self) -> bool {
-        let started = Instant::now();
-        let deadline = Duration::from_millis(self.open.deadline_ms);
-        let body_len = self.open.body_len.unwrap_or_default();
-        let missing = body_len.saturating_sub(self.upload_offset);
-        let stream = body_intake::Stream {
-            link: self.reply_sender.link.clone(),
-            id: self.reply_sender.stream,
-            window: self.window.clone(),
-        };
-        self.daemon.body_intake.add(self.ticket, stream, missing);
-        let received = tokio::time::timeout(deadline, self.collect_body()).await;
-        self.daemon.body_intake.remove(self.ticket);
-        match received {
-            Ok(Some(body)) => {
-                self.open.body = body;
-                self.open.end = true;
-                self.subtract_elapsed(started.elapsed());
-                let arrival = super::arrival(self.ticket, self.reply_sender.link.id(), &self.open);
-                self.report(admission::Event::Arrived(arrival));
-                true
-            }
-            Ok(None) => false,
-            Err(_) => {
-                self.log_refusal(RefuseReason::Deadline, self.daemon.load());
-                self.reply_sender.refuse(RefuseReason::Deadline);
-                false
-            }
-        }
-    }
-
-    /// Returns the complete body, or `None` if the entry cancels the request or is
-    /// lost.
-    async fn collect_body(&mut self) -> Option<Bytes> {
-        let mut body = BytesMut::from(self.open.body.as_ref());
-        let mut stall_check = tokio::time::interval(STALL_CHECK_INTERVAL);
-        loop {
-            let message = tokio::select! {
-                message = self.rx.recv() => message?,
-                _ = stall_check.tick() => {
-                    self.daemon.body_intake.check_stalled();
-                    continue;
-                }
-            };
-            let TaskMessage::Stream(_, event) = message else {
-                continue;
-            };
-            let StreamEvent::Frame(frame) = event else {
-                return None;
-            };
-            match *frame {
-                Body::Data(data) if data.offset == body.len() as u64 => {
-                    let bytes = data.bytes.len() as u64;
-                    self.daemon.body_intake.record_arrival(self.ticket, bytes);
-                    body.extend_from_slice(&data.bytes);
-                    if data.end {
-                        return Some(body.freeze());
-                    }
-                }
-                Body::Data(_) => {
-                    self.reply_sender.reset(ResetReason::Corrupt);
-                    return None;
-                }
-                Body::Cancel(_) => return None,
-                _ => {}
-            }
-        }
-    }
-
-    fn subtract_elapsed(&mut self, elapsed: Duration) {
-        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-        self.open.subtract_time(elapsed_ms);
-    }
-
     /// Sends the request to the upstream and relays its response.
     async fn dispatch(&mut self, method: Method) {
         let upload = (!self.open.end).then(|| self.upload_reader());
