--- a/crates/flow/src/liveness.rs
+++ b/crates/flow/src/liveness.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-/// Time without a sign of life of a peer with open requests, after which it is
-/// pinged.
+/// Time without activity of a peer with open requests, after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(250);
-/// Time without a sign of life after a ping, after which the connection has failed.
+/// Time without activity after a ping, after which the connection has failed.
 const PONG_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What to do about a connection.
@@ -19,14 +18,14 @@
     Fail,
 }
 
-/// Signs of life of the peer of a connection.
+/// Recent activity of the peer of a connection.
 ///
-/// Besides the frames that it sends, a peer shows that it is alive by accepting
-/// bytes that had to wait: over a slow link a body can take longer than any reasonable
-/// timeout, and nothing else reaches the peer meanwhile.
+/// A peer is active when it sends a frame, and also when it accepts bytes that had to
+/// wait: over a slow link a body can take longer than any reasonable timeout, and a
+/// ping behind it does not reach the peer meanwhile.
 #[derive(Debug)]
 pub struct Liveness {
-    alive_at: Duration,
+    active_at: Duration,
     pinged_at: Option<Duration>,
 }
 
@@ -35,15 +34,15 @@
     #[must_use]
     pub fn new(now: Duration) -> Self {
         Self {
-            alive_at: now,
+            active_at: now,
             pinged_at: None,
         }
     }
 
     /// Records that a frame was received, or that the peer accepted bytes that had to
     /// wait.
-    pub fn record_sign(&mut self, now: Duration) {
-        self.alive_at = now;
+    pub fn record_activity(&mut self, now: Duration) {
+        self.active_at = now;
         self.pinged_at = None;
     }
 
@@ -52,7 +51,7 @@
         match self.pinged_at {
             Some(at) if now.saturating_sub(at) >= PONG_TIMEOUT => Check::Fail,
             Some(_) => Check::Wait,
-            None if now.saturating_sub(self.alive_at) >= PING_AFTER => {
+            None if now.saturating_sub(self.active_at) >= PING_AFTER => {
                 self.pinged_at = Some(now);
                 Check::Ping
             }
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -137,12 +137,12 @@
         let now = clock::now();
         let mut state = lock(&self.state);
         state.used_at = now;
-        state.liveness.record_sign(now);
+        state.liveness.record_activity(now);
     }
 
     /// Records that the peer accepted bytes that had to wait.
     pub(super) fn record_accepted(&self) {
-        lock(&self.state).liveness.record_sign(clock::now());
+        lock(&self.state).liveness.record_activity(clock::now());
     }
 
     /// Records that frames are sent.
@@ -151,7 +151,7 @@
     }
 
     /// Pings a peer with open requests that has been silent, and fails the
-    /// connection if no sign of life follows.
+    /// connection if it stays silent.
     pub(super) fn check_liveness(&self) {
         if !self.streams.any_written() {
             return;
