Count no planned stop as an unreachable data centre

Cause: a VM that stops closes its connections, and three that stopped within 2 s without a reply from another made their data centre count as unreachable. Change: a connection that its peer closes in order counts only against its upstream. Ruled out: silence or resets there; all 739 failed links of those seconds have the reason "closed by the peer". Test: arrived_during_planned_stops_still_uses_the_data_centre, seen failing first.

--- a/crates/node/src/entry/reachability.rs
+++ b/crates/node/src/entry/reachability.rs
@@ -8,14 +8,17 @@
 
 impl Entry {
     /// Avoids the upstream to which a connection failed, and its data centre if it
-    /// seems unreachable.
-    pub fn link_failed(&mut self, address: &str, cx: &mut Cx<'_>) {
+    /// seems unreachable. A peer that closes its connection in order can be reached.
+    pub fn link_failed(&mut self, address: &str, closed_by_peer: bool, cx: &mut Cx<'_>) {
         let Some((upstream, data_centre)) = self.upstream_at(address, cx) else {
             return;
         };
         for picker in self.pickers.values_mut() {
             picker.record_unavailable(&upstream, cx.now + UNAVAILABLE_TIME);
         }
+        if closed_by_peer {
+            return;
+        }
         let lost = self
             .reachability
             .record_failure(cx.now, &data_centre, &upstream);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -40,6 +40,8 @@
         address: CompactString,
         /// Kind of connection.
         kind: LinkKind,
+        /// Whether the peer closed the connection in order, as when it stops.
+        closed_by_peer: bool,
     },
     /// An event of a request that a caller sent to this daemon.
     Entry(entry::Event),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -76,11 +76,17 @@
                 control.link_closed(link);
             }
         }
-        Event::LinkFailed { address, kind } => {
+        Event::LinkFailed {
+            address,
+            kind,
+            closed_by_peer,
+        } => {
             node.agent.link_failed(now, &address, kind);
             node.allowances.link_failed(now, &address, kind);
             if kind == LinkKind::Data {
-                with_entry(node, now, tx, |entry, cx| entry.link_failed(&address, cx));
+                with_entry(node, now, tx, |entry, cx| {
+                    entry.link_failed(&address, closed_by_peer, cx);
+                });
             }
         }
         Event::Entry(event) => with_entry(node, now, tx, |entry, cx| entry.step(event, cx)),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -329,7 +329,15 @@
             .position(|d| d.address.to_string() == address);
         let Some(to) = to.filter(|to| self.daemons[*to].node.is_some()) else {
             let address = address.into();
-            self.event(from, Event::LinkFailed { address, kind });
+            let closed_by_peer = false;
+            self.event(
+                from,
+                Event::LinkFailed {
+                    address,
+                    kind,
+                    closed_by_peer,
+                },
+            );
             return;
         };
         let connection = Connection {
@@ -415,7 +423,15 @@
 
     fn link_failed(&mut self, i: usize, peer: usize, kind: LinkKind) {
         let address = self.daemons[peer].address.to_string().into();
-        self.event(i, Event::LinkFailed { address, kind });
+        let closed_by_peer = false;
+        self.event(
+            i,
+            Event::LinkFailed {
+                address,
+                kind,
+                closed_by_peer,
+            },
+        );
     }
 }
 
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -169,9 +169,14 @@
 
 /// Fails the connection to an upstream.
 fn fail_link(node: &mut Node, at_ms: u64, upstream: u32) -> Vec<Effect> {
+    end_link(node, at_ms, upstream, false)
+}
+
+fn end_link(node: &mut Node, at_ms: u64, upstream: u32, closed_by_peer: bool) -> Vec<Effect> {
     let event = Event::LinkFailed {
         address: format!("127.0.0.1:{}", 9_000 + upstream).into(),
         kind: LinkKind::Data,
+        closed_by_peer,
     };
     run(node, at_ms, event)
 }
@@ -558,3 +563,20 @@
         assert_eq!(attempt.upstream, "entry-1");
     }
 }
+
+/// Load pattern: several VMs of a data centre stop in a rolling restart and close their
+/// connections in order. The others of the data centre are still used.
+#[test]
+fn arrived_during_planned_stops_still_uses_the_data_centre() {
+    let places = [("u1", "fra"), ("u2", "fra"), ("u3", "fra"), ("u4", "fra")];
+    let mut node = prepared_node(7, &places);
+    serve(&mut node, 3_050, 100, 20);
+    for upstream in 1..=3 {
+        let effects = end_link(&mut node, 3_200, upstream, true);
+        assert!(!effects.iter().any(|e| matches!(e, Effect::Log(_))));
+    }
+    for id in 1..10 {
+        let attempt = forwarded(&arrive(&mut node, 3_200 + id, id, "/read/x")).unwrap();
+        assert_eq!(attempt.upstream, "u4");
+    }
+}
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -1,6 +1,6 @@
 //! Dials connections to peers, and closes them when idle or unresponsive.
 
-use super::framing::{Side, run};
+use super::framing::{LinkError, Side, run};
 use super::link::Link;
 use super::retry::dial_with_retries;
 use super::socket::configure;
@@ -54,9 +54,13 @@
 }
 
 async fn connect(daemon: Arc<Daemon>, key: Key, link: Arc<Link>) {
+    let mut closed_by_peer = false;
     let reason = match open(&key).await {
         Ok(stream) => tokio::select! {
-            err = run(&daemon, &link, stream, Side::Dialled(key.1)) => err.to_string(),
+            err = run(&daemon, &link, stream, Side::Dialled(key.1)) => {
+                closed_by_peer = matches!(err, LinkError::Closed);
+                err.to_string()
+            }
             () = remove_when_idle(&daemon, &key, &link) => return,
             () = link.failed() => "no reply to a ping".to_owned(),
         },
@@ -70,7 +74,11 @@
     remove(&daemon, &key, &link);
     link.close();
     let (address, kind) = key;
-    daemon.handle_event(Event::LinkFailed { address, kind });
+    daemon.handle_event(Event::LinkFailed {
+        address,
+        kind,
+        closed_by_peer,
+    });
 }
 
 async fn open((address, kind): &Key) -> io::Result<TcpStream> {
