--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -172,6 +172,31 @@
     assert_eq!(res.headers()["plumhitch-run"], "may-have-run");
 }
 
+/// A gate does not run a request before it has the complete body. If its connection
+/// fails before that, the request has not run, and the response says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_to_a_frozen_gate_is_reported_as_not_run() {
+    let pair = Pair::start("[limits]\nheld-size = 1 MB\n", "").await;
+    let started = || pair.upstream_stats.started.load(Ordering::SeqCst);
+    let before = started();
+    pair.gate.signal("STOP");
+    let upload = pair.request("POST", "/echo").body(vec![7; 300 * 1024]);
+    let res = upload.send().await.unwrap();
+    assert_eq!(res.status(), 503);
+    assert_eq!(res.headers()["plumhitch-run"], "not-run");
+
+    pair.gate.signal("CONT");
+    wait_until("the gate serves again", async || {
+        let sent = pair.request("GET", "/ready").send().await;
+        sent.is_ok_and(|res| res.status().is_success())
+    })
+    .await;
+    // Only the probes for `/ready` that reached the upstream have run.
+    let bodies = pair.upstream_stats.body_bytes_read.load(Ordering::SeqCst);
+    assert_eq!(bodies, 0);
+    assert!(started() > before);
+}
+
 /// A gate that replies to pings is not treated as failed while its upstream works.
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_upstream_behind_a_responsive_gate_is_awaited() {
