Log the fingerprint of a request, and what was in flight when an upstream ended

A caller's attempts have different ids, and no line said that an upstream ended.

Change: run and request carry the request's fingerprint. A gate whose upstream refuses a connection, also one for a load report, or announces a new start after connections broke logs upstream_crashed with the fingerprints that were in flight. plumhitch explain takes a fingerprint and shows the lines of all its attempts. Nothing is decided by it yet.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -124,6 +124,7 @@
                 self.gate.record_report(cx.now, report);
                 self.notify_entries(cx);
             }
+            Event::ConnectionRefused => self.connection_refused(cx),
         }
         self.run_waiting(cx);
         self.run_exclusive(cx);
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -10,7 +10,7 @@
 use super::suspects::{CRASH_WINDOW, assign_upstream, eligible_upstreams, suspect_state};
 use crate::agent::Requester;
 use crate::context::Cx;
-use crate::effect::Effect;
+use crate::effect::{Effect, LogLine};
 use std::time::Duration;
 use wire::{Body, Fingerprint, LinkKind, Suspect, SuspectState, Verdict, control_request};
 
@@ -18,6 +18,8 @@
     /// Handles the broken connection of a request that was not cancelled.
     pub(super) fn connection_broken(&mut self, job: &Job, cx: &mut Cx<'_>) {
         if !self.isolate_suspects {
+            self.suspects
+                .record_break(cx.now, job.arrival.fingerprint, false);
             return;
         }
         self.last_break_at = Some(cx.now);
@@ -43,6 +45,7 @@
     /// have crashed the upstream.
     pub(super) fn connection_refused(&mut self, cx: &mut Cx<'_>) {
         let suspects = self.suspects.take_recent_breaks(cx.now);
+        log_crash(&suspects, cx);
         self.mark_suspected(&suspects, cx);
     }
 
@@ -56,6 +59,7 @@
                 suspects.push(job.arrival.fingerprint);
             }
         }
+        log_crash(&suspects, cx);
         self.mark_suspected(&suspects, cx);
     }
 
@@ -122,3 +126,16 @@
         }
     }
 }
+
+/// Logs that the upstream ended, with the requests that were in flight.
+fn log_crash(fingerprints: &[Fingerprint], cx: &mut Cx<'_>) {
+    if fingerprints.is_empty() {
+        return;
+    }
+    let listed: Vec<String> = fingerprints.iter().map(|f| format!("{f:016x}")).collect();
+    cx.tx.push(Effect::Log(LogLine {
+        level: log::Level::Warn,
+        event: "upstream_crashed",
+        pairs: vec![("fingerprints", listed.join(","))],
+    }));
+}
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -56,6 +56,8 @@
     Announced(Announcement),
     /// A load report of the upstream was read.
     Reported(LoadReport),
+    /// The upstream refused a connection for a load report.
+    ConnectionRefused,
 }
 
 /// An action at the upstream beside this daemon.
--- a/crates/plumhitch/src/explain.rs
+++ b/crates/plumhitch/src/explain.rs
@@ -30,8 +30,9 @@
     Ok(())
 }
 
-/// Returns the log lines of a request. `id` is the attempt id set by the caller,
-/// or the request id that a daemon assigned.
+/// Returns the log lines of a request. `id` is the attempt id set by the caller, the
+/// request id that a daemon assigned, or the fingerprint that all attempts of the
+/// request share.
 fn lines_of_request<'l, 'a>(all: &'l [LogLine<'a>], id: &str) -> Vec<&'l LogLine<'a>> {
     let has_field = |line: &LogLine<'_>, key: &str, value: &str| {
         line.fields.get(key).is_some_and(|v| v == value)
@@ -57,13 +58,21 @@
             let has_attempt_id = line.fields.get("attempt_id").is_some_and(|a| !a.is_empty());
             let belongs =
                 belongs && !has_attempt_id || request_ids.is_empty() && has_field(line, "id", id);
-            has_field(line, "attempt_id", id) || belongs
+            has_field(line, "attempt_id", id) || has_fingerprint(line, id) || belongs
         })
         .collect();
     lines.sort_by_key(|line| line.time_ms);
     lines
 }
 
+/// Returns whether a line is about a request with this fingerprint.
+fn has_fingerprint(line: &LogLine<'_>, fingerprint: &str) -> bool {
+    let of_request = line.fields.get("fingerprint");
+    let in_flight = line.fields.get("fingerprints");
+    of_request.is_some_and(|f| f == fingerprint)
+        || in_flight.is_some_and(|list| list.split(',').any(|f| f == fingerprint))
+}
+
 /// Describes the event of a line, with the values on which the decision was
 /// based.
 fn describe(line: &LogLine<'_>) -> String {
@@ -108,6 +117,10 @@
             field("took_us"),
             field("attempts"),
         ),
+        "upstream_crashed" => format!(
+            "the upstream ended; in flight were the requests with fingerprints {}",
+            field("fingerprints"),
+        ),
         other => format!("{other}: {:?}", line.fields),
     }
 }
--- a/crates/plumhitch/tests/explain.rs
+++ b/crates/plumhitch/tests/explain.rs
@@ -65,6 +65,31 @@
     assert!(text.contains("attempt 1 sent to b-2"), "{text}");
 }
 
+const CRASHES: &str = "\
+time=1000 level=INFO event=run ticket=1 attempt_id=a1 fingerprint=00000000000000aa class=read \
+outcome=Broken took_us=20000
+time=1001 level=WARN event=upstream_crashed fingerprints=00000000000000bb,00000000000000aa
+time=2000 level=INFO event=run ticket=2 attempt_id=a2 fingerprint=00000000000000aa class=read \
+outcome=Broken took_us=20000
+time=2500 level=INFO event=run ticket=3 attempt_id=a3 fingerprint=00000000000000cc class=read \
+outcome=Whole(200) took_us=20000
+";
+
+#[test]
+fn explain_finds_all_attempts_by_fingerprint() {
+    let folder = TempDir::new().unwrap();
+    let file = folder.path().join("gate");
+    fs::write(&file, CRASHES).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_plumhitch"))
+        .args(["explain", "00000000000000aa"])
+        .arg(file)
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(text.lines().count(), 3, "{text}");
+    assert!(text.contains("the upstream ended"), "{text}");
+}
+
 /// One file with the lines of all processes, each prefixed with the name of its
 /// process, as written by a log collector.
 const COLLECTED: &str = "\
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
-use wire::{AttemptId, RequestId};
+use wire::{AttemptId, Fingerprint, RequestId};
 
 /// A request in progress. Dropping it updates the metrics and, for a sample of
 /// the requests, writes the log line.
@@ -25,6 +25,7 @@
     pub(super) upstream: CompactString,
     /// The caller's id of its attempt, if it has one.
     pub(super) attempt_id: CompactString,
+    pub(super) fingerprint: Fingerprint,
     pub(super) attempts: AttemptId,
     pub(super) status: u16,
     outcome: &'static str,
@@ -49,6 +50,7 @@
             class: CompactString::default(),
             upstream: CompactString::default(),
             attempt_id: CompactString::default(),
+            fingerprint: 0,
             attempts: 0,
             status: 0,
             outcome: "caller-gone",
@@ -117,10 +119,11 @@
 
     fn log(&self) {
         log::info!(
-            "event=request id={} attempt_id={} customer={:?} service={:?} class={:?} outcome={} reason={} \
-             run={} status={} attempts={} upstream={} took_us={}",
+            "event=request id={} attempt_id={} fingerprint={:016x} customer={:?} service={:?} \
+             class={:?} outcome={} reason={} run={} status={} attempts={} upstream={} took_us={}",
             self.id,
             self.attempt_id,
+            self.fingerprint,
             self.customer,
             self.service,
             self.class,
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -53,7 +53,7 @@
     daemon: &Arc<Daemon>,
     inbound: Inbound,
     body: BufferedBody,
-    record: RequestRecord,
+    mut record: RequestRecord,
 ) -> Driver {
     let id = record.id;
     let (tx, rx) = mpsc::unbounded_channel();
@@ -67,6 +67,7 @@
         body.prefix(daemon.cfg.limits.buffered_body_bytes),
         inbound.body_len,
     );
+    record.fingerprint = fingerprint;
     let request = NodeRequest {
         id,
         customer: inbound.customer.clone(),
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -398,10 +398,11 @@
             return;
         };
         log::info!(
-            "event=run ticket={} attempt_id={} class={} outcome={outcome:?} cancelled={} \
-             in_flight={} waiting={} limit={} slow_percent={} took_us={}",
+            "event=run ticket={} attempt_id={} fingerprint={:016x} class={} outcome={outcome:?} \
+             cancelled={} in_flight={} waiting={} limit={} slow_percent={} took_us={}",
             self.ticket,
             self.attempt_id,
+            self.open.fingerprint,
             self.open.class,
             self.reply_sender.closed,
             load.in_flight,
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -1,6 +1,6 @@
 //! Polling of the load report of the upstream beside this daemon.
 
-use super::exchange::{self, UpstreamRequest};
+use super::exchange::{self, ExchangeError, UpstreamRequest};
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use gate::LoadReport;
@@ -9,6 +9,7 @@
 use node::admission::REPORT_READ_COST_BYTES;
 use node::{Event, admission};
 use serde::Deserialize;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -71,9 +72,7 @@
         expected_echo: None,
     };
     let sent = exchange::send(daemon.clone(), request, None).await;
-    let mut response = sent
-        .inspect_err(|err| log::debug!("event=report_failed reason=\"{err}\""))
-        .ok()?;
+    let mut response = sent.inspect_err(|err| handle_failure(daemon, err)).ok()?;
     let body = response.read_small_body(MAX_BODY_BYTES).await.ok()?;
     let ok = response.status == StatusCode::OK.as_u16();
     let header_report = from_headers(daemon, &response.headers);
@@ -90,6 +89,16 @@
     })
 }
 
+/// Logs why no report was received, and reports an upstream that accepts no
+/// connection.
+fn handle_failure(daemon: &Arc<Daemon>, err: &ExchangeError) {
+    log::debug!("event=report_failed reason=\"{err}\"");
+    if matches!(err, ExchangeError::Unreachable(err) if err.kind() == io::ErrorKind::ConnectionRefused)
+    {
+        daemon.handle_event(Event::Admission(admission::Event::ConnectionRefused));
+    }
+}
+
 /// Parses the upstream's load from the headers of a response.
 pub(super) fn from_headers(daemon: &Daemon, headers: &HeaderMap) -> Option<LoadReport> {
     let names = &daemon.integration.headers;
