--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -91,8 +91,22 @@
     /// Creates `controls` daemons with a control replica and `plain` ones
     /// without, and starts them.
     pub fn new(controls: usize, plain: usize, seed: u64) -> Self {
+        Self::with_settings(controls, plain, seed, |_| {})
+    }
+
+    /// Does the same, with settings that `f` has adapted.
+    pub fn with_settings(
+        controls: usize,
+        plain: usize,
+        seed: u64,
+        f: impl Fn(&mut Settings),
+    ) -> Self {
         let addresses: Vec<SocketAddr> = (0..controls).map(address).collect();
-        let daemons = (0..controls + plain).map(|i| daemon(i, i < controls, &addresses));
+        let daemons = (0..controls + plain).map(|i| {
+            let mut daemon = daemon(i, i < controls, &addresses);
+            f(&mut daemon.settings);
+            daemon
+        });
         let mut sim = Self {
             now: Duration::from_secs(1),
             unix_ms: 1_800_000_000_000,
