Let an integration choose the status of convicted requests

Cause: a convicted request gets 403. On the users' infrastructure 403 says that no configuration allows a request, which would be untrue, and callers may not take it as a sign that the request was not run.

The product's interface keeps 403.

--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -33,7 +33,7 @@
             .map(|d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX)),
         status: refusal.status,
     };
-    let status = status(refusal.reason, refusal.run);
+    let status = status(daemon, refusal.reason, refusal.run);
     let mut response = build(daemon, status, &body);
     if let Some(after) = refusal.retry_after {
         let value = match daemon.integration.fractional_retry_after {
@@ -157,8 +157,10 @@
 
 /// Returns the HTTP status of a refusal. Clients take 429 and 503 to mean that
 /// the request was not run, so a request that may have run gets 502 instead.
-fn status(reason: Reason, run: RunState) -> StatusCode {
-    let status = default_status(reason);
+fn status(daemon: &Daemon, reason: Reason, run: RunState) -> StatusCode {
+    let convicted_status = daemon.integration.convicted_status;
+    let adapted = convicted_status.filter(|_| reason == Reason::Convicted);
+    let status = adapted.unwrap_or_else(|| default_status(reason));
     let not_run_statuses = [
         StatusCode::SERVICE_UNAVAILABLE,
         StatusCode::TOO_MANY_REQUESTS,
--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -138,6 +138,9 @@
     pub caller_service: Option<HeaderValue>,
     /// Whether `retry-after` of a refusal has fractions of a second.
     pub fractional_retry_after: bool,
+    /// HTTP status for a request that is refused because it crashes upstreams; 403 if
+    /// `None`.
+    pub convicted_status: Option<StatusCode>,
     /// Additional endpoints.
     pub endpoints: Vec<Endpoint>,
     /// Source of the settings, which are reloaded when it changes.
