Convict requests by the crashes of all gates, where suspects are not isolated

What callers saw: one club page ended upstream after upstream, 16 of them in 18 seconds, and clubhub answered nothing meanwhile.

Cause: isolation of suspects is off on the users' infrastructure, and with it every reaction to a crash. All that was left limits one attempt (two upstreams) or the fleet's retries, and a caller's next attempt is a new one to every daemon. Class of fault: harm that is limited for each attempt, by something that the next attempt resets.

Change: a gate that finds its upstream gone (connection refused, also for a load report, or a new start) shortly after connections broke counts a crash for each request that was in flight. It reports its totals to the control leader, which convicts at three over all gates and publishes the conviction with heartbeat replies. A gate at which the request ran to its end since the first of these crashes has it acquitted; so a request that many callers send is not convicted by chance. Totals may arrive twice, and a new leader gets them again. A gate refuses by its own count without control.

Why this works: the fingerprint is the same for each attempt, crashes are counted where they are certain, and every daemon refuses within a heartbeat interval.

Ruled out: isolation itself, which empties a gate for each request that was in flight at any end of an upstream; counting broken connections, since resets are common (test broken_connection_of_live_upstream_is_no_crash).

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -5,7 +5,9 @@
 //! request beside them.
 
 mod check;
+mod completions;
 mod crash;
+mod crash_counts;
 mod dispatched;
 mod jobs;
 mod load;
@@ -20,7 +22,9 @@
 use crate::context::Cx;
 use crate::effect::LogLine;
 use check::customer_share;
+use completions::Completions;
 use conf::Settings;
+use crash_counts::CrashCounts;
 use dispatched::DispatchedClaims;
 use gate::{ColdLimit, Gate, GateLimits, Outcome, Placement, SlotRequest, Ticket};
 use jobs::{Job, Jobs, Stage};
@@ -29,7 +33,7 @@
 use std::cmp::Ordering;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible_upstreams};
-use wire::{Announcement, RefuseReason, ServiceId, Suspect, UpstreamId};
+use wire::{Announcement, RefuseReason, ServiceId, Suspect, Term, UpstreamId};
 
 /// Maximum number of requests that wait for exclusive execution.
 const MAX_AWAITING_EXCLUSIVE: usize = 8;
@@ -52,6 +56,10 @@
     jobs: Jobs,
     dispatched: DispatchedClaims,
     suspects: Suspects,
+    crash_counts: CrashCounts,
+    completions: Completions,
+    /// Term of the leader to which all crash counts were reported.
+    counts_reported_in: Term,
     measuring: MeasuringBudget,
     recent_entries: RecentEntries,
     stuck_timeout: Duration,
@@ -87,6 +95,9 @@
             jobs: Jobs::default(),
             dispatched: DispatchedClaims::default(),
             suspects: Suspects::default(),
+            crash_counts: CrashCounts::default(),
+            completions: Completions::default(),
+            counts_reported_in: 0,
             measuring: MeasuringBudget::new(routing.probe_bytes, routing.probe_messages),
             recent_entries: RecentEntries::default(),
             stuck_timeout: settings.gate.stuck_timeout,
@@ -136,6 +147,7 @@
         self.gate.advance_clock(cx.now);
         self.update_out_state(cx);
         self.suspects.tick(cx.now);
+        self.crash_counts.tick(cx.now);
         let classes = cx.agent.config.plans.classes.values();
         if let Some(longest) = classes.map(|class| class.deadline).max() {
             self.gate.set_longest_deadline(longest);
@@ -389,7 +401,7 @@
         };
         match outcome {
             Outcome::Whole(_) if job.exclusive => self.acquit(job.arrival.fingerprint, cx),
-            Outcome::Whole(_) => {}
+            Outcome::Whole(_) => self.record_completion(job.arrival.fingerprint, cx),
             Outcome::Rejected => self.dispatched.remove(job.arrival.claim),
             Outcome::Refused => {
                 self.dispatched.remove(job.arrival.claim);
--- a/crates/node/src/admission/check.rs
+++ b/crates/node/src/admission/check.rs
@@ -23,7 +23,8 @@
         if arrival.deadline.is_zero() {
             return Err(RefuseReason::Deadline);
         }
-        if cx.agent.convicted(arrival.fingerprint) {
+        let fingerprint = arrival.fingerprint;
+        if cx.agent.convicted(fingerprint) || self.crash_counts.convicts(fingerprint) {
             return Err(RefuseReason::Convicted);
         }
         if self.is_slower_than_assumed(arrival) {
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -4,6 +4,11 @@
 //! A request in flight at a crash is suspected: it may run only exclusively, at
 //! one assigned upstream. If that upstream crashes too, the request is
 //! convicted and refused everywhere; if it completes, the request is acquitted.
+//!
+//! Where suspected requests are not isolated, a gate counts the crashes at which each
+//! request was in flight and reports the counts to the control leader. The leader
+//! convicts a request by the sum over all gates. Any gate at which the request has run
+//! to its end since the first of these crashes has it acquitted.
 
 use super::Admission;
 use super::jobs::Job;
@@ -45,8 +50,7 @@
     /// have crashed the upstream.
     pub(super) fn connection_refused(&mut self, cx: &mut Cx<'_>) {
         let suspects = self.suspects.take_recent_breaks(cx.now);
-        log_crash(&suspects, cx);
-        self.mark_suspected(&suspects, cx);
+        self.record_crash(suspects, cx);
     }
 
     /// Handles a restart of the upstream that lost these requests in flight.
@@ -59,8 +63,68 @@
                 suspects.push(job.arrival.fingerprint);
             }
         }
-        log_crash(&suspects, cx);
-        self.mark_suspected(&suspects, cx);
+        self.record_crash(suspects, cx);
+    }
+
+    /// Handles a crash of the upstream with these requests in flight.
+    fn record_crash(&mut self, mut in_flight: Vec<Fingerprint>, cx: &mut Cx<'_>) {
+        in_flight.sort_unstable();
+        in_flight.dedup();
+        if in_flight.is_empty() {
+            return;
+        }
+        log_crash(&in_flight, cx);
+        if self.isolate_suspects {
+            self.mark_suspected(&in_flight, cx);
+        } else {
+            let states = self.crash_counts.record_crash(cx.now, &in_flight);
+            self.report(states, cx);
+        }
+    }
+
+    /// Records that a request ran to its end, which clears it of crashes before.
+    pub(super) fn record_completion(&mut self, fingerprint: Fingerprint, cx: &mut Cx<'_>) {
+        if self.isolate_suspects {
+            return;
+        }
+        self.completions.record(cx.now, fingerprint);
+        if self.crash_counts.remove(fingerprint) {
+            self.report(vec![suspect_state(fingerprint, Verdict::Acquitted, "")], cx);
+        }
+    }
+
+    /// Compares the leader's verdicts, which a heartbeat reply brought, with what ran
+    /// here. A new leader gets all counts.
+    pub fn review_crash_counts(&mut self, cx: &mut Cx<'_>) {
+        for fingerprint in cx.agent.acquitted() {
+            self.crash_counts.remove(*fingerprint);
+        }
+        let suspects = cx.agent.counted_suspects().iter();
+        let refuted =
+            suspects.filter(|s| self.completions.any_since(s.fingerprint, s.first_crash_at));
+        let mut states: Vec<SuspectState> = refuted
+            .map(|s| suspect_state(s.fingerprint, Verdict::Acquitted, ""))
+            .collect();
+        if self.counts_reported_in != cx.agent.term() {
+            self.counts_reported_in = cx.agent.term();
+            states.extend(self.crash_counts.states(cx.now));
+        }
+        self.report(states, cx);
+    }
+
+    /// Reports states to the control leader.
+    fn report(&self, states: Vec<SuspectState>, cx: &mut Cx<'_>) {
+        if states.is_empty() {
+            return;
+        }
+        let suspect = Suspect {
+            service: self.service().into(),
+            states,
+            daemon: cx.agent.name.to_string(),
+            incarnation: cx.agent.incarnation(),
+        };
+        let kind = control_request::Kind::Suspect(suspect);
+        cx.agent.request(cx.now, Requester::Detached, kind, cx.tx);
     }
 
     /// Acquits a request that ran exclusively without a crash.
@@ -77,7 +141,7 @@
     }
 
     fn mark_suspected(&mut self, fingerprints: &[Fingerprint], cx: &mut Cx<'_>) {
-        if fingerprints.is_empty() || !self.isolate_suspects {
+        if fingerprints.is_empty() {
             return;
         }
         let name = cx.agent.name.clone();
@@ -94,13 +158,8 @@
 
     fn convict(&mut self, fingerprint: Fingerprint, cx: &mut Cx<'_>) {
         let convicted = suspect_state(fingerprint, Verdict::Convicted, "");
-        let suspect = Suspect {
-            service: self.service().into(),
-            states: vec![convicted.clone()],
-        };
-        self.broadcast(vec![convicted], cx);
-        let kind = control_request::Kind::Suspect(suspect);
-        cx.agent.request(cx.now, Requester::Detached, kind, cx.tx);
+        self.broadcast(vec![convicted.clone()], cx);
+        self.report(vec![convicted], cx);
     }
 
     /// Applies verdicts here and sends them to the other gates of the service.
@@ -112,6 +171,7 @@
         let suspect = Suspect {
             service: service.to_string(),
             states,
+            ..Suspect::default()
         };
         let name = cx.agent.name.clone();
         let Some(view) = cx.agent.service(&service) else {
@@ -129,9 +189,6 @@
 
 /// Logs that the upstream ended, with the requests that were in flight.
 fn log_crash(fingerprints: &[Fingerprint], cx: &mut Cx<'_>) {
-    if fingerprints.is_empty() {
-        return;
-    }
     let listed: Vec<String> = fingerprints.iter().map(|f| format!("{f:016x}")).collect();
     cx.tx.push(Effect::Log(LogLine {
         level: log::Level::Warn,
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -2,7 +2,7 @@
 //! upstream may run each request.
 
 use crate::context::Cx;
-use crate::entry::verdict_ttl;
+use crate::verdict::verdict_ttl;
 use pick::rendezvous;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -153,6 +153,7 @@
         verdict: verdict.into(),
         only_at: only_at.into(),
         expires_ms: u64::try_from(expires).unwrap_or(u64::MAX),
+        ..SuspectState::default()
     }
 }
 
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -71,6 +71,8 @@
     receiver: TransferReceiver,
     homes: Vec<QuotaHome>,
     convicted: BTreeMap<Fingerprint, Duration>,
+    counted: Vec<CountedSuspect>,
+    acquitted: Vec<Fingerprint>,
     replicas: Replicas,
     leader: Option<CompactString>,
     heartbeats: Heartbeats,
@@ -79,6 +81,14 @@
     rng: SmallRng,
 }
 
+/// A request whose crashes the leader counts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CountedSuspect {
+    pub(crate) fingerprint: Fingerprint,
+    /// When the first crash happened, by this daemon's clock.
+    pub(crate) first_crash_at: Duration,
+}
+
 impl Agent {
     /// Creates an agent without configuration or confirmation.
     #[must_use]
@@ -101,6 +111,8 @@
             receiver: TransferReceiver::default(),
             homes: Vec::new(),
             convicted: BTreeMap::new(),
+            counted: Vec::new(),
+            acquitted: Vec::new(),
             replicas: Replicas::new(&control.replicas),
             leader: None,
             heartbeats: Heartbeats::new(control.heartbeat_interval, control.lease),
@@ -154,6 +166,27 @@
         expires.is_some_and(|expires| *expires > self.last_tick)
     }
 
+    /// Returns the requests that the leader suspects or has convicted because of a
+    /// count of crashes.
+    pub(crate) fn counted_suspects(&self) -> &[CountedSuspect] {
+        &self.counted
+    }
+
+    /// Returns the requests that the leader has acquitted lately.
+    pub(crate) fn acquitted(&self) -> &[Fingerprint] {
+        &self.acquitted
+    }
+
+    /// Returns the highest term of a leader that has confirmed a heartbeat.
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the random number of this start of the daemon.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Replaces the control replica addresses from the settings.
     pub fn set_configured_replicas(&mut self, replicas: &[SocketAddr]) {
         self.replicas.set_configured(replicas);
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -1,8 +1,8 @@
 //! Applies the updates in a confirmed heartbeat reply: configuration, services,
 //! homes of customers, and convicted requests.
 
-use super::Agent;
 use super::heartbeats::SentHeartbeat;
+use super::{Agent, CountedSuspect};
 use crate::effect::{Effect, LogLine};
 use conf::PageOutcome;
 use log::Level;
@@ -30,7 +30,7 @@
         }
         if reply.term >= self.term {
             self.term = reply.term;
-            self.convict(now, &reply.convicted);
+            self.apply_verdicts(now, &reply.convicted);
             if !reply.homes.is_empty() {
                 self.homes = reply.homes;
             }
@@ -72,6 +72,23 @@
         }
     }
 
+    fn apply_verdicts(&mut self, now: Duration, states: &[SuspectState]) {
+        self.convict(now, states);
+        let acquitted = states.iter().filter(|s| s.verdict() == Verdict::Acquitted);
+        self.acquitted = acquitted.map(|s| s.fingerprint).collect();
+        for fingerprint in &self.acquitted {
+            self.convicted.remove(fingerprint);
+        }
+        let counted = states.iter().filter_map(|s| {
+            let since = Duration::from_millis(s.since_ms?);
+            Some(CountedSuspect {
+                fingerprint: s.fingerprint,
+                first_crash_at: now.saturating_sub(since),
+            })
+        });
+        self.counted = counted.collect();
+    }
+
     pub(super) fn convict(&mut self, now: Duration, states: &[SuspectState]) {
         for state in states.iter().filter(|s| s.verdict() == Verdict::Convicted) {
             let expires = now + Duration::from_millis(state.expires_ms);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -246,7 +246,9 @@
                 self.queue(waiter, Item::data_centre(order), tx);
             }
             control_request::Kind::Suspect(suspect) => {
-                self.suspects.update(now, &suspect);
+                for (fingerprint, crashes) in self.suspects.update(now, &suspect) {
+                    tx.push(log_lines::convicted(fingerprint, crashes));
+                }
                 replies::reply(waiter, true, String::new(), None, tx);
                 return;
             }
--- a/crates/node/src/control/log_lines.rs
+++ b/crates/node/src/control/log_lines.rs
@@ -3,7 +3,7 @@
 use crate::effect::{Effect, LogLine};
 use log::Level;
 use replica::Role;
-use wire::Term;
+use wire::{Fingerprint, Term};
 
 pub(super) fn with_value(
     level: Level,
@@ -29,3 +29,14 @@
         pairs: vec![("role", format!("{role:?}")), ("term", term.to_string())],
     })
 }
+
+pub(super) fn convicted(fingerprint: Fingerprint, crashes: u32) -> Effect {
+    Effect::Log(LogLine {
+        level: Level::Warn,
+        event: "request_convicted",
+        pairs: vec![
+            ("fingerprint", format!("{fingerprint:016x}")),
+            ("crashes", crashes.to_string()),
+        ],
+    })
+}
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -149,7 +149,7 @@
                 .filter_map(|s| self.registry.delta(now, s))
                 .collect(),
             homes: self.registry.homes(now, heartbeat.homes_hash),
-            convicted: self.suspects.convicted(now),
+            convicted: self.suspects.published(now),
             term: self.replica.term(),
         }
     }
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -1,61 +1,204 @@
-//! Requests that gates have convicted of crashing upstreams.
+//! Requests that crash upstreams, according to the reports of gates.
+//!
+//! Gates that isolate suspected requests report convictions. The other gates report
+//! how many crashes of their upstreams a request was in flight at, and the leader
+//! convicts a request when the sum over all gates reaches [`CONVICTING_CRASHES`].
+//! A report states a total, so that it may arrive twice or be repeated to a new
+//! leader.
 
+use crate::verdict::{CONVICTING_CRASHES, CRASH_COUNT_TTL, verdict_ttl};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{Fingerprint, Suspect, SuspectState, Verdict};
 
-/// Maximum number of convictions kept.
-const MAX_CONVICTED: usize = 64;
+/// Maximum number of convictions, and of other verdicts of a kind, in a heartbeat
+/// reply.
+const MAX_PUBLISHED: usize = 64;
+/// Maximum number of requests whose crashes are counted.
+const MAX_COUNTED: usize = 1_024;
 /// Maximum lifetime of a conviction.
 const MAX_AGE: Duration = Duration::from_secs(3600);
+/// Time for which an acquittal is published, and reports of earlier crashes are
+/// ignored: several heartbeat intervals.
+const ACQUITTAL_TTL: Duration = Duration::from_secs(10);
+
+/// One start of a daemon, which counts from zero.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Reporter {
+    daemon: String,
+    incarnation: u64,
+}
+
+/// The crashes at which a request was in flight.
+#[derive(Debug)]
+struct CrashCount {
+    by_reporter: BTreeMap<Reporter, u32>,
+    first_at: Duration,
+    last_at: Duration,
+}
+
+impl CrashCount {
+    fn total(&self) -> u32 {
+        self.by_reporter.values().sum()
+    }
+}
 
-/// The convictions, with the time at which each expires.
+#[derive(Debug, Default)]
+struct Conviction {
+    expires_at: Duration,
+    /// First crash, if the conviction follows from a count.
+    first_crash_at: Option<Duration>,
+}
+
+/// The verdicts and counts of a leader.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    convicted: BTreeMap<Fingerprint, Duration>,
+    convicted: BTreeMap<Fingerprint, Conviction>,
+    counts: BTreeMap<Fingerprint, CrashCount>,
+    /// Acquitted requests, with the time at which each acquittal expires.
+    acquitted: BTreeMap<Fingerprint, Duration>,
 }
 
 impl Suspects {
-    /// Applies the verdicts that a gate reported. Above the limit, the
-    /// convictions that expire first are dropped.
-    pub(super) fn update(&mut self, now: Duration, suspect: &Suspect) {
+    /// Applies the states that a gate reported. Returns the requests that are
+    /// convicted because of their count, with that count.
+    pub(super) fn update(&mut self, now: Duration, suspect: &Suspect) -> Vec<(Fingerprint, u32)> {
+        let mut convicted = Vec::new();
         for state in &suspect.states {
+            let fingerprint = state.fingerprint;
             match state.verdict() {
                 Verdict::Convicted => {
                     let age = Duration::from_millis(state.expires_ms).min(MAX_AGE);
-                    let expires = self.convicted.entry(state.fingerprint).or_default();
-                    *expires = (*expires).max(now + age);
+                    self.convict(fingerprint, now + age, None);
                 }
-                Verdict::Acquitted => {
-                    self.convicted.remove(&state.fingerprint);
+                Verdict::Acquitted => self.acquit(now, fingerprint),
+                Verdict::Crashed => {
+                    let count = self.count(now, suspect, state);
+                    convicted.extend(count.map(|count| (fingerprint, count)));
                 }
                 Verdict::Suspected | Verdict::Unknown => {}
             }
         }
-        while self.convicted.len() > MAX_CONVICTED {
-            let first_to_expire = self.convicted.iter().min_by_key(|(_, expires)| **expires);
-            let Some(fingerprint) = first_to_expire.map(|(fingerprint, _)| *fingerprint) else {
-                return;
-            };
-            self.convicted.remove(&fingerprint);
+        convicted
+    }
+
+    fn convict(
+        &mut self,
+        fingerprint: Fingerprint,
+        expires_at: Duration,
+        first_crash_at: Option<Duration>,
+    ) {
+        let conviction = self.convicted.entry(fingerprint).or_default();
+        conviction.expires_at = conviction.expires_at.max(expires_at);
+        conviction.first_crash_at = first_crash_at;
+        evict_first(&mut self.convicted, MAX_PUBLISHED, |c| c.expires_at);
+    }
+
+    fn acquit(&mut self, now: Duration, fingerprint: Fingerprint) {
+        self.convicted.remove(&fingerprint);
+        self.counts.remove(&fingerprint);
+        self.acquitted.insert(fingerprint, now + ACQUITTAL_TTL);
+        evict_first(&mut self.acquitted, MAX_PUBLISHED, |expires_at| *expires_at);
+    }
+
+    /// Adds a gate's count. Returns the total if it convicts the request now.
+    fn count(&mut self, now: Duration, suspect: &Suspect, state: &SuspectState) -> Option<u32> {
+        let fingerprint = state.fingerprint;
+        if self.acquitted.contains_key(&fingerprint) {
+            return None;
+        }
+        let since = Duration::from_millis(state.since_ms.unwrap_or_default());
+        let first_at = now.saturating_sub(since);
+        let count = self.counts.entry(fingerprint).or_insert(CrashCount {
+            by_reporter: BTreeMap::new(),
+            first_at,
+            last_at: now,
+        });
+        count.first_at = count.first_at.min(first_at);
+        count.last_at = now;
+        let reporter = Reporter {
+            daemon: suspect.daemon.clone(),
+            incarnation: suspect.incarnation,
+        };
+        let reported = count.by_reporter.entry(reporter).or_default();
+        *reported = (*reported).max(state.crashes);
+        let total = count.total();
+        let first_at = count.first_at;
+        evict_first(&mut self.counts, MAX_COUNTED, |count| count.last_at);
+        if total < CONVICTING_CRASHES || self.convicted.contains_key(&fingerprint) {
+            return None;
         }
+        let expires_at = now + verdict_ttl(Verdict::Convicted);
+        self.convict(fingerprint, expires_at, Some(first_at));
+        Some(total)
     }
 
-    /// Drops expired convictions.
+    /// Drops what has expired.
     pub(super) fn expire(&mut self, now: Duration) {
-        self.convicted.retain(|_, expires| *expires > now);
+        self.convicted.retain(|_, c| c.expires_at > now);
+        self.acquitted.retain(|_, expires_at| *expires_at > now);
+        self.counts
+            .retain(|_, count| count.last_at + CRASH_COUNT_TTL > now);
     }
 
-    /// Returns the convictions for a heartbeat reply.
-    pub(super) fn convicted(&self, now: Duration) -> Vec<SuspectState> {
-        let convicted = self.convicted.iter();
-        convicted
-            .map(|(fingerprint, expires)| SuspectState {
-                fingerprint: *fingerprint,
-                verdict: Verdict::Convicted as i32,
-                only_at: String::new(),
-                expires_ms: super::millis(expires.saturating_sub(now)),
-            })
-            .collect()
+    /// Returns the verdicts for a heartbeat reply: convictions, requests that one more
+    /// crash convicts, and acquittals.
+    pub(super) fn published(&self, now: Duration) -> Vec<SuspectState> {
+        let convicted = self.convicted.iter().map(|(fingerprint, conviction)| {
+            let since = conviction.first_crash_at.map(|at| now.saturating_sub(at));
+            state(
+                *fingerprint,
+                Verdict::Convicted,
+                conviction.expires_at.saturating_sub(now),
+                since,
+            )
+        });
+        let is_near = |fingerprint: &Fingerprint, count: &CrashCount| {
+            count.total() + 1 == CONVICTING_CRASHES && !self.convicted.contains_key(fingerprint)
+        };
+        let near = self.counts.iter().filter(|(f, count)| is_near(f, count));
+        let near = near.take(MAX_PUBLISHED).map(|(fingerprint, count)| {
+            state(
+                *fingerprint,
+                Verdict::Suspected,
+                verdict_ttl(Verdict::Suspected),
+                Some(now.saturating_sub(count.first_at)),
+            )
+        });
+        let acquitted = self.acquitted.iter().map(|(fingerprint, expires_at)| {
+            let expires = expires_at.saturating_sub(now);
+            state(*fingerprint, Verdict::Acquitted, expires, None)
+        });
+        convicted.chain(near).chain(acquitted).collect()
+    }
+}
+
+fn state(
+    fingerprint: Fingerprint,
+    verdict: Verdict,
+    expires: Duration,
+    since: Option<Duration>,
+) -> SuspectState {
+    SuspectState {
+        fingerprint,
+        verdict: verdict.into(),
+        expires_ms: super::millis(expires),
+        since_ms: since.map(super::millis),
+        ..SuspectState::default()
+    }
+}
+
+/// Removes the entries with the lowest time while there are more than `max`.
+fn evict_first<V>(
+    entries: &mut BTreeMap<Fingerprint, V>,
+    max: usize,
+    time: impl Fn(&V) -> Duration,
+) {
+    while entries.len() > max {
+        let first = entries.iter().min_by_key(|(_, entry)| time(entry));
+        let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) else {
+            return;
+        };
+        entries.remove(&fingerprint);
     }
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -16,7 +16,6 @@
 mod wait_estimate;
 
 pub use message::{Attempt, Effect, Event, Request, RouteKey};
-pub(crate) use refusal::verdict_ttl;
 pub use refusal::{Reason, Refusal, RunState};
 
 use crate::context::Cx;
@@ -185,8 +184,12 @@
         })
     }
 
-    /// Forwards the requests that waited for the view of their service.
+    /// Applies acquittals, and forwards the requests that waited for the view of their
+    /// service.
     pub fn view_changed(&mut self, cx: &mut Cx<'_>) {
+        for fingerprint in cx.agent.acquitted() {
+            self.convicted.remove(fingerprint);
+        }
         for id in std::mem::take(&mut self.awaiting_view) {
             self.forward(id, cx);
         }
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -4,10 +4,11 @@
 use super::claim::settle_claim;
 use super::forward::release_allowance;
 use super::message::Effect;
-use super::refusal::{Reason, RefusalCause, refusal_reason, verdict_ttl};
+use super::refusal::{Reason, RefusalCause, refusal_reason};
 use super::request::{AttemptState, ClaimState, Purpose};
 use super::{Entry, push};
 use crate::context::Cx;
+use crate::verdict::verdict_ttl;
 use pick::{Reply, rendezvous};
 use std::time::Duration;
 use wire::{AttemptId, Load, Refuse, RefuseReason, RequestId, SettleKind, UpstreamId, Verdict};
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -1,6 +1,7 @@
 //! Final responses that come from no upstream, and when the caller may retry.
 
 use crate::allowance::Denial;
+use crate::verdict::verdict_ttl;
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -159,14 +160,6 @@
     }
 }
 
-/// Returns the longest time for which a verdict is valid.
-pub(crate) fn verdict_ttl(verdict: Verdict) -> Duration {
-    match verdict {
-        Verdict::Convicted => Duration::from_secs(600),
-        Verdict::Unknown | Verdict::Suspected | Verdict::Acquitted => Duration::from_secs(60),
-    }
-}
-
 fn base_retry_after(reason: Reason, retry_after: Duration) -> Option<Duration> {
     match reason {
         Reason::UnknownCustomer
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod effect;
 mod event;
 mod node;
+mod verdict;
 
 pub use context::Cx;
 pub use effect::{Effect, LogLine};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -140,6 +140,7 @@
         Body::HeartbeatReply(reply) => {
             node.agent.heartbeat_reply(now, reply, tx);
             with_entry(node, now, tx, Entry::view_changed);
+            with_admission(node, now, tx, Admission::review_crash_counts);
         }
         Body::ControlReply(reply) => {
             let results = node.agent.control_reply(now, reply, tx);
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -311,12 +311,13 @@
     let state = SuspectState {
         fingerprint: 7,
         verdict: Verdict::Convicted as i32,
-        only_at: String::new(),
         expires_ms: 1_000,
+        ..SuspectState::default()
     };
     let suspect = Suspect {
         service: "booking".to_owned(),
         states: vec![state],
+        ..Suspect::default()
     };
     let kind = control_request::Kind::Suspect(suspect);
     agent.request(ms(0), Requester::Detached, kind, &mut Vec::new());
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -147,7 +147,9 @@
             verdict: Verdict::Convicted as i32,
             only_at: String::new(),
             expires_ms: 5_000,
+            ..SuspectState::default()
         }],
+        ..Suspect::default()
     })
 }
 
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -6,17 +6,19 @@
 
 use common::Simulation;
 use gate::{Outcome, Ticket};
-use node::Event;
 use node::admission::{self, Arrival, Effect};
+use node::{Event, entry};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{Announcement, Fingerprint};
+use wire::{Announcement, Fingerprint, RefuseReason};
 
 const CONTROLS: usize = 3;
 const GATES: usize = 4;
 const SERVICE: &str = "booking";
 /// Fingerprint of the request that ends upstreams.
 const CRASHING: Fingerprint = 666;
+/// Fingerprint of a request that many callers send and that harms nothing.
+const POPULAR: Fingerprint = 111;
 /// Time from a request's arrival at an upstream to the end of that upstream.
 const CRASH_AFTER: Duration = Duration::from_millis(100);
 /// Time for which an upstream is down.
@@ -51,7 +53,8 @@
     reached: Vec<Duration>,
     /// When an upstream ended.
     crashes: Vec<Duration>,
-    refused: usize,
+    /// Requests that gates refused because they crash upstreams.
+    convicted: Vec<Fingerprint>,
     next_report: Duration,
 }
 
@@ -76,7 +79,7 @@
             next_ticket: 0,
             reached: Vec::new(),
             crashes: Vec::new(),
-            refused: 0,
+            convicted: Vec::new(),
             next_report: Duration::ZERO,
         };
         fleet.sim.run(Duration::from_secs(1));
@@ -129,7 +132,10 @@
         for effect in std::mem::take(&mut self.sim.daemons[CONTROLS + gate].admission) {
             match effect {
                 Effect::Run(ticket) => self.run_at_upstream(gate, ticket, fingerprint),
-                Effect::Refuse { .. } => self.refused += 1,
+                Effect::Refuse {
+                    reason: RefuseReason::Convicted,
+                    ..
+                } => self.convicted.push(fingerprint),
                 _ => {}
             }
         }
@@ -194,14 +200,37 @@
     /// other.
     fn resend_crashing(&mut self, time: Duration) {
         let until = self.sim.now + time;
-        let mut gate = 0;
         while self.sim.now < until {
-            self.send(gate, CRASHING);
-            gate = (gate + 1) % GATES;
-            self.run(RESEND_INTERVAL);
+            (0..GATES).for_each(|gate| {
+                self.send(gate, CRASHING);
+                self.run(RESEND_INTERVAL);
+            });
         }
     }
 
+    /// Has the crashing request run at one gate, and waits until its upstream is back.
+    fn crash_once(&mut self, gate: usize) {
+        let crashes = self.crashes.len();
+        self.send(gate, CRASHING);
+        self.run(CRASH_AFTER + DOWN + Duration::from_millis(100));
+        assert_eq!(self.crashes.len(), crashes + 1);
+    }
+
+    /// Sends a request to a gate and has it run to its end.
+    fn complete(&mut self, gate: usize, fingerprint: Fingerprint) {
+        let ticket = self.send(gate, fingerprint);
+        if self.upstreams[gate].running.contains_key(&ticket) {
+            self.end(gate, ticket, Outcome::Whole(200));
+        }
+    }
+
+    /// Returns whether a gate refuses the crashing request.
+    fn refuses_crashing(&mut self, gate: usize) -> bool {
+        self.convicted.clear();
+        self.send(gate, CRASHING);
+        self.convicted.contains(&CRASHING)
+    }
+
     /// Returns how often the crashing request reached an upstream later than
     /// [`SETTLE`] after the third crash.
     fn reached_late(&self) -> usize {
@@ -221,3 +250,131 @@
     let late = fleet.reached_late();
     assert!(late <= MAX_LATE, "sent {late} times after its third crash");
 }
+
+/// Guards against crashes that are forgotten when another replica becomes the leader.
+#[test]
+fn crash_count_survives_change_of_leader() {
+    let mut fleet = Fleet::new(2);
+    fleet.crash_once(0);
+    fleet.crash_once(1);
+    let leader = fleet.sim.daemons.iter().position(|d| d.is_leader());
+    fleet.sim.kill(leader.unwrap());
+    fleet.run(Duration::from_secs(5));
+    fleet.crash_once(2);
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+}
+
+/// Guards against a conviction of a request that was in flight at crashes by chance:
+/// it runs to its end elsewhere.
+#[test]
+fn popular_request_in_flight_at_each_crash_is_not_convicted() {
+    let mut fleet = Fleet::new(3);
+    for gate in 0..3 {
+        fleet.send(gate, POPULAR);
+        fleet.crash_once(gate);
+        fleet.complete(3, POPULAR);
+        fleet.run(Duration::from_secs(1));
+    }
+    assert!(fleet.refuses_crashing(3));
+    let logs = fleet.sim.daemons.iter().flat_map(|d| &d.logs);
+    let convictions: Vec<_> = logs.filter(|l| l.event == "request_convicted").collect();
+    assert_eq!(
+        convictions.len(),
+        1,
+        "only the crashing one: {convictions:?}"
+    );
+}
+
+/// Guards against a wrong conviction that lasts: what ran to its end since the first
+/// crash overturns it.
+#[test]
+fn conviction_is_overturned_by_completion_in_flight() {
+    let mut fleet = Fleet::new(4);
+    let running = fleet.send(3, POPULAR);
+    for gate in 0..3 {
+        fleet.send(gate, POPULAR);
+        fleet.crash_once(gate);
+    }
+    fleet.run(Duration::from_secs(1));
+    fleet.send(0, POPULAR);
+    assert!(
+        fleet.convicted.contains(&POPULAR),
+        "it was at three crashes"
+    );
+    fleet.end(3, running, Outcome::Whole(200));
+    fleet.run(Duration::from_secs(2));
+    fleet.convicted.clear();
+    fleet.send(0, POPULAR);
+    assert!(!fleet.convicted.contains(&POPULAR));
+}
+
+/// Guards against resets that are taken for crashes: the upstream still accepts
+/// connections.
+#[test]
+fn broken_connection_of_live_upstream_is_no_crash() {
+    let mut fleet = Fleet::new(5);
+    for _ in 0..8 {
+        let ticket = fleet.send(0, POPULAR);
+        fleet.end(0, ticket, Outcome::Broken);
+        fleet.run(Duration::from_secs(1));
+    }
+    assert!(fleet.convicted.is_empty());
+    let logs = fleet.sim.daemons.iter().flat_map(|d| &d.logs);
+    assert!(
+        logs.into_iter()
+            .all(|line| line.event != "upstream_crashed")
+    );
+}
+
+/// Guards against reports that count twice because they arrive twice.
+#[test]
+fn repeated_crash_report_counts_once() {
+    let mut fleet = Fleet::new(6);
+    fleet.sim.duplicate_ratio = 1.0;
+    fleet.crash_once(0);
+    fleet.crash_once(1);
+    fleet.run(Duration::from_secs(5));
+    assert!(!fleet.refuses_crashing(2), "two crashes do not convict it");
+}
+
+/// Guards against a daemon that needs the control plane to see that one request ends
+/// its own upstream again and again.
+#[test]
+fn gate_without_control_refuses_after_third_crash_of_its_upstream() {
+    let mut fleet = Fleet::new(7);
+    (0..CONTROLS).for_each(|control| fleet.sim.kill(control));
+    (0..3).for_each(|_| fleet.crash_once(0));
+    assert!(fleet.refuses_crashing(0));
+}
+
+/// Guards against convicted requests that cost an attempt at a gate each time.
+#[test]
+fn entry_refuses_convicted_request_as_not_run() {
+    let mut fleet = Fleet::new(8);
+    (0..3).for_each(|gate| fleet.crash_once(gate));
+    fleet.run(Duration::from_secs(1));
+    let request = entry::Request {
+        id: 1,
+        customer: "".into(),
+        service: SERVICE.into(),
+        class: None,
+        safe_method: true,
+        fingerprint: CRASHING,
+        key: None,
+        deadline: None,
+        retry_budget: None,
+        depth: 1,
+        body_buffered: true,
+        route_key: None,
+        body_bytes: 0,
+    };
+    let daemon = CONTROLS + 3;
+    let arrived = Event::Entry(entry::Event::Arrived(request));
+    fleet.sim.event(daemon, arrived);
+    let effects = &fleet.sim.daemons[daemon].entry;
+    let Some(entry::Effect::Refuse(1, refusal)) = effects.first() else {
+        panic!("not refused: {effects:?}");
+    };
+    assert_eq!(refusal.reason, entry::Reason::Convicted);
+    assert_eq!(refusal.run, entry::RunState::NotRun);
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -126,7 +126,8 @@
     /// The quota homes, if the daemon's list differs.
     #[prost(message, repeated, tag = "8")]
     pub homes: Vec<QuotaHome>,
-    /// Requests convicted of crashing upstreams, of all services.
+    /// Verdicts on requests that crash upstreams, of all services: convictions, and
+    /// where crashes are counted, requests that one more crash convicts and acquittals.
     #[prost(message, repeated, tag = "9")]
     pub convicted: Vec<crate::data::SuspectState>,
     /// Term of the leader.
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -303,8 +303,11 @@
     Suspected = 1,
     /// It crashed a second upstream while running exclusively; all daemons refuse it.
     Convicted = 2,
-    /// It ran exclusively without a crash.
+    /// It ran to its end without a crash.
     Acquitted = 3,
+    /// It was in flight at crashes of one gate's upstream. Sent to the control leader
+    /// where suspected requests are not isolated.
+    Crashed = 4,
 }
 
 /// The verdict on one request.
@@ -322,9 +325,18 @@
     /// Time for which the verdict is valid, in milliseconds from receipt.
     #[prost(uint64, tag = "4")]
     pub expires_ms: u64,
+    /// For [`Verdict::Crashed`]: number of crashes of the gate's upstream at which it was
+    /// in flight, since the gate's start.
+    #[prost(uint32, tag = "5")]
+    pub crashes: u32,
+    /// Time since the first crash at which it was in flight, in milliseconds, if the
+    /// verdict is based on a count of crashes.
+    #[prost(uint64, optional, tag = "6")]
+    pub since_ms: Option<u64>,
 }
 
-/// A gate reports suspected requests to the other gates of its service.
+/// A gate reports suspected requests to the other gates of its service, and to the
+/// control leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Suspect {
     /// Service whose upstream crashed.
@@ -333,4 +345,10 @@
     /// Verdicts on the requests.
     #[prost(message, repeated, tag = "2")]
     pub states: Vec<SuspectState>,
+    /// Name of the reporting daemon, if it counts crashes.
+    #[prost(string, tag = "3")]
+    pub daemon: String,
+    /// Random number of the reporting daemon's start.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
 }
