Report convictions to a new leader

What callers would see: after an election, a daemon that starts sends a convicted request on, and it ends upstreams again.

Cause: the leader keeps convictions in memory, and a new leader begins without; gates report once. Daemons that hold a conviction keep it for themselves.

Change: with the first reply of a new leader a daemon reports the convictions that the reply does not list. The next daemon's reply lists them, so that few report. Conversions of times to milliseconds have one function.

Test: conviction_survives_change_of_leader_and_restart_of_gates, which failed before (the request ran at an upstream again).

--- a/crates/node/src/admission/crash_counts.rs
+++ b/crates/node/src/admission/crash_counts.rs
@@ -1,5 +1,6 @@
 //! How many crashes of this gate's upstream each request was in flight at.
 
+use crate::millis::millis;
 use crate::verdict::{CONVICTING_CRASHES, CRASH_COUNT_TTL};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -70,12 +71,11 @@
 
     fn state(&self, now: Duration, fingerprint: Fingerprint) -> Option<SuspectState> {
         let count = self.counts.get(&fingerprint)?;
-        let since = now.saturating_sub(count.first_at).as_millis();
         Some(SuspectState {
             fingerprint,
             verdict: Verdict::Crashed.into(),
             crashes: count.crashes,
-            since_ms: Some(u64::try_from(since).unwrap_or(u64::MAX)),
+            since_ms: Some(millis(now.saturating_sub(count.first_at))),
             ..SuspectState::default()
         })
     }
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -2,6 +2,7 @@
 //! upstream may run each request.
 
 use crate::context::Cx;
+use crate::millis::millis;
 use crate::verdict::verdict_ttl;
 use pick::rendezvous;
 use std::collections::BTreeMap;
@@ -147,12 +148,11 @@
     verdict: Verdict,
     only_at: &str,
 ) -> SuspectState {
-    let expires = verdict_ttl(verdict).as_millis();
     SuspectState {
         fingerprint,
         verdict: verdict.into(),
         only_at: only_at.into(),
-        expires_ms: u64::try_from(expires).unwrap_or(u64::MAX),
+        expires_ms: millis(verdict_ttl(verdict)),
         ..SuspectState::default()
     }
 }
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -10,6 +10,7 @@
 mod updates;
 
 use crate::effect::Effect;
+use crate::millis::millis;
 use compact_str::{CompactString, ToCompactString};
 use conf::{Settings, TransferReceiver};
 use fleet::{FleetView, Freshness, ServiceView, homes_hash};
@@ -70,7 +71,7 @@
     view: FleetView,
     receiver: TransferReceiver,
     homes: Vec<QuotaHome>,
-    convicted: BTreeMap<Fingerprint, Duration>,
+    convicted: BTreeMap<Fingerprint, Conviction>,
     counted: Vec<CountedSuspect>,
     acquitted: Vec<Fingerprint>,
     replicas: Replicas,
@@ -81,6 +82,14 @@
     rng: SmallRng,
 }
 
+/// A request that is refused because it crashes upstreams.
+#[derive(Clone, Copy, Debug)]
+struct Conviction {
+    expires_at: Duration,
+    /// When the first crash happened, if the conviction follows from a count.
+    first_crash_at: Option<Duration>,
+}
+
 /// A request whose crashes the leader counts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CountedSuspect {
@@ -162,8 +171,8 @@
     /// Returns whether a request is known to crash upstreams.
     #[must_use]
     pub fn convicted(&self, fingerprint: Fingerprint) -> bool {
-        let expires = self.convicted.get(&fingerprint);
-        expires.is_some_and(|expires| *expires > self.last_tick)
+        let conviction = self.convicted.get(&fingerprint);
+        conviction.is_some_and(|conviction| conviction.expires_at > self.last_tick)
     }
 
     /// Returns the requests that the leader suspects or has convicted because of a
@@ -234,7 +243,7 @@
         self.last_tick = now;
         self.started.get_or_insert(now);
         self.view.prune(now);
-        self.convicted.retain(|_, expires| *expires > now);
+        self.convicted.retain(|_, c| c.expires_at > now);
         if self.heartbeats.reply_overdue(now) {
             self.replicas.target_failed();
             self.try_next_replica(now);
@@ -261,7 +270,12 @@
         if self.replicas.leader_confirmed(&sent.target) {
             self.requests.resend_soon(now, &mut self.rng);
         }
+        let new_leader = reply.term > self.term;
+        let published: Vec<Fingerprint> = reply.convicted.iter().map(|s| s.fingerprint).collect();
         self.apply_reply(now, &sent, reply, tx);
+        if new_leader {
+            self.report_convictions(now, &published, tx);
+        }
     }
 
     /// Handles the reply to a request; returns the result if it is final.
@@ -358,7 +372,7 @@
             config_page: self.receiver.next_page(),
             homes_hash: homes_hash(&self.homes),
             supports_routing_changes: true,
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            age_ms: millis(age),
         };
         self.send(Body::Heartbeat(heartbeat), tx);
     }
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -2,12 +2,16 @@
 //! homes of customers, and convicted requests.
 
 use super::heartbeats::SentHeartbeat;
-use super::{Agent, CountedSuspect};
+use super::{Agent, Conviction, CountedSuspect, Requester};
 use crate::effect::{Effect, LogLine};
+use crate::millis::millis;
 use conf::PageOutcome;
 use log::Level;
 use std::time::Duration;
-use wire::{ConfigDelta, ConfigVersion, HeartbeatReply, SuspectState, Term, Verdict};
+use wire::{
+    ConfigDelta, ConfigVersion, Fingerprint, HeartbeatReply, Suspect, SuspectState, Term, Verdict,
+    control_request,
+};
 
 /// Maximum number of convictions kept.
 const MAX_CONVICTED: usize = 1_024;
@@ -89,11 +93,49 @@
         self.counted = counted.collect();
     }
 
+    /// Reports the convictions that a new leader does not know. Daemons whose replies
+    /// follow receive them and report nothing.
+    pub(super) fn report_convictions(
+        &mut self,
+        now: Duration,
+        published: &[Fingerprint],
+        tx: &mut Vec<Effect>,
+    ) {
+        let unknown = self.convicted.iter();
+        let unknown = unknown.filter(|(fingerprint, _)| !published.contains(fingerprint));
+        let states: Vec<SuspectState> = unknown
+            .map(|(fingerprint, conviction)| SuspectState {
+                fingerprint: *fingerprint,
+                verdict: Verdict::Convicted.into(),
+                expires_ms: millis(conviction.expires_at.saturating_sub(now)),
+                since_ms: conviction
+                    .first_crash_at
+                    .map(|at| millis(now.saturating_sub(at))),
+                ..SuspectState::default()
+            })
+            .collect();
+        if states.is_empty() {
+            return;
+        }
+        let suspect = Suspect {
+            states,
+            daemon: self.name.to_string(),
+            incarnation: self.incarnation,
+            ..Suspect::default()
+        };
+        let kind = control_request::Kind::Suspect(suspect);
+        self.request(now, Requester::Detached, kind, tx);
+    }
+
     pub(super) fn convict(&mut self, now: Duration, states: &[SuspectState]) {
         for state in states.iter().filter(|s| s.verdict() == Verdict::Convicted) {
-            let expires = now + Duration::from_millis(state.expires_ms);
+            let since = state.since_ms.map(Duration::from_millis);
+            let conviction = Conviction {
+                expires_at: now + Duration::from_millis(state.expires_ms),
+                first_crash_at: since.map(|since| now.saturating_sub(since)),
+            };
             if self.convicted.len() < MAX_CONVICTED {
-                self.convicted.insert(state.fingerprint, expires);
+                self.convicted.insert(state.fingerprint, conviction);
             }
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,6 +18,7 @@
 
 use crate::effect::Effect;
 use crate::event::LinkId;
+use crate::millis::millis;
 use batch::{Batch, Waiter};
 use claims::Limits;
 use command::Item;
@@ -289,7 +290,3 @@
         self.last_token
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -6,6 +6,7 @@
 //! A report states a total, so that it may arrive twice or be repeated to a new
 //! leader.
 
+use crate::millis::millis;
 use crate::verdict::{CONVICTING_CRASHES, CRASH_COUNT_TTL, verdict_ttl};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -69,7 +70,9 @@
             match state.verdict() {
                 Verdict::Convicted => {
                     let age = Duration::from_millis(state.expires_ms).min(MAX_AGE);
-                    self.convict(fingerprint, now + age, None);
+                    let since = state.since_ms.map(Duration::from_millis);
+                    let first_at = since.map(|since| now.saturating_sub(since));
+                    self.convict(fingerprint, now + age, first_at);
                 }
                 Verdict::Acquitted => self.acquit(now, fingerprint),
                 Verdict::Crashed => {
@@ -182,8 +185,8 @@
     SuspectState {
         fingerprint,
         verdict: verdict.into(),
-        expires_ms: super::millis(expires),
-        since_ms: since.map(super::millis),
+        expires_ms: millis(expires),
+        since_ms: since.map(millis),
         ..SuspectState::default()
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod context;
 mod effect;
 mod event;
+mod millis;
 mod node;
 mod verdict;
 
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -264,6 +264,26 @@
     assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
 }
 
+/// Guards against convictions that end with the leader: a daemon that starts later must
+/// learn them from its successor, also if the gates that counted have restarted.
+#[test]
+fn conviction_survives_change_of_leader_and_restart_of_gates() {
+    let mut fleet = Fleet::new(9);
+    (0..3).for_each(|gate| fleet.crash_once(gate));
+    fleet.run(Duration::from_secs(1));
+    let leader = fleet.sim.daemons.iter().position(|d| d.is_leader());
+    let gates = (0..3).map(|gate| CONTROLS + gate);
+    for daemon in gates.clone().chain(leader) {
+        fleet.sim.kill(daemon);
+    }
+    fleet.run(Duration::from_secs(5));
+    gates.for_each(|daemon| fleet.sim.start(daemon));
+    fleet.run(Duration::from_secs(1));
+    (0..3).for_each(|gate| fleet.announce(gate));
+    fleet.run(Duration::from_secs(3));
+    assert!(fleet.refuses_crashing(0), "it runs at an upstream again");
+}
+
 /// Guards against a conviction of a request that was in flight at crashes by chance:
 /// it runs to its end elsewhere.
 #[test]
