Extend a known conviction also when the list is full

What callers would see: a request that crashes upstreams runs again before its conviction ends, at daemons that hold 1,024 convictions (an entry's own list: 10,000).

Cause: the check for room was made for known fingerprints too. Test: conviction_is_extended_when_the_list_is_full, which failed before.

--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -134,7 +134,8 @@
                 expires_at: now + Duration::from_millis(state.expires_ms),
                 first_crash_at: since.map(|since| now.saturating_sub(since)),
             };
-            if self.convicted.len() < MAX_CONVICTED {
+            let known = self.convicted.contains_key(&state.fingerprint);
+            if known || self.convicted.len() < MAX_CONVICTED {
                 self.convicted.insert(state.fingerprint, conviction);
             }
         }
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -237,10 +237,13 @@
     }
 
     fn on_convicted(&mut self, id: RequestId, cx: &mut Cx<'_>) {
-        let room = self.convicted.len() < MAX_CONVICTED;
-        if let Some(active) = self.active.get(&id).filter(|_| room) {
-            let until = cx.now + verdict_ttl(Verdict::Convicted);
-            self.convicted.insert(active.request.fingerprint, until);
+        if let Some(active) = self.active.get(&id) {
+            let fingerprint = active.request.fingerprint;
+            let known = self.convicted.contains_key(&fingerprint);
+            if known || self.convicted.len() < MAX_CONVICTED {
+                let until = cx.now + verdict_ttl(Verdict::Convicted);
+                self.convicted.insert(fingerprint, until);
+            }
         }
         self.refuse_unless_in_flight(id, Reason::Convicted.into(), cx);
     }
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -326,3 +326,28 @@
     tick(&mut agent, ms(1_000));
     assert!(!agent.convicted(7));
 }
+
+/// Guards against a conviction that ends early at daemons that hold many: its later
+/// expiry was ignored when the list was full.
+#[test]
+fn conviction_is_extended_when_the_list_is_full() {
+    let mut agent = confirmed_agent();
+    let convict = |agent: &mut Agent, fingerprints: std::ops::Range<u64>, expires_ms| {
+        let states = fingerprints.map(|fingerprint| SuspectState {
+            fingerprint,
+            verdict: Verdict::Convicted as i32,
+            expires_ms,
+            ..SuspectState::default()
+        });
+        let suspect = Suspect {
+            states: states.collect(),
+            ..Suspect::default()
+        };
+        let kind = control_request::Kind::Suspect(suspect);
+        agent.request(ms(0), Requester::Detached, kind, &mut Vec::new());
+    };
+    convict(&mut agent, 0..2_000, 1_000);
+    convict(&mut agent, 7..8, 5_000);
+    tick(&mut agent, ms(2_000));
+    assert!(agent.convicted(7));
+}
