Show that a delayed allowance message allows no second refund

Not a fault: what the duplicate puts back is limited by what the delayed message took, which the entry never uses. The test passes on the code as it is; it was not seen red.

--- a/crates/quota/tests/homes.rs
+++ b/crates/quota/tests/homes.rs
@@ -56,6 +56,23 @@
     assert_eq!(home_of("customer-1", &[]), None);
 }
 
+/// A delayed message makes the home take a later one for new when it arrives again. What
+/// it then puts back is less than what the delayed message took.
+#[test]
+fn delayed_request_allows_no_second_refund() {
+    let mut home = Ledger::new(Duration::ZERO, BLOCK_LIFETIME);
+    home.handle_request(START, &block_request(1, 40, 0), &PLAN);
+    home.handle_request(START, &block_request(2, 20, 0), &PLAN);
+    home.handle_request(START, &block_request(3, 0, 30), &PLAN);
+    for _ in 0..3 {
+        home.handle_request(START, &block_request(2, 20, 0), &PLAN);
+        home.handle_request(START, &block_request(3, 0, 30), &PLAN);
+    }
+    let used = 40 + 20 - 30;
+    let granted = home.handle_request(START, &block_request(4, 100, 0), &PLAN);
+    assert!(granted.granted <= 100 - used, "{}", granted.granted);
+}
+
 #[test]
 fn duplicate_request_returns_tokens_only_once() {
     let mut home = Ledger::new(Duration::ZERO, BLOCK_LIFETIME);
