--- a/crates/node/src/control/apply.rs
+++ b/crates/node/src/control/apply.rs
@@ -38,7 +38,7 @@
     pub(super) fn restore(&mut self, index: LogIndex, state: &Bytes, tx: &mut Vec<Effect>) {
         match StateMachine::restore(state) {
             Ok(state_machine) => self.state_machine = state_machine,
-            Err(error) => self.halt(&error, tx),
+            Err(error) => return self.halt(&error, tx),
         }
         tx.push(log_lines::with_value(
             Level::Info,
