Treat a rejection with a long body as one

Cause: the marker and 421 were looked at only after the whole body had arrived in the buffer. Change: they are looked at in the head; the body is discarded. Test: rejection_with_long_body_is_not_relayed, which failed before (614,400 bytes of the upstream's body reached the caller).

--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -179,6 +179,11 @@
         if let Some(load) = load_report::from_headers(&self.daemon, &response.headers) {
             self.report(admission::Event::Reported(load));
         }
+        if self.is_not_run(&response) {
+            self.report_end(Outcome::Rejected);
+            self.reply_sender.refuse(RefuseReason::Rejected);
+            return response.drain_and_release(&self.daemon).await;
+        }
         let max_buffered_bytes = self.daemon.cfg.limits.buffered_body_bytes;
         let mut buffered = BytesMut::new();
         let mut first = Bytes::new();
@@ -201,15 +206,10 @@
                 return self.stream_rest(response, offset).await;
             }
         }
-        if self.is_not_run(&response) {
-            self.report_end(Outcome::Rejected);
-            self.reply_sender.refuse(RefuseReason::Rejected);
-        } else {
-            self.report(admission::Event::ResponseStarted(self.ticket, status));
-            self.report_end(Outcome::Whole(status));
-            let body = join(first, buffered);
-            self.send_complete(status, &response.headers, body).await;
-        }
+        self.report(admission::Event::ResponseStarted(self.ticket, status));
+        self.report_end(Outcome::Whole(status));
+        let body = join(first, buffered);
+        self.send_complete(status, &response.headers, body).await;
         response.release(&self.daemon).await;
     }
 
