--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -307,9 +307,9 @@
         .filter(|a| !a.ip().is_loopback() && !trusted_network);
     if let (None, Some(address)) = (&token_file, address) {
         let problem = format!("the operators listener on {address} has no token");
-        let valid = "[operators] token-file = PATH, or a loopback address".to_owned();
+        let valid = "[operators] token-file = PATH, trusted-network = yes, or a loopback address";
         let listen = reader.section("listen");
-        listen.add_finding("operators", problem, valid);
+        listen.add_finding("operators", problem, valid.to_owned());
     }
     OperatorSettings {
         token_file,
