Report a locked data folder as locked by another process

Test: open_locked_folder, which now reads the text and failed before; it asked for any I/O error, which said less.

--- a/crates/replica/src/disk/error.rs
+++ b/crates/replica/src/disk/error.rs
@@ -15,6 +15,11 @@
         /// Kind of I/O error.
         kind: ErrorKind,
     },
+    /// Another process uses the folder.
+    Locked {
+        /// Lock file of the folder.
+        path: String,
+    },
     /// Synced data is missing or has changed.
     Corrupt {
         /// File or folder.
@@ -33,6 +38,7 @@
         match self {
             Self::Full => write!(f, "disk full or quota exceeded"),
             Self::Io { path, kind } => write!(f, "I/O error on {path}: {kind}"),
+            Self::Locked { path } => write!(f, "{path} is locked by another process"),
             Self::Corrupt {
                 path,
                 offset,
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -3,6 +3,7 @@
 use super::error::DiskError;
 use super::format::TEMPORARY_SUFFIX;
 use rustix::fs::{FlockOperation, flock};
+use rustix::io::Errno;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
 use std::path::Path;
@@ -116,6 +117,11 @@
         .open(path)
         .map_err(|e| io_error(path, &e))?;
     let locked = flock(&f, FlockOperation::NonBlockingLockExclusive);
-    locked.map_err(|e| io_error(path, &e.into()))?;
-    Ok(f)
+    match locked {
+        Ok(()) => Ok(f),
+        Err(Errno::WOULDBLOCK) => Err(DiskError::Locked {
+            path: path.display().to_string(),
+        }),
+        Err(error) => Err(io_error(path, &error.into())),
+    }
 }
--- a/crates/replica/tests/disk.rs
+++ b/crates/replica/tests/disk.rs
@@ -119,7 +119,8 @@
 fn open_locked_folder() {
     let dir = tempfile::tempdir().unwrap();
     let _disk = open(dir.path());
-    assert!(matches!(reopen(dir.path()), Err(DiskError::Io { .. })));
+    let error = reopen(dir.path()).unwrap_err();
+    assert!(error.to_string().contains("another process"), "{error}");
 }
 
 #[test]
