Bound the report of convictions to a new leader, and name its parts

A daemon that holds many convictions reported all of them after an election; the leader keeps 64. Field comments and a clearer name beside it. The tests of crashing_requests pass; no test covers the bound.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -72,7 +72,9 @@
     receiver: TransferReceiver,
     homes: Vec<QuotaHome>,
     convicted: BTreeMap<Fingerprint, Conviction>,
+    /// Requests whose crashes the leader counts, by its last reply.
     counted: Vec<CountedSuspect>,
+    /// Requests that the leader acquitted, by its last reply.
     acquitted: Vec<Fingerprint>,
     replicas: Replicas,
     leader: Option<CompactString>,
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -15,6 +15,8 @@
 
 /// Maximum number of convictions kept.
 const MAX_CONVICTED: usize = 1_024;
+/// Maximum number of convictions reported to a new leader, as many as a reply lists.
+const MAX_REPORTED: usize = 64;
 
 impl Agent {
     /// Applies a confirmed reply. It renews the freshness only if the
@@ -104,6 +106,7 @@
         let unknown = self.convicted.iter();
         let unknown = unknown.filter(|(fingerprint, _)| !published.contains(fingerprint));
         let states: Vec<SuspectState> = unknown
+            .take(MAX_REPORTED)
             .map(|(fingerprint, conviction)| SuspectState {
                 fingerprint: *fingerprint,
                 verdict: Verdict::Convicted.into(),
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -156,11 +156,14 @@
                 since,
             )
         });
-        let is_near = |fingerprint: &Fingerprint, count: &CrashCount| {
+        let is_nearly_convicted = |fingerprint: &Fingerprint, count: &CrashCount| {
             count.total() + 1 == CONVICTING_CRASHES && !self.convicted.contains_key(fingerprint)
         };
-        let near = self.counts.iter().filter(|(f, count)| is_near(f, count));
-        let near = near.take(MAX_PUBLISHED).map(|(fingerprint, count)| {
+        let suspected = self
+            .counts
+            .iter()
+            .filter(|(f, count)| is_nearly_convicted(f, count));
+        let suspected = suspected.take(MAX_PUBLISHED).map(|(fingerprint, count)| {
             state(
                 *fingerprint,
                 Verdict::Suspected,
@@ -172,7 +175,7 @@
             let expires = expires_at.saturating_sub(now);
             state(*fingerprint, Verdict::Acquitted, expires, None)
         });
-        convicted.chain(near).chain(acquitted).collect()
+        convicted.chain(suspected).chain(acquitted).collect()
     }
 }
 
