Count a crash only when the upstream has ended for certain

What callers would see: a request that was in flight at broken connections of live upstreams is refused.

Cause: one refused connection within a second after a break counted as the end of the upstream. An overloaded upstream resets connections and refuses some. Change: it must refuse all connections for 60 ms, with no response in between; a response clears the breaks before it, but for those of the last 50 ms, which may be handled late, and a break clears earlier refusals.

Ruled out: a longer wait alone, which slow upstreams outlast. Test: refused_connection_of_live_upstream_is_no_crash, which failed before.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -132,6 +132,7 @@
             Event::Ended(ticket, outcome) => self.on_ended(ticket, outcome, cx),
             Event::Announced(announcement) => self.announce(announcement, cx),
             Event::Reported(report) => {
+                self.record_upstream_response(cx);
                 self.gate.record_report(cx.now, report);
                 self.notify_entries(cx);
             }
@@ -396,6 +397,9 @@
 
     fn on_ended(&mut self, ticket: Ticket, outcome: Outcome, cx: &mut Cx<'_>) {
         self.gate.finish(cx.now, ticket, outcome);
+        if matches!(outcome, Outcome::Whole(_) | Outcome::Rejected) {
+            self.record_upstream_response(cx);
+        }
         let Some(job) = self.jobs.remove(ticket) else {
             return;
         };
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -6,7 +6,8 @@
 //! convicted and refused everywhere; if it completes, the request is acquitted.
 //!
 //! Where suspected requests are not isolated, a gate counts the crashes at which each
-//! request was in flight and reports the counts to the control leader. The leader
+//! request was in flight and reports the counts to the control leader. A crash is a new
+//! start, or refused connections without any response in between. The leader
 //! convicts a request by the sum over all gates. Any gate at which the request has run
 //! to its end since the first of these crashes has it acquitted.
 
@@ -47,12 +48,24 @@
     }
 
     /// Handles a refused connection: the requests that broke just before may
-    /// have crashed the upstream.
+    /// have crashed the upstream. Where crashes are counted, the upstream must have
+    /// ended for certain.
     pub(super) fn connection_refused(&mut self, cx: &mut Cx<'_>) {
+        let ended = self.suspects.record_refusal(cx.now);
+        if !ended && !self.isolate_suspects {
+            return;
+        }
         let suspects = self.suspects.take_recent_breaks(cx.now);
         self.record_crash(suspects, cx);
     }
 
+    /// Handles a response of the upstream, which has not ended then.
+    pub(super) fn record_upstream_response(&mut self, cx: &Cx<'_>) {
+        if !self.isolate_suspects {
+            self.suspects.record_response(cx.now);
+        }
+    }
+
     /// Handles a restart of the upstream that lost these requests in flight.
     pub(super) fn upstream_restarted(&mut self, lost: Vec<Job>, cx: &mut Cx<'_>) {
         let mut suspects = self.suspects.take_recent_breaks(cx.now);
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -14,6 +14,13 @@
 /// Time within which broken connections count as one crash.
 pub(super) const CRASH_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time within which the connections of an upstream that ended are seen to break. A
+/// response that is handled in this time may have arrived before the end.
+const BREAK_SPREAD: Duration = Duration::from_millis(50);
+/// Time for which an upstream must refuse all connections before it counts as ended: an
+/// overloaded one refuses some.
+const REFUSAL_CONFIRMATION: Duration = Duration::from_millis(60);
+
 #[derive(Clone, Debug)]
 struct SuspectRecord {
     convicted: bool,
@@ -38,6 +45,8 @@
     records: BTreeMap<Fingerprint, SuspectRecord>,
     /// Requests whose connections broke while others continued.
     recent_breaks: Vec<(Duration, Fingerprint)>,
+    /// First refused connection since the upstream last responded.
+    refused_since: Option<Duration>,
 }
 
 impl Suspects {
@@ -105,6 +114,9 @@
         fingerprint: Fingerprint,
         is_last: bool,
     ) -> Vec<Fingerprint> {
+        // A connection was open since, so the refusals before it were no end.
+        let earlier = |since: Duration| now.saturating_sub(since) >= BREAK_SPREAD;
+        self.refused_since = self.refused_since.filter(|since| !earlier(*since));
         self.recent_breaks.push((now, fingerprint));
         if is_last {
             self.take_recent_breaks(now)
@@ -113,6 +125,20 @@
         }
     }
 
+    /// Records a response of the upstream: what broke before was no crash.
+    pub(super) fn record_response(&mut self, now: Duration) {
+        self.refused_since = None;
+        self.recent_breaks
+            .retain(|(at, _)| now.saturating_sub(*at) < BREAK_SPREAD);
+    }
+
+    /// Records that the upstream refused a connection; returns whether it has refused
+    /// connections for so long, without a response, that it has ended.
+    pub(super) fn record_refusal(&mut self, now: Duration) -> bool {
+        let since = *self.refused_since.get_or_insert(now);
+        now.saturating_sub(since) >= REFUSAL_CONFIRMATION
+    }
+
     /// Returns, and clears, the requests whose connections broke shortly before
     /// the upstream was found to have crashed.
     pub(super) fn take_recent_breaks(&mut self, now: Duration) -> Vec<Fingerprint> {
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::Simulation;
-use gate::{Outcome, Ticket};
+use gate::{LoadReport, Outcome, Ticket};
 use node::admission::{self, Arrival, Effect};
 use node::{Event, entry};
 use std::collections::BTreeMap;
@@ -346,6 +346,38 @@
     );
 }
 
+/// Guards against an overloaded upstream that is taken for one that ended: it resets
+/// connections and refuses new ones, and responds in between.
+#[test]
+fn refused_connection_of_live_upstream_is_no_crash() {
+    let mut fleet = Fleet::new(10);
+    let report = LoadReport {
+        in_flight: 0,
+        limit: None,
+        cold_remaining: None,
+        slow_percent: Some(700),
+    };
+    for _ in 0..8 {
+        let ticket = fleet.send(0, POPULAR);
+        fleet.end(0, ticket, Outcome::Broken);
+        fleet.run(REPORT_INTERVAL);
+        fleet.gate_event(0, admission::Event::ConnectionRefused);
+        fleet.run(REPORT_INTERVAL);
+        fleet.gate_event(0, admission::Event::Reported(report));
+        fleet.run(REPORT_INTERVAL);
+        fleet.gate_event(0, admission::Event::ConnectionRefused);
+        fleet.run(REPORT_INTERVAL);
+        fleet.gate_event(0, admission::Event::ConnectionRefused);
+        fleet.run(Duration::from_secs(1));
+    }
+    assert!(fleet.convicted.is_empty());
+    let logs = fleet.sim.daemons.iter().flat_map(|d| &d.logs);
+    assert!(
+        logs.into_iter()
+            .all(|line| line.event != "upstream_crashed")
+    );
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
