--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -351,3 +351,41 @@
     tick(&mut agent, ms(2_000));
     assert!(agent.convicted(7));
 }
+
+/// Guards against reports to a new leader that grow with what a daemon holds.
+#[test]
+fn convictions_reported_to_a_new_leader_are_limited() {
+    let mut agent = confirmed_agent();
+    let states = (0..200).map(|fingerprint| SuspectState {
+        fingerprint,
+        verdict: Verdict::Convicted as i32,
+        expires_ms: 60_000,
+        ..SuspectState::default()
+    });
+    let suspect = Suspect {
+        states: states.collect(),
+        ..Suspect::default()
+    };
+    let kind = control_request::Kind::Suspect(suspect);
+    agent.request(ms(0), Requester::Detached, kind, &mut Vec::new());
+    let (_, _, heartbeat) = next_heartbeat(&mut agent, ms(2_000));
+    let reply = HeartbeatReply {
+        term: 9,
+        ..confirmed(heartbeat.sequence, 1, None)
+    };
+    let mut tx = Vec::new();
+    agent.heartbeat_reply(ms(2_010), reply, &mut tx);
+    let reported = tx.iter().find_map(|effect| match effect {
+        Effect::Send {
+            body: Body::ControlRequest(request),
+            ..
+        } => match &request.kind {
+            Some(control_request::Kind::Suspect(suspect)) if request.id > 1 => {
+                Some(suspect.states.len())
+            }
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(reported, Some(64));
+}
