--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -49,7 +49,7 @@
 
     /// Handles a refused connection: the requests that broke just before may
     /// have crashed the upstream. Where crashes are counted, the upstream must have
-    /// ended for certain.
+    /// refused connections for a while.
     pub(super) fn connection_refused(&mut self, cx: &mut Cx<'_>) {
         let ended = self.suspects.record_refusal(cx.now);
         if !ended && !self.isolate_suspects {
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -133,7 +133,7 @@
     }
 
     /// Records that the upstream refused a connection; returns whether it has refused
-    /// connections for so long, without a response, that it has ended.
+    /// connections for so long, without a response, that it counts as ended.
     pub(super) fn record_refusal(&mut self, now: Duration) -> bool {
         let since = *self.refused_since.get_or_insert(now);
         now.saturating_sub(since) >= REFUSAL_CONFIRMATION
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -374,6 +374,31 @@
     assert_eq!(fleet.logged("upstream_crashed"), 0);
 }
 
+/// Guards against a conviction for crashes that were none: an overloaded upstream refuses
+/// connections for a while, responds again and has not started anew.
+#[test]
+fn refusals_without_new_start_convict_nothing() {
+    let mut fleet = Fleet::new(11);
+    let report = LoadReport {
+        in_flight: 0,
+        limit: None,
+        cold_remaining: None,
+        slow_percent: Some(700),
+    };
+    for gate in 0..3 {
+        let ticket = fleet.send(gate, POPULAR);
+        fleet.end(gate, ticket, Outcome::Broken);
+        for _ in 0..3 {
+            fleet.gate_event(gate, admission::Event::ConnectionRefused);
+            fleet.run(REPORT_INTERVAL);
+        }
+        fleet.gate_event(gate, admission::Event::Reported(report));
+        fleet.run(Duration::from_secs(1));
+    }
+    fleet.send(3, POPULAR);
+    assert!(!fleet.convicted.contains(&POPULAR));
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
