Log by which configuration a request was handled, and when control is lost

No log line said by which version a request was handled, how old that version's confirmation was, or that a daemon lost control and regained it, so none of the three hypotheses could be told from another.

Change: the line of a request carries config_version, routing_version and confirmed_ms, read under the lock under which the reducer decides it; an agent logs control_lost after two heartbeat intervals without a confirmation, and control_regained with the leader and the time between. explain shows them.

The new test of the agent names the time of the loss (2 s with the interval of 1 s); it cannot have passed before, as the lines did not exist.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -4,6 +4,7 @@
 //! of the fleet that the replies bring, and forwards requests to the leader. A
 //! daemon takes new work only while a recent reply confirms its state.
 
+mod confirmation;
 mod heartbeats;
 mod replicas;
 mod requests;
@@ -13,7 +14,8 @@
 use crate::millis::millis;
 use compact_str::{CompactString, ToCompactString};
 use conf::{Settings, TransferReceiver};
-use fleet::{FleetView, Freshness, ServiceView, homes_hash};
+use confirmation::Confirmation;
+use fleet::{FleetView, ServiceView, homes_hash};
 use heartbeats::{Heartbeats, SentHeartbeat};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -23,8 +25,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wire::{
-    Announcement, Body, ControlReply, DataCentreId, Fingerprint, Heartbeat, HeartbeatReply,
-    LinkKind, QuotaHome, Term, UpstreamId, control_reply, control_request,
+    Announcement, Body, ConfigVersion, ControlReply, DataCentreId, Fingerprint, Heartbeat,
+    HeartbeatReply, LinkKind, QuotaHome, Term, UpstreamId, control_reply, control_request,
 };
 
 pub use conf::Configuration;
@@ -52,6 +54,17 @@
     pub reply: Option<control_reply::Kind>,
 }
 
+/// The configuration that a request is decided by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigBasis {
+    /// Version of the configuration.
+    pub version: ConfigVersion,
+    /// Version that operators gave its routing, or 0 without routing.
+    pub routing_version: u64,
+    /// Age of the control leader's newest confirmation, or `None` before the first.
+    pub confirmed: Option<Duration>,
+}
+
 /// A daemon's client of the control plane.
 #[derive(Debug)]
 pub struct Agent {
@@ -66,7 +79,7 @@
     started: Option<Duration>,
     last_tick: Duration,
     term: Term,
-    freshness: Freshness,
+    confirmation: Confirmation,
     serve_stale: bool,
     view: FleetView,
     receiver: TransferReceiver,
@@ -116,7 +129,7 @@
             started: None,
             last_tick: Duration::ZERO,
             term: 0,
-            freshness: Freshness::new(control.lease),
+            confirmation: Confirmation::new(control.lease, control.heartbeat_interval),
             serve_stale: control.serve_stale,
             view: FleetView::default(),
             receiver: TransferReceiver::default(),
@@ -137,15 +150,26 @@
     /// an older confirmation is sufficient.
     #[must_use]
     pub fn may_serve(&self, now: Duration) -> bool {
-        let confirmed = self.freshness.age(now).is_some();
-        self.config.version > 0 && (self.freshness.is_fresh(now) || self.serve_stale && confirmed)
+        let confirmed = self.confirmation.age(now).is_some();
+        let fresh = self.confirmation.is_fresh(now);
+        self.config.version > 0 && (fresh || self.serve_stale && confirmed)
     }
 
     /// Returns the age of the last confirmation by the control leader, counted
     /// from when the confirmed heartbeat was sent.
     #[must_use]
     pub fn freshness_age(&self, now: Duration) -> Option<Duration> {
-        self.freshness.age(now)
+        self.confirmation.age(now)
+    }
+
+    /// Returns the configuration that decides requests now, for their log lines.
+    #[must_use]
+    pub fn config_basis(&self, now: Duration) -> ConfigBasis {
+        ConfigBasis {
+            version: self.config.version,
+            routing_version: self.config.routing.content().version,
+            confirmed: self.confirmation.age(now),
+        }
     }
 
     /// Returns whether operators have taken an upstream or its data centre out
@@ -253,6 +277,8 @@
         if self.heartbeats.is_due(now) {
             self.send_heartbeat(now, tx);
         }
+        let target = self.replicas.target().map_or("none", |t| t.as_str());
+        self.confirmation.tick(now, target, self.config.version, tx);
         let expired = self.requests.expire(now);
         self.send_requests(now, tx);
         expired
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -44,7 +44,9 @@
         if reply.config_version < sent.config_version {
             tx.push(version_lost(sent.config_version, reply.config_version));
         } else if self.config.version >= reply.config_version {
-            self.freshness.confirm(sent.at);
+            let version = self.config.version;
+            self.confirmation
+                .confirm(now, sent.at, &sent.target, version, tx);
         }
     }
 
@@ -56,7 +58,13 @@
                 tx.push(Effect::Log(LogLine {
                     level: Level::Info,
                     event: "config_in_force",
-                    pairs: vec![("version", self.config.version.to_string())],
+                    pairs: vec![
+                        ("version", self.config.version.to_string()),
+                        (
+                            "routing_version",
+                            self.config.routing.content().version.to_string(),
+                        ),
+                    ],
                 }));
             }
             Ok(PageOutcome::Incomplete) => self.heartbeats.schedule_now(),
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -145,6 +145,42 @@
     assert!(!agent.may_serve(LEASE));
 }
 
+/// Guards against a daemon that loses control without a trace in its log.
+#[test]
+fn tick_reports_once_that_control_is_lost_and_regained() {
+    let mut agent = confirmed_agent();
+    let mut events = Vec::new();
+    let mut last = None;
+    for n in 0..200 {
+        let mut tx = Vec::new();
+        agent.tick(ms(n * 20), &mut tx);
+        for effect in tx {
+            match effect {
+                Effect::Log(line) => events.push((ms(n * 20), line)),
+                Effect::Send {
+                    body: Body::Heartbeat(heartbeat),
+                    ..
+                } => last = Some(heartbeat.sequence),
+                _ => {}
+            }
+        }
+    }
+    let [(at, line)] = &events[..] else {
+        panic!("{events:?}");
+    };
+    assert_eq!((*at, line.event), (ms(2_000), "control_lost"));
+    assert!(line.pairs.contains(&("confirmed_ms", "2000".to_owned())));
+    let reply = confirmed(last.unwrap(), 1, None);
+    let mut tx = Vec::new();
+    agent.heartbeat_reply(ms(4_000), reply, &mut tx);
+    let regained = tx.iter().any(|effect| {
+        matches!(effect, Effect::Log(line) if line.event == "control_regained"
+            && line.pairs.contains(&("unconfirmed_ms", "4000".to_owned())))
+    });
+    assert!(regained, "{tx:?}");
+    assert_eq!(agent.config_basis(ms(4_000)).version, 1);
+}
+
 #[test]
 fn announce_is_sent_immediately_but_at_minimum_interval() {
     let mut agent = confirmed_agent();
--- a/crates/plumhitch/src/explain.rs
+++ b/crates/plumhitch/src/explain.rs
@@ -109,13 +109,17 @@
             field("slow_percent"),
         ),
         "request" => format!(
-            "final response: {} {} {} status {} after {} us and {} attempts",
+            "final response: {} {} {} status {} after {} us and {} attempts, by configuration {} \
+             (routing {}), confirmed {} ms before",
             field("outcome"),
             field("reason"),
             field("run"),
             field("status"),
             field("took_us"),
             field("attempts"),
+            field("config_version"),
+            field("routing_version"),
+            field("confirmed_ms"),
         ),
         "upstream_crashed" => format!(
             "the upstream ended; in flight were the requests with fingerprints {}",
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -9,6 +9,7 @@
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx, TaskTx, UploadError};
 use bytes::Bytes;
 use node::Event;
+use node::agent::ConfigBasis;
 use node::entry::{self, Effect, Refusal};
 use std::io;
 use std::sync::Arc;
@@ -79,9 +80,11 @@
         Self { inner: Some(inner) }
     }
 
-    /// Records that the request was passed to the reducer.
-    pub(super) fn mark_arrived(&self) {
-        if let Some(inner) = &self.inner {
+    /// Records that the request was passed to the reducer, and the configuration
+    /// that decided it.
+    pub(super) fn mark_arrived(&mut self, basis: ConfigBasis) {
+        if let Some(inner) = &mut self.inner {
+            inner.record.basis = basis;
             inner.record.mark_arrived();
         }
     }
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -5,6 +5,7 @@
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::UploadError;
 use compact_str::CompactString;
+use node::agent::ConfigBasis;
 use node::entry::{self, Reason, Refusal};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,6 +29,8 @@
     pub(super) fingerprint: Fingerprint,
     pub(super) attempts: AttemptId,
     pub(super) status: u16,
+    /// Configuration that decided the request.
+    pub(super) basis: ConfigBasis,
     outcome: &'static str,
     reason: &'static str,
     run: &'static str,
@@ -53,6 +56,7 @@
             fingerprint: 0,
             attempts: 0,
             status: 0,
+            basis: ConfigBasis::default(),
             outcome: "caller-gone",
             reason: "",
             run: "",
@@ -117,10 +121,17 @@
         );
     }
 
+    /// Returns the age of the confirmation in milliseconds, or -1 without one.
+    fn confirmed_ms(&self) -> i64 {
+        let age = self.basis.confirmed.map(|age| age.as_millis());
+        age.map_or(-1, |ms| i64::try_from(ms).unwrap_or(i64::MAX))
+    }
+
     fn log(&self) {
         log::info!(
             "event=request id={} attempt_id={} fingerprint={:016x} customer={:?} service={:?} \
-             class={:?} outcome={} reason={} run={} status={} attempts={} upstream={} took_us={}",
+             class={:?} outcome={} reason={} run={} status={} attempts={} upstream={} \
+             config_version={} routing_version={} confirmed_ms={} took_us={}",
             self.id,
             self.attempt_id,
             self.fingerprint,
@@ -133,6 +144,9 @@
             self.status,
             self.attempts,
             self.upstream,
+            self.basis.version,
+            self.basis.routing_version,
+            self.confirmed_ms(),
             self.started_at.elapsed().as_micros(),
         );
     }
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -11,7 +11,6 @@
 use crate::runtime::{Daemon, lock};
 use http1::RequestHead;
 use node::entry::{Request as NodeRequest, RunState};
-use node::{Event, entry};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -84,8 +83,8 @@
         body_buffered: body.rest.is_none(),
     };
     let outgoing = OutgoingRequest::new(inbound, body.start, fingerprint, request.body_buffered);
-    let driver = Driver::new(daemon.clone(), record, (tx, rx), outgoing, body.rest);
-    daemon.handle_event(Event::Entry(entry::Event::Arrived(request)));
-    driver.mark_arrived();
+    let mut driver = Driver::new(daemon.clone(), record, (tx, rx), outgoing, body.rest);
+    let basis = daemon.handle_arrival(request);
+    driver.mark_arrived(basis);
     driver
 }
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -12,6 +12,7 @@
 use crate::task_messages::{TaskMessage, TaskTx};
 use conf::Settings;
 use gate::Ticket;
+use node::agent::ConfigBasis;
 use node::{Effect, Event, Node, NodeOptions, Policy, admission, entry};
 use replica::Replica;
 use std::collections::{BTreeSet, HashMap};
@@ -191,9 +192,22 @@
     /// Passes an event to the reducer and executes its effects in order. Nothing
     /// here blocks, and the lock is held until the last effect has been queued.
     pub(crate) fn handle_event(self: &Arc<Self>, event: Event) {
-        let mut effects = Vec::new();
+        self.step(&mut lock(&self.node), clock::now(), event);
+    }
+
+    /// Passes a caller's request to the reducer; returns the configuration that
+    /// decided it.
+    pub(crate) fn handle_arrival(self: &Arc<Self>, request: entry::Request) -> ConfigBasis {
         let mut node = lock(&self.node);
-        node::step(&mut node, clock::now(), event, &mut effects);
+        let now = clock::now();
+        let basis = node.agent.config_basis(now);
+        self.step(&mut node, now, Event::Entry(entry::Event::Arrived(request)));
+        basis
+    }
+
+    fn step(self: &Arc<Self>, node: &mut Node, now: Duration, event: Event) {
+        let mut effects = Vec::new();
+        node::step(node, now, event, &mut effects);
         effects.into_iter().for_each(|effect| self.execute(effect));
     }
 
