Try writes again that a full disk refused, and go on when it has space

Cause: any failed write ended the control replica's part until its process restarted, and nothing restarts it. Each short spell of a full disk took one replica out for good. Two spells of two disks each, never more than two full at a time, leave a group of five without a majority while all processes run and all disks have space. Daemons serve on with what they have (serve-stale) and cannot learn of a version acknowledged just before. Class of fault: state that outlives the passing fault which caused it.

Change: a write that fails for want of space is undone (a partial append cut off, a new file removed) and tried again every 200 ms. The replica sees a disk that takes long, which it handles already. The first segment is started with the first write, so a start while the disk is full does not fail either. Errors of other kinds end the replica as before: after a failed sync it is unknown what the disk holds.

New: perform_waits_for_space.

Ruled out: ending the process, which fails again at its start while the disk is full.

--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -1,5 +1,6 @@
 //! The thread that writes and syncs the control replica's files.
 
+use crate::clock;
 use crate::runtime::Daemon;
 use conf::Settings;
 use node::Event;
@@ -8,11 +9,15 @@
 use std::path::Path;
 use std::sync::{Arc, mpsc};
 use std::thread;
+use std::time::Duration;
 use tokio::runtime::Handle;
 
 /// Heartbeats of a leader per minimum election timeout.
 const HEARTBEATS_PER_ELECTION: u32 = 4;
 
+/// Time after which a write is tried again for which the disk had no space.
+const SPACE_RETRY: Duration = Duration::from_millis(200);
+
 /// Queue of disk operations.
 pub(crate) type DiskTx = mpsc::Sender<DiskOp>;
 
@@ -44,7 +49,7 @@
         options.initial_voters = others.clone().collect();
     }
     options.configured_replicas = others.filter(|address| *address != own).collect();
-    Replica::new(options, recovered, crate::clock::now())
+    Replica::new(options, recovered, clock::now())
 }
 
 /// Starts the disk thread. Operations that queue up meanwhile share one sync.
@@ -65,7 +70,13 @@
         while let Ok(first) = rx.recv() {
             let mut ops = vec![first];
             ops.extend(rx.try_iter());
-            for done in disk.perform_batch(ops) {
+            let mut full_since = None;
+            let done = disk.perform_batch(ops, || wait_for_space(&mut full_since));
+            if let Some(since) = full_since {
+                let ms = clock::now().saturating_sub(since).as_millis();
+                log::info!("event=disk_writable full_ms={ms}");
+            }
+            for done in done {
                 daemon.handle_event(Event::DiskDone(done));
             }
         }
@@ -73,3 +84,12 @@
     thread::Builder::new().name("disk".into()).spawn(run)?;
     Ok(())
 }
+
+/// Waits before a write is tried again for which the disk had no space.
+fn wait_for_space(full_since: &mut Option<Duration>) {
+    if full_since.is_none() {
+        log::error!("event=disk_full retry_ms={}", SPACE_RETRY.as_millis());
+        *full_since = Some(clock::now());
+    }
+    thread::sleep(SPACE_RETRY);
+}
--- a/crates/replica/examples/log_rate.rs
+++ b/crates/replica/examples/log_rate.rs
@@ -15,6 +15,7 @@
 const RUN_TIME: Duration = Duration::from_secs(2);
 const REOPEN_ENTRIES: [u64; 3] = [1_000, 10_000, 50_000];
 const REOPEN_BATCH: u64 = 500;
+const FULL_DISK_WAIT: Duration = Duration::from_millis(200);
 const NO_SNAPSHOTS: u64 = u64::MAX;
 const DEFAULT_SNAPSHOTS: u64 = 10_000;
 
@@ -75,7 +76,9 @@
                     _ => {}
                 }
             }
-            let done = self.disk.perform_batch(ops);
+            let done = self
+                .disk
+                .perform_batch(ops, || std::thread::sleep(FULL_DISK_WAIT));
             inputs.extend(done.into_iter().map(Input::DiskDone));
         }
     }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -21,6 +21,11 @@
 //! therefore a torn write only if nothing follows it; anywhere else it is
 //! corruption. A changed byte in the last frame cannot be distinguished from a
 //! torn write.
+//!
+//! A write for which the disk has no space is undone and tried again until there is
+//! space. To the replica this is a disk that takes long: it must not end its part in
+//! the cluster, because the other replicas' disks may fill up next. Any other error
+//! does, since what a failed sync has left on the disk is unknown.
 
 mod error;
 mod file;
@@ -54,7 +59,8 @@
 pub struct Disk {
     folder: PathBuf,
     segments: Vec<Segment>,
-    active: File,
+    /// The segment being written; `None` until the first write after the start.
+    active: Option<File>,
     active_bytes: usize,
     term_index: TermIndex,
     snapshot: Option<u64>,
@@ -74,43 +80,46 @@
         let lock = lock(&path.join(LOCK_NAME))?;
         let FolderContents {
             recovered,
-            mut segments,
+            segments,
         } = recover(path)?;
         let snapshot = recovered.snapshot.as_ref();
-        let term_index = TermIndex::new(snapshot, &recovered.entries);
-        let (active, active_bytes) = start_segment(path, &mut segments, &term_index)?;
-        let mut disk = Self {
+        let disk = Self {
             folder: path.to_owned(),
             segments,
-            active,
-            active_bytes,
-            term_index,
+            active: None,
+            active_bytes: 0,
+            term_index: TermIndex::new(snapshot, &recovered.entries),
             snapshot: snapshot.map(|s| s.index),
             failed: false,
             _lock: lock,
         };
-        disk.remove_covered_segments()?;
         Ok((disk, recovered))
     }
 
-    /// Performs one operation and syncs it.
-    pub fn perform(&mut self, op: DiskOp) -> DiskDone {
+    /// Performs one operation and syncs it. Calls `wait_for_space` before it tries a
+    /// write again for which the disk had no space.
+    pub fn perform(&mut self, op: DiskOp, wait_for_space: impl FnMut()) -> DiskDone {
         let id = op.id;
-        let result = self.perform_writes(vec![op.write]);
+        let result = self.perform_writes(vec![op.write], wait_for_space);
         DiskDone { id, result }
     }
 
     /// Performs operations in order with as few syncs as possible. Consecutive
     /// appends share a sync, and only the last of consecutive state updates is
-    /// written. Nothing more is written after an error.
-    pub fn perform_batch(&mut self, ops: Vec<DiskOp>) -> Vec<DiskDone> {
+    /// written. Calls `wait_for_space` before it tries a write again for which the
+    /// disk had no space. Nothing more is written after any other error.
+    pub fn perform_batch(
+        &mut self,
+        ops: Vec<DiskOp>,
+        mut wait_for_space: impl FnMut(),
+    ) -> Vec<DiskDone> {
         let mut ops = VecDeque::from(ops);
         let mut done = Vec::with_capacity(ops.len());
         while !ops.is_empty() {
             let (ids, writes): (Vec<u64>, Vec<DiskWrite>) = take_sync_group(&mut ops)
                 .map(|op| (op.id, op.write))
                 .unzip();
-            let result = self.perform_writes(writes);
+            let result = self.perform_writes(writes, &mut wait_for_space);
             done.extend(ids.into_iter().map(|id| DiskDone {
                 id,
                 result: result.clone(),
@@ -121,36 +130,61 @@
 
     /// Performs one write, several appends, or the last of several state
     /// updates.
-    fn perform_writes(&mut self, mut writes: Vec<DiskWrite>) -> Result<(), DiskError> {
+    fn perform_writes(
+        &mut self,
+        mut writes: Vec<DiskWrite>,
+        mut wait_for_space: impl FnMut(),
+    ) -> Result<(), DiskError> {
         if self.failed {
             return Err(DiskError::Stopped);
         }
-        let result = match writes.pop() {
-            Some(DiskWrite::State(state)) => self.save_state(&state),
-            Some(DiskWrite::Snapshot(snapshot)) => self.save_snapshot(&snapshot),
-            Some(append) => {
+        let write = match writes.pop() {
+            Some(append @ DiskWrite::Append(_)) => {
                 writes.push(append);
-                self.append(writes.into_iter().flat_map(entries_of).collect())
+                DiskWrite::Append(writes.into_iter().flat_map(entries_of).collect())
             }
-            None => Ok(()),
+            Some(write) => write,
+            None => return Ok(()),
         };
-        self.failed = result.is_err();
-        result
+        loop {
+            match self.write(&write) {
+                Err(DiskError::Full) => wait_for_space(),
+                result => {
+                    self.failed = result.is_err();
+                    return result;
+                }
+            }
+        }
+    }
+
+    /// Performs a write. After [`DiskError::Full`] it can be tried again.
+    fn write(&mut self, write: &DiskWrite) -> Result<(), DiskError> {
+        if self.active.is_none() {
+            self.start_segment()?;
+            self.remove_covered_segments()?;
+        }
+        match write {
+            DiskWrite::State(state) => self.save_state(state),
+            DiskWrite::Snapshot(snapshot) => self.save_snapshot(snapshot),
+            DiskWrite::Append(entries) => self.append(entries),
+        }
     }
 
-    fn append(&mut self, entries: Vec<LogEntry>) -> Result<(), DiskError> {
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), DiskError> {
         if self.active_bytes >= SEGMENT_BYTES {
             self.start_segment()?;
         }
-        let batch = Batch { entries };
-        let frame = encode_frame(&batch).ok_or(DiskError::Full)?;
-        let Some(segment) = self.segments.last_mut() else {
+        let batch = Batch {
+            entries: entries.to_vec(),
+        };
+        let frame = encode_frame(&batch).ok_or(DiskError::TooLong)?;
+        let (Some(segment), Some(active)) = (self.segments.last_mut(), &mut self.active) else {
             return Err(DiskError::Stopped);
         };
         let path = self.folder.join(segment_name(segment.sequence));
-        append(&mut self.active, &path, &frame)?;
+        append(active, &path, self.active_bytes, &frame)?;
         self.active_bytes += frame.len();
-        for entry in &batch.entries {
+        for entry in entries {
             segment.max_index = segment.max_index.max(entry.index);
             self.term_index.push(entry);
         }
@@ -158,12 +192,12 @@
     }
 
     fn save_state(&mut self, state: &HardState) -> Result<(), DiskError> {
-        let frame = encode_frame(state).ok_or(DiskError::Full)?;
+        let frame = encode_frame(state).ok_or(DiskError::TooLong)?;
         replace(&self.folder, STATE_NAME, &frame)
     }
 
     fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), DiskError> {
-        let frame = encode_frame(snapshot).ok_or(DiskError::Full)?;
+        let frame = encode_frame(snapshot).ok_or(DiskError::TooLong)?;
         replace(&self.folder, &snapshot_name(snapshot.index), &frame)?;
         if !self.term_index.contains(snapshot.index, snapshot.term) {
             self.term_index = TermIndex::at(snapshot.index, snapshot.term);
@@ -178,7 +212,9 @@
 
     fn start_segment(&mut self) -> Result<(), DiskError> {
         let started = start_segment(&self.folder, &mut self.segments, &self.term_index)?;
-        (self.active, self.active_bytes) = started;
+        let (active, len) = started;
+        self.active = Some(active);
+        self.active_bytes = len;
         Ok(())
     }
 
@@ -213,7 +249,7 @@
         prev_index,
         prev_term,
     };
-    let frame = encode_frame(&header).ok_or(DiskError::Full)?;
+    let frame = encode_frame(&header).ok_or(DiskError::TooLong)?;
     let sequence = segments.last().map_or(1, |s| s.sequence + 1);
     let f = create(&folder.join(segment_name(sequence)), &frame)?;
     segments.push(Segment {
--- a/crates/replica/src/disk/error.rs
+++ b/crates/replica/src/disk/error.rs
@@ -6,8 +6,10 @@
 /// Reason why a data folder cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DiskError {
-    /// The disk is full, a quota is exceeded or the data is too long for a frame.
+    /// The disk has no space, or a quota or a limit on the length of files is exceeded.
     Full,
+    /// The data is too long for a frame.
+    TooLong,
     /// Reading, writing or syncing failed.
     Io {
         /// File or folder.
@@ -37,6 +39,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Full => write!(f, "disk full or quota exceeded"),
+            Self::TooLong => write!(f, "data too long for one frame"),
             Self::Io { path, kind } => write!(f, "I/O error on {path}: {kind}"),
             Self::Locked { path } => write!(f, "{path} is locked by another process"),
             Self::Corrupt {
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -11,7 +11,9 @@
 /// Converts an I/O error into a [`DiskError`].
 pub(super) fn io_error(path: &Path, error: &io::Error) -> DiskError {
     match error.kind() {
-        ErrorKind::StorageFull | ErrorKind::QuotaExceeded => DiskError::Full,
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
+            DiskError::Full
+        }
         kind => DiskError::Io {
             path: path.display().to_string(),
             kind,
@@ -75,23 +77,31 @@
 }
 
 /// Creates a new file with the given contents and syncs the file and its
-/// folder.
+/// folder. Removes the file if that fails, so that it can be tried again.
 pub(super) fn create(path: &Path, bytes: &[u8]) -> Result<File, DiskError> {
     let f = OpenOptions::new().append(true).create_new(true).open(path);
-    let written = f.and_then(|mut f| {
-        f.write_all(bytes)?;
-        f.sync_all()?;
-        Ok(f)
-    });
-    let f = written.map_err(|e| io_error(path, &e))?;
-    path.parent().map_or(Ok(()), sync_folder)?;
-    Ok(f)
+    let mut f = f.map_err(|e| io_error(path, &e))?;
+    let written = f.write_all(bytes).and_then(|()| f.sync_all());
+    let written = written.map_err(|e| io_error(path, &e));
+    let synced = written.and_then(|()| path.parent().map_or(Ok(()), sync_folder));
+    match synced {
+        Ok(()) => Ok(f),
+        Err(error) => {
+            remove(path)?;
+            Err(error)
+        }
+    }
 }
 
-/// Appends to a file and syncs it.
-pub(super) fn append(f: &mut File, path: &Path, bytes: &[u8]) -> Result<(), DiskError> {
+/// Appends to a file of `len` bytes and syncs it. If that fails, cuts off what was
+/// written, so that it can be tried again.
+pub(super) fn append(f: &mut File, path: &Path, len: usize, bytes: &[u8]) -> Result<(), DiskError> {
     let written = f.write_all(bytes).and_then(|()| f.sync_data());
-    written.map_err(|e| io_error(path, &e))
+    let Err(error) = written else {
+        return Ok(());
+    };
+    f.set_len(len as u64).map_err(|e| io_error(path, &e))?;
+    Err(io_error(path, &error))
 }
 
 /// Replaces a file atomically: writes a temporary file, syncs it, renames it
--- a/crates/replica/tests/disk.rs
+++ b/crates/replica/tests/disk.rs
@@ -42,11 +42,15 @@
 
 fn perform(disk: &mut Disk, writes: Vec<DiskWrite>) {
     let ops = (1..).zip(writes).map(|(id, write)| DiskOp { id, write });
-    for done in disk.perform_batch(ops.collect()) {
+    for done in disk.perform_batch(ops.collect(), disk_is_full) {
         assert_eq!(done.result, Ok(()), "operation {}", done.id);
     }
 }
 
+fn disk_is_full() {
+    panic!("the disk is full");
+}
+
 fn open(folder: &Path) -> (Disk, Recovered) {
     Disk::open(folder).unwrap_or_else(|e| panic!("{e}"))
 }
@@ -325,7 +329,7 @@
         DiskWrite::Append(entries(3, 6..=6)),
     ];
     let ops = (1..).zip(writes).map(|(id, write)| DiskOp { id, write });
-    let done = disk.perform_batch(ops.collect());
+    let done = disk.perform_batch(ops.collect(), disk_is_full);
     let ids: Vec<u64> = done.iter().map(|d| d.id).collect();
     assert_eq!(ids, [1, 2, 3, 4, 5, 6]);
     assert!(done.iter().all(|d| d.result.is_ok()));
@@ -341,7 +345,7 @@
     let dir = tempfile::tempdir().unwrap();
     let (mut disk, _) = open(dir.path());
     fs::remove_dir_all(dir.path()).unwrap();
-    let mut op = |id, write| disk.perform(DiskOp { id, write }).result;
+    let mut op = |id, write| disk.perform(DiskOp { id, write }, disk_is_full).result;
     assert!(matches!(
         op(1, DiskWrite::State(STATE)),
         Err(DiskError::Io { .. })
@@ -349,3 +353,37 @@
     let stopped = op(2, DiskWrite::Append(entries(1, 1..=1)));
     assert_eq!(stopped, Err(DiskError::Stopped));
 }
+
+/// Guards against a replica that a full disk ends for good.
+#[test_case(DiskWrite::State(HardState { term: 7, ..STATE }), "state.tmp")]
+#[test_case(
+    DiskWrite::Snapshot(snapshot(3, 11)),
+    "snapshot-00000000000000000011.tmp"
+)]
+fn perform_waits_for_space(write: DiskWrite, written: &str) {
+    let dir = populated_folder();
+    let (mut disk, _) = open(dir.path());
+    let path = dir.path().join(written);
+    std::os::unix::fs::symlink("/dev/full", &path).unwrap();
+    let mut waits = 0;
+    let op = DiskOp {
+        id: 1,
+        write: write.clone(),
+    };
+    let done = disk.perform(op, || {
+        waits += 1;
+        if waits == 3 {
+            fs::remove_file(&path).unwrap();
+        }
+    });
+    assert_eq!((done.result, waits), (Ok(()), 3));
+    perform(&mut disk, vec![DiskWrite::Append(entries(8, 13..=14))]);
+    drop(disk);
+    let recovered = reopen(dir.path()).unwrap();
+    assert_eq!(recovered.entries.last(), Some(&entry(8, 14)));
+    match write {
+        DiskWrite::State(state) => assert_eq!(recovered.hard_state, Some(state)),
+        DiskWrite::Snapshot(snapshot) => assert_eq!(recovered.snapshot, Some(snapshot)),
+        DiskWrite::Append(_) => unreachable!(),
+    }
+}
