Ping silent connections to control and between replicas, and replace them

Callers of one daemon would see requests handled by an older configuration for seconds after a newer one was acknowledged.

Cause: only connections for requests were checked by pings. One to control or between replicas was kept until the kernel gave it up, 5 s after the first byte without an acknowledgement, or for good while the peer's kernel acknowledges. An agent whose reply is overdue asks the other replicas, which name the leader, and comes back to it over the same connection. The users count a daemon as in touch 3 s after a disruption and allow 2 s after the acknowledgement. The class is that of full disks: state, here a connection, that outlives the passing fault.

Change: each dialled connection is checked: 500 ms after a message without a byte in reply it is pinged, and closed 500 ms later. Connections for requests keep their times.

Ruled out: closing at an overdue heartbeat (takes a slow reply for silence), a shorter kernel timeout (does not see a peer whose kernel acknowledges).

--- a/crates/plumhitchd/src/links.rs
+++ b/crates/plumhitchd/src/links.rs
@@ -2,6 +2,7 @@
 //! demand, so that request bodies do not delay control traffic.
 
 mod accept;
+mod active_read;
 mod credit;
 mod dial;
 mod framing;
@@ -34,7 +35,7 @@
 /// Maximum time of one connection attempt: longer than the round trip to a peer,
 /// shorter than the one second after which the kernel retransmits a SYN.
 const DIAL_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Interval between liveness checks of connections with open requests.
+/// Interval between liveness checks of dialled connections.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(150);
 /// Maximum wait for a peer's `Hello` frame.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -104,15 +104,14 @@
     }
 }
 
-/// Checks the liveness of connections with open requests at regular intervals.
+/// Checks the liveness of the dialled connections at regular intervals.
 pub(crate) async fn monitor(daemon: Arc<Daemon>) {
     loop {
         tokio::time::sleep(LIVENESS_INTERVAL).await;
         let dialled = lock(&daemon.links.dialled);
-        let data = dialled
-            .iter()
-            .filter(|((_, kind), _)| *kind == LinkKind::Data);
-        data.for_each(|(_, link)| link.check_liveness());
+        for ((_, kind), link) in dialled.iter() {
+            link.check_liveness(*kind);
+        }
     }
 }
 
--- a/crates/plumhitchd/src/links/framing.rs
+++ b/crates/plumhitchd/src/links/framing.rs
@@ -1,6 +1,7 @@
 //! Reads and writes the frames of one connection and routes received frames.
 
 use super::HELLO_TIMEOUT;
+use super::active_read::ActiveRead;
 use super::link::Link;
 use super::stream::stream_of;
 use crate::gate_http;
@@ -150,6 +151,7 @@
     read: OwnedReadHalf,
     side: Side,
 ) -> LinkError {
+    let read = ActiveRead::new(read, link.clone());
     let mut frames = FramedRead::new(read, FrameCodec::new());
     let Ok(first) = timeout(HELLO_TIMEOUT, frames.next()).await else {
         return LinkError::NoHello;
@@ -169,7 +171,6 @@
             Some(Err(err)) => return err.into(),
             None => return LinkError::Closed,
         };
-        link.record_received();
         let Some(body) = body else {
             continue;
         };
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
-use wire::{Body, HOLD_BODY_VERSION, Open, Ping, StreamId};
+use wire::{Body, HOLD_BODY_VERSION, LinkKind, Open, Ping, StreamId};
 
 /// An open connection to another daemon.
 #[derive(Debug)]
@@ -29,7 +29,7 @@
 struct LinkState {
     queue: SendQueue,
     liveness: Liveness,
-    /// Time of the latest frame in either direction.
+    /// Time of the latest bytes in either direction.
     used_at: Duration,
     closed: bool,
 }
@@ -127,12 +127,12 @@
         self.peer_version.load(Ordering::Acquire) >= HOLD_BODY_VERSION
     }
 
-    /// Returns the time since the last frame in either direction.
+    /// Returns the time since the last bytes in either direction.
     pub(super) fn idle(&self) -> Duration {
         clock::now().saturating_sub(lock(&self.state).used_at)
     }
 
-    /// Records that a frame was received.
+    /// Records that bytes were received.
     pub(super) fn record_received(&self) {
         let now = clock::now();
         let mut state = lock(&self.state);
@@ -147,16 +147,25 @@
 
     /// Records that frames are sent.
     pub(super) fn record_sent(&self) {
-        lock(&self.state).used_at = clock::now();
+        let now = clock::now();
+        let mut state = lock(&self.state);
+        state.used_at = now;
+        state.liveness.record_written(now);
     }
 
-    /// Pings a peer with open requests that has been silent, and fails the
-    /// connection if it stays silent.
-    pub(super) fn check_liveness(&self) {
-        if !self.streams.any_written() {
-            return;
-        }
-        let check = lock(&self.state).liveness.check(clock::now());
+    /// Pings a peer that has been silent although a request is open or a message was
+    /// written, and fails the connection if it stays silent.
+    pub(super) fn check_liveness(&self, kind: LinkKind) {
+        let now = clock::now();
+        let check = match kind {
+            LinkKind::Data if self.streams.any_written() => {
+                lock(&self.state).liveness.check_requests(now)
+            }
+            LinkKind::Data => return,
+            LinkKind::Control | LinkKind::Replica | LinkKind::Unknown => {
+                lock(&self.state).liveness.check_messages(now)
+            }
+        };
         match check {
             Check::Wait => {}
             Check::Ping => self.send(Body::Ping(Ping {})),
