Stop reading a response without end when its request has ended

Callers of the upstream's service wait for a slot that is never free again, and the daemon's processor is used up.

Cause: while bytes arrive without a pause, the task of the request saw that it was cancelled (at the deadline, or when its caller left) only if a message happened to be handled between two reads, and after that message nothing checked it again. The rest was read and thrown away for as long as it came. Where an upstream does not drop a request when its connection closes, that was meant so, without a limit.

Change: the cancellation is looked at before each read. Where the upstream does not drop requests, at most 16 MB of the rest are read, then the connection is closed: an upstream that is sending notices.

--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -26,6 +26,10 @@
 /// of a longer one let small frames pass.
 const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
 
+/// Maximum size of the rest of a response that is read after its request was
+/// cancelled, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 16 * 1024 * 1024;
+
 /// The task of a request at the gate.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -38,6 +42,8 @@
     open: Open,
     upload: Option<mpsc::UnboundedSender<UploadPiece>>,
     upload_offset: u64,
+    /// Bytes of the response received after the request was cancelled.
+    discarded_bytes: u64,
     /// Time of admission, and the gate's load at that time including this
     /// request.
     admitted: Option<(Instant, Load)>,
@@ -71,6 +77,7 @@
             upload_offset: open.body.len() as u64,
             open,
             upload: None,
+            discarded_bytes: 0,
             admitted: None,
             attempt_id,
         }
@@ -276,19 +283,27 @@
         0
     }
 
+    /// Returns the next piece of the response body. After a cancellation the body is
+    /// read on only if the upstream would not drop the request otherwise, and up to a
+    /// limit: an upstream that sends without end would hold its slot for good.
     async fn next_chunk(
         &mut self,
         response: &mut UpstreamResponse,
     ) -> Result<Option<Bytes>, ExchangeError> {
         let mut reading = Box::pin(response.next_chunk());
         loop {
+            if self.can_drop_connection() || self.discarded_bytes > MAX_DISCARDED_BYTES {
+                return Err(ExchangeError::Cancelled);
+            }
             tokio::select! {
-                read = &mut reading => return read,
+                read = &mut reading => {
+                    if self.reply_sender.closed && let Ok(Some(bytes)) = &read {
+                        self.discarded_bytes += bytes.len() as u64;
+                    }
+                    return read;
+                }
                 Some(message) = self.rx.recv() => self.on_message(message),
             }
-            if self.can_drop_connection() {
-                return Err(ExchangeError::Cancelled);
-            }
         }
     }
 
--- a/crates/plumhitchd/tests/limits.rs
+++ b/crates/plumhitchd/tests/limits.rs
@@ -216,3 +216,17 @@
     assert!(lines.contains(&others), "{text}");
     assert!(!text.contains("nobody-"));
 }
+
+/// Guards against a response without end that the gate reads for good after its caller
+/// has left: an upstream that does not drop a request when its connection closes would
+/// keep the slot and the gate's processor.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_end_is_cut_off_after_its_caller_left() {
+    let pair = Pair::start("", "").await;
+    let endless = pair.request("GET", "/big?len=1000000000000");
+    let mut response = endless.send().await.unwrap();
+    assert_eq!(response.status().as_u16(), 200);
+    assert!(response.chunk().await.unwrap().is_some());
+    drop(response);
+    wait_until_idle(&pair).await;
+}
