Limit the time for reading the rest of a rejection

Cause: when an upstream states that it did not run a request, the rest of its response is read so that the connection can be used again: at most 64 KB, but for any time. One that sends slowly without end keeps a connection and a task, for each such rejection, out of the connections that it grants.

Change: at most 500 ms, then the connection is closed.

--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -11,9 +11,11 @@
 use std::fmt;
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -28,6 +30,10 @@
 /// skipped.
 const MAX_SKIPPED_RESPONSES: usize = 4;
 
+/// Maximum time for reading the rest of a response that is not needed, so that its
+/// connection can be used again.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A request to the upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamRequest {
@@ -354,7 +360,8 @@
     /// Reads and discards the body of a small response, and returns the
     /// connection to the pool.
     pub(super) async fn drain_and_release(mut self, daemon: &Daemon) {
-        if self.read_small_body(MAX_HEAD_BYTES).await.is_ok() {
+        let drained = timeout(DRAIN_TIMEOUT, self.read_small_body(MAX_HEAD_BYTES)).await;
+        if matches!(drained, Ok(Ok(_))) {
             self.release(daemon).await;
         }
     }
