Write whole log lines to a pipe that is full, and count those that are lost

On-call engineers have only these lines.

Cause: the fault is ours. The writer thread discarded the error of write_all. Where the reader has made the pipe non-blocking and falls behind, a write accepts a part and the next is refused; the rest of the batch was lost, uncounted, and the next batch followed in the middle of a line. The same for a reader that has gone: its lines were not counted.

Change: the writer waits while the output is full; what it fails to write is counted, and a cut line is ended before the next. No request waits: lines queue in half a megabyte as before, and what does not fit is counted.

Tests: log_with_slow_reader_of_nonblocking_pipe_has_whole_lines was red before (a line cut after its customer), log_whose_reader_has_gone_counts_lines too (30 s, count below 4,000). The flood without a reader holds.

Other discarded errors of writes, read through: those left are messages to tasks that may have ended, where nothing is lost.

--- a/crates/plumhitchd/src/logging.rs
+++ b/crates/plumhitchd/src/logging.rs
@@ -2,8 +2,11 @@
 //!
 //! Lines are buffered in memory and written in batches by a separate thread, so
 //! that a slow or absent reader never delays a request. Lines that do not fit
-//! into the buffer are dropped and counted.
+//! into the buffer, or that the output fails to accept, are dropped and counted.
 
+mod line_writer;
+
+use line_writer::LineWriter;
 use node::LogLine;
 use std::fmt::Write as _;
 use std::io::{self, Write};
@@ -67,22 +70,22 @@
 
 impl Queue {
     /// Writes the buffered lines in batches; never returns.
-    fn write_batches(&self, mut out: impl Write) {
+    fn write_batches(&self, out: impl Write) {
         let (buffer, changed) = &*self.buffer;
+        let mut out = LineWriter::new(out);
+        // Dropped lines that no line in the output states yet.
+        let mut unreported = 0;
         loop {
             let guard = lock(buffer);
             let guard = changed.wait_while(guard, |b| b.is_empty());
             drop(guard);
             thread::sleep(BATCH_INTERVAL);
             let Buffer { bytes, dropped } = std::mem::take(&mut *lock(buffer));
-            // A failed write to standard error cannot be reported anywhere.
-            let _ = out.write_all(&bytes);
-            if dropped > 0 {
-                let time = crate::clock::unix_ms();
-                let _ = writeln!(
-                    out,
-                    "time={time} level=WARN event=log_dropped lines={dropped}"
-                );
+            let lost = out.write(&bytes);
+            DROPPED.fetch_add(lost, Ordering::Relaxed);
+            unreported += dropped + lost;
+            if unreported > 0 && out.write(log_dropped(unreported).as_bytes()) == 0 {
+                unreported = 0;
             }
             changed.notify_all();
         }
@@ -96,6 +99,12 @@
     }
 }
 
+/// Returns the line that states a number of dropped lines.
+fn log_dropped(lines: u64) -> String {
+    let time = crate::clock::unix_ms();
+    format!("time={time} level=WARN event=log_dropped lines={lines}\n")
+}
+
 /// The logger of the process; dropping it flushes the buffered lines.
 #[derive(Debug)]
 pub(crate) struct Logging {
--- a/crates/plumhitchd/tests/log_flood.rs
+++ b/crates/plumhitchd/tests/log_flood.rs
@@ -3,13 +3,17 @@
 
 mod support;
 
-use std::io::{BufRead, BufReader};
+use rustix::fs::{OFlags, fcntl_setfl};
+use std::io::{BufRead, BufReader, PipeReader, Read};
 use std::process::Stdio;
 use std::time::Duration;
 use support::{Daemon, Options, free_address, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Bytes that a slow reader takes at once, and time before each read.
+const SLOW_READ_BYTES: usize = 8 * 1024;
+const SLOW_READ_DELAY: Duration = Duration::from_millis(2);
 /// Number of requests, each of which logs a line.
 const REQUESTS: usize = 4_000;
 /// Length of the customer's name, which is part of the log line.
@@ -18,7 +22,7 @@
 /// batch being written, and 64 KB in the pipe.
 const MAX_KEPT_BYTES: usize = 2 * 512 * 1024 + 64 * 1024;
 
-fn daemon() -> Daemon {
+fn daemon(log: Stdio) -> Daemon {
     Daemon::start_with_log(
         Options {
             name: "entry-1",
@@ -27,10 +31,17 @@
             replicas: &[free_address()],
             settings: "",
         },
-        Stdio::piped(),
+        log,
     )
 }
 
+async fn wait_until_started(daemon: &Daemon) {
+    wait_until("callers' listener accepts connections", async || {
+        TcpStream::connect(daemon.callers).await.is_ok()
+    })
+    .await;
+}
+
 /// Sends pipelined requests and returns the number of responses.
 async fn flood(daemon: &Daemon) -> usize {
     let mut stream = TcpStream::connect(daemon.callers).await.unwrap();
@@ -77,11 +88,8 @@
 /// their number.
 #[tokio::test(flavor = "multi_thread")]
 async fn log_without_reader_drops_lines_and_counts_them() {
-    let mut daemon = daemon();
-    wait_until("callers' listener accepts connections", async || {
-        TcpStream::connect(daemon.callers).await.is_ok()
-    })
-    .await;
+    let mut daemon = daemon(Stdio::piped());
+    wait_until_started(&daemon).await;
     assert_eq!(flood(&daemon).await, REQUESTS);
     let counted = dropped_lines(&daemon).await;
     assert!(counted > 0);
@@ -113,3 +121,60 @@
     );
     assert!(bytes <= MAX_KEPT_BYTES, "{bytes} bytes logged");
 }
+
+/// Reads slowly.
+struct SlowReader(PipeReader);
+
+impl Read for SlowReader {
+    fn read(&mut self, buf: &mut [u8]) -> std::io::Result<usize> {
+        std::thread::sleep(SLOW_READ_DELAY);
+        let len = buf.len().min(SLOW_READ_BYTES);
+        self.0.read(&mut buf[..len])
+    }
+}
+
+/// Guards against lines that are cut in the middle and lost without being counted: a
+/// reader that makes the pipe non-blocking and falls behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_with_slow_reader_of_nonblocking_pipe_has_whole_lines() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    fcntl_setfl(&writer, OFlags::WRONLY | OFlags::NONBLOCK).unwrap();
+    let daemon = daemon(writer.into());
+    let reading = tokio::task::spawn_blocking(move || {
+        let (mut requests, mut reported) = (0, 0);
+        for line in BufReader::new(SlowReader(reader)).lines() {
+            let line = line.unwrap();
+            let whole = line.starts_with("time=") && line.matches(" level=").count() == 1;
+            assert!(whole, "{line}");
+            requests += usize::from(line.contains("event=request "));
+            if let Some((_, lines)) = line.split_once("event=log_dropped lines=") {
+                reported += lines.parse::<usize>().unwrap();
+            }
+            if requests + reported >= REQUESTS {
+                break;
+            }
+        }
+        (requests, reported)
+    });
+    wait_until_started(&daemon).await;
+    assert_eq!(flood(&daemon).await, REQUESTS);
+    let read = tokio::time::timeout(Duration::from_secs(30), reading).await;
+    let (requests, reported) = read.unwrap().unwrap();
+    assert_eq!(reported, dropped_lines(&daemon).await);
+    assert!(requests + reported >= REQUESTS);
+}
+
+/// Guards against lines that are lost without being counted because the reader of the
+/// log has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_whose_reader_has_gone_counts_lines() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    let daemon = daemon(writer.into());
+    wait_until_started(&daemon).await;
+    drop(reader);
+    assert_eq!(flood(&daemon).await, REQUESTS);
+    wait_until("every line counted as dropped", async || {
+        dropped_lines(&daemon).await >= REQUESTS
+    })
+    .await;
+}
