Write the log in pieces of whole lines that a pipe takes at once

Cause: batches of up to half a megabyte in one write. What collects the output there keeps the first 8 KB of a write, so that each longer batch lost its end in the middle of a line; that part is the reader's. A pipe guarantees only for 4,096 bytes that a write is taken as a whole.

Change: a write holds as many whole lines as fit into 4,096 bytes.

A test in which each write is a datagram was red before (176,765 bytes at once).

--- a/crates/plumhitchd/src/logging/line_writer.rs
+++ b/crates/plumhitchd/src/logging/line_writer.rs
@@ -4,6 +4,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// Maximum size of a write that a pipe accepts as a whole, so that no other writer's
+/// bytes come between (`PIPE_BUF`).
+const ATOMIC_WRITE_BYTES: usize = 4096;
 /// Time before a write is tried again that a full non-blocking pipe refused.
 const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -40,7 +43,7 @@
     fn write_all(&mut self, bytes: &[u8]) -> usize {
         let mut written = 0;
         while written < bytes.len() {
-            match self.out.write(&bytes[written..]) {
+            match self.out.write(next_piece(&bytes[written..])) {
                 Ok(0) => return written,
                 Ok(n) => written += n,
                 Err(err) => match err.kind() {
@@ -54,6 +57,15 @@
     }
 }
 
+/// Returns as many whole lines as fit into an atomic write, or the first line if it is
+/// longer.
+fn next_piece(bytes: &[u8]) -> &[u8] {
+    let fitting = &bytes[..bytes.len().min(ATOMIC_WRITE_BYTES)];
+    let end = fitting.iter().rposition(|b| *b == b'\n');
+    let end = end.or_else(|| bytes.iter().position(|b| *b == b'\n'));
+    &bytes[..end.map_or(bytes.len(), |end| end + 1)]
+}
+
 fn line_count(lines: &[u8]) -> u64 {
     lines.iter().filter(|b| **b == b'\n').count() as u64
 }
--- a/crates/plumhitchd/tests/log_flood.rs
+++ b/crates/plumhitchd/tests/log_flood.rs
@@ -5,6 +5,8 @@
 
 use rustix::fs::{OFlags, fcntl_setfl};
 use std::io::{BufRead, BufReader, PipeReader, Read};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
 use std::process::Stdio;
 use std::time::Duration;
 use support::{Daemon, Options, free_address, wait_until};
@@ -14,6 +16,10 @@
 /// Bytes that a slow reader takes at once, and time before each read.
 const SLOW_READ_BYTES: usize = 8 * 1024;
 const SLOW_READ_DELAY: Duration = Duration::from_millis(2);
+/// Maximum size of a write that a pipe accepts as a whole.
+const MAX_WRITE_BYTES: usize = 4096;
+/// Time within which the next lines arrive.
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Number of requests, each of which logs a line.
 const REQUESTS: usize = 4_000;
 /// Length of the customer's name, which is part of the log line.
@@ -178,3 +184,32 @@
     })
     .await;
 }
+
+/// Guards against lines that whoever collects the log cuts: one that takes a write as a
+/// unit keeps the beginning of a long one. Each datagram here is one write.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_is_written_in_short_pieces_of_whole_lines() {
+    let (reader, writer) = UnixDatagram::pair().unwrap();
+    reader.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let daemon = daemon(OwnedFd::from(writer).into());
+    let reading = tokio::task::spawn_blocking(move || {
+        let (mut requests, mut reported) = (0, 0);
+        let mut buf = vec![0; 1024 * 1024];
+        while requests + reported < REQUESTS {
+            let len = reader.recv(&mut buf).unwrap();
+            let lines = std::str::from_utf8(&buf[..len]).unwrap();
+            assert!(len <= MAX_WRITE_BYTES, "{len} bytes at once");
+            assert!(
+                lines.starts_with("time=") && lines.ends_with('\n'),
+                "{lines}"
+            );
+            requests += lines.matches("event=request ").count();
+            let dropped = lines.split("event=log_dropped lines=").skip(1);
+            let counts = dropped.filter_map(|rest| rest.lines().next());
+            reported += counts.map(|n| n.parse::<usize>().unwrap()).sum::<usize>();
+        }
+    });
+    wait_until_started(&daemon).await;
+    assert_eq!(flood(&daemon).await, REQUESTS);
+    reading.await.unwrap();
+}
