Count a crash also where new starts are not trusted to free slots

Cause: the mend of the counting took only the announcements for new starts that free the slots of requests. A gate stops trusting new starts for that once a response of the start before is handled after the announcement, as happens under load; from then on each new start was taken for a routine announcement, and none of its upstream's crashes counted. In the logs 16 runs of the request broke at two gates between 709 and 717 s without an upstream_crashed line.

Change: a boot id that is new is a new start, whether or not it frees slots; only one that was there before is none.

Test: crashes_count_at_gates_that_do_not_trust_new_starts, red before.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -141,8 +141,8 @@
         self.predecessor.set_longest_deadline(longest);
     }
 
-    /// Applies an announcement of the upstream. If it reveals a restart, returns the
-    /// requests that were lost with the previous instance, and otherwise `None`.
+    /// Applies an announcement of the upstream. If it reveals a new start, returns the
+    /// requests that are known to be lost with the start before, and otherwise `None`.
     pub fn announce(
         &mut self,
         now: Duration,
@@ -175,7 +175,11 @@
             }
             Start::Same if changed => self.assume_cold(now),
             Start::Same => {}
-            Start::Untrusted => self.assume_cold(now),
+            Start::Earlier => self.assume_cold(now),
+            Start::Untrusted => {
+                self.assume_cold(now);
+                return Some(Vec::new());
+            }
             Start::Restarted => {
                 self.predecessor.end();
                 self.assume_cold(now);
--- a/crates/gate/src/restart.rs
+++ b/crates/gate/src/restart.rs
@@ -17,8 +17,10 @@
     Same,
     /// The upstream has restarted; requests of the previous instance are lost.
     Restarted,
-    /// The boot id differs, but is not accepted as evidence of a restart.
+    /// The boot id is new, but is not accepted as evidence that requests are lost.
     Untrusted,
+    /// The boot id is that of an earlier start.
+    Earlier,
 }
 
 /// Tracks the boot ids of the upstream.
@@ -39,8 +41,8 @@
         let start = match self.boot_ids.back() {
             None => Start::First,
             Some(last) if last == boot_id => return Start::Same,
+            Some(_) if self.boot_ids.iter().any(|b| b == boot_id) => Start::Earlier,
             Some(_) if self.boot_ids_untrusted => Start::Untrusted,
-            Some(_) if self.boot_ids.iter().any(|b| b == boot_id) => Start::Untrusted,
             Some(_) => Start::Restarted,
         };
         self.boot_ids.retain(|b| b != boot_id);
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -464,6 +464,23 @@
     assert!(fleet.refuses_crashing(3));
 }
 
+/// Guards against crashes that are not counted at a gate that has stopped freeing slots
+/// at new starts: a response of the start before had arrived after the announcement.
+#[test]
+fn crashes_count_at_gates_that_do_not_trust_new_starts() {
+    let mut fleet = Fleet::new(16);
+    for gate in 0..3 {
+        let ticket = fleet.send(gate, POPULAR);
+        fleet.upstreams[gate].boot += 1;
+        fleet.announce(gate);
+        fleet.end(gate, ticket, Outcome::Whole(200));
+        fleet.run(Duration::from_secs(3));
+        fleet.crash_once(gate);
+    }
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3));
+}
+
 /// Guards against a crash that is not counted because the upstream never starts again.
 #[test]
 fn crashes_of_upstreams_that_stay_away_are_counted() {
