Read the rate and the leaving that upstreams state in their responses

Cause: the rate (server-limit) and the leaving (server-leaving) of an upstream arrive with its responses, and nothing reads them, so that neither logs nor metrics can tell whether an upstream stated anything, or when.

Gauges: stated_rate, stated_leaving, statements.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -9,6 +9,8 @@
 use crate::restart::{RestartDetector, Start};
 use crate::service_times::ServiceTimes;
 use crate::slots::{Running, Slots, Ticket};
+use crate::stated_limit::{RateLimiter, Source, StatedLimit};
+use crate::statement::Statement;
 use std::time::Duration;
 use wire::{Announcement, Load, RefuseReason};
 
@@ -104,6 +106,11 @@
     queue: Queue,
     cold_rate: ColdRateLimiter,
     knee: KneeFinder,
+    stated_limit: RateLimiter,
+    /// Whether a response of this start of the upstream stated that it is leaving.
+    stated_leaving: bool,
+    /// Number of starts of the upstream that were announced.
+    start: u64,
     limit_hint: Option<(Duration, u32)>,
     reported_slowness: Option<(Duration, u32)>,
     /// Time of the last report that began, continued or ended a slow period.
@@ -127,6 +134,9 @@
             queue: Queue::default(),
             cold_rate: ColdRateLimiter::default(),
             knee: KneeFinder::default(),
+            stated_limit: RateLimiter::default(),
+            stated_leaving: false,
+            start: 0,
             limit_hint: None,
             reported_slowness: None,
             last_slow: None,
@@ -152,6 +162,11 @@
         announcement.slots = announcement.slots.min(MAX_SLOTS);
         self.ramp.clamp(announcement.slots);
         let start = self.restarts.record_boot(&announcement.boot);
+        if start != Start::Same {
+            self.start += 1;
+            self.stated_limit.reset();
+            self.stated_leaving = false;
+        }
         let cold_remaining = Duration::from_millis(announcement.cold_ms);
         let age = announcement.age_ms.map(Duration::from_millis);
         self.cold_rate.set_remaining(now, cold_remaining);
@@ -221,6 +236,81 @@
         }
     }
 
+    /// Applies what the response to a request states. A response of an earlier start of
+    /// the upstream is ignored. Returns whether what is in force has changed.
+    pub fn record_statement(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        statement: Statement,
+    ) -> bool {
+        self.advance_clock(now);
+        let sent_at = self.slots.get(ticket).filter(|r| r.start == self.start);
+        let sent_at = sent_at.map(|running| running.since);
+        sent_at.is_some_and(|at| self.apply_statement(Source::Response, at, statement))
+    }
+
+    /// Applies what the response to the latest health request states. Returns whether
+    /// what is in force has changed.
+    pub fn record_health_statement(&mut self, now: Duration, statement: Statement) -> bool {
+        self.advance_clock(now);
+        let sent_at = self.stated_limit.probed_at();
+        sent_at.is_some_and(|at| self.apply_statement(Source::Health, at, statement))
+    }
+
+    /// Takes over what a response of this start stated to a predecessor of this gate, as
+    /// an entry reports. Returns whether what is in force has changed.
+    pub fn adopt_statement(&mut self, now: Duration, statement: Statement) -> bool {
+        self.advance_clock(now);
+        let before = (self.stated_limit.rate_milli(), self.stated_leaving);
+        if let Some(rate) = statement.rate_milli {
+            self.stated_limit.adopt(now, rate);
+        }
+        self.set_leaving(statement.leaving);
+        before != (self.stated_limit.rate_milli(), self.stated_leaving)
+    }
+
+    fn apply_statement(&mut self, source: Source, sent_at: Duration, stated: Statement) -> bool {
+        let before = (self.stated_limit.rate_milli(), self.stated_leaving);
+        self.stated_limit
+            .record(self.clock, source, sent_at, stated);
+        self.set_leaving(stated.leaving);
+        before != (self.stated_limit.rate_milli(), self.stated_leaving)
+    }
+
+    fn set_leaving(&mut self, leaving: bool) {
+        self.stated_leaving |= leaving;
+    }
+
+    /// Returns what this start of the upstream states, as far as it is in force.
+    #[must_use]
+    pub fn statement(&self) -> Statement {
+        Statement {
+            rate_milli: self.stated_limit.rate_milli(),
+            leaving: self.stated_leaving,
+        }
+    }
+
+    /// Returns the stated rate with its age and the recent arrivals, for display.
+    #[must_use]
+    pub fn stated_limit(&self) -> StatedLimit {
+        self.stated_limit.snapshot(self.clock)
+    }
+
+    /// Returns whether a health request may be sent to the upstream now, and counts it
+    /// as sent.
+    pub fn begin_probe(&mut self, now: Duration) -> bool {
+        self.advance_clock(now);
+        self.stated_limit.begin_probe(now)
+    }
+
+    /// Returns the time for which one of `entries` entries should send nothing, because
+    /// of the stated rate.
+    pub fn pause(&mut self, now: Duration, entries: usize) -> Duration {
+        self.advance_clock(now);
+        self.stated_limit.pause(now, entries)
+    }
+
     /// Sets the rate limit of a cold upstream; `None` disables it.
     pub fn set_cold_limit(&mut self, limit: Option<ColdLimit>) {
         self.cold_rate.set_limit(limit);
@@ -398,6 +488,7 @@
     fn start(&mut self, now: Duration, request: &SlotRequest) {
         self.last_active = now;
         self.cold_rate.record_sent(now);
+        self.stated_limit.record_sent(now);
         self.slots.take(
             request.ticket,
             Running {
@@ -405,6 +496,7 @@
                 customer: request.customer.clone(),
                 class: request.class.clone(),
                 share: request.share,
+                start: self.start,
                 concurrency: self.slots.len() + 1,
                 epoch: self.ramp.epoch(),
                 cancelled: false,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,8 +13,12 @@
 mod restart;
 mod service_times;
 mod slots;
+mod stated_limit;
+mod statement;
 
 pub use cold::ColdLimit;
 pub use gate::{Gate, GateLimits, LoadReport, MAX_SLOTS, Outcome, Placement};
 pub use queue::SlotRequest;
 pub use slots::Ticket;
+pub use stated_limit::StatedLimit;
+pub use statement::{Statement, parse_rate_milli};
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -27,6 +27,8 @@
     pub weight: u32,
     /// Time after which the response is late, if there is one.
     pub objective: Option<Duration>,
+    /// Whether a request that runs elsewhere made it and waits for it.
+    pub is_call: bool,
 }
 
 /// Rank of a request, highest first: customers within their share, then
@@ -150,6 +152,12 @@
         Some(self.waiting.remove(index).request)
     }
 
+    /// Removes all requests.
+    pub(crate) fn clear(&mut self) -> Vec<Ticket> {
+        let removed = self.waiting.drain(..);
+        removed.map(|w| w.request.ticket).collect()
+    }
+
     /// Removes a request; returns whether it was queued.
     pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
         let before = self.waiting.len();
--- a/crates/gate/src/slots.rs
+++ b/crates/gate/src/slots.rs
@@ -16,6 +16,8 @@
     pub(crate) class: ClassId,
     /// Share of the customer's plan under overload.
     pub(crate) share: u32,
+    /// Start of the upstream that it was sent to.
+    pub(crate) start: u64,
     /// Number of running requests when this one was sent, including it.
     pub(crate) concurrency: u32,
     /// Epoch of the ramp in which the request was sent.
@@ -43,6 +45,10 @@
         self.running.remove(&ticket)
     }
 
+    pub(crate) fn get(&self, ticket: Ticket) -> Option<&Running> {
+        self.running.get(&ticket)
+    }
+
     pub(crate) fn mark_cancelled(&mut self, ticket: Ticket) {
         if let Some(running) = self.running.get_mut(&ticket) {
             running.cancelled = true;
--- a/crates/gate/tests/scenarios.rs
+++ b/crates/gate/tests/scenarios.rs
@@ -51,6 +51,7 @@
             class: args.lookup_parse("class")?.unwrap_or("page".into()),
             weight: args.lookup_parse("weight")?.unwrap_or(1),
             objective: args.lookup_parse("objective")?.map(Duration::from_millis),
+            is_call: false,
         };
         let tickets = args.rest_pos();
         let tickets = tickets.iter().map(|a| a.value.parse());
--- a/crates/gate/tests/shuffle.rs
+++ b/crates/gate/tests/shuffle.rs
@@ -149,6 +149,7 @@
             class: "page".into(),
             weight: self.rng.random_range(1..3),
             objective: None,
+            is_call: false,
         };
         let idle = self.now.saturating_sub(self.model.last_active) >= Duration::from_secs(5);
         if idle && self.model.running.is_empty() {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -13,5 +13,6 @@
         class: "page".into(),
         weight: 1,
         objective: None,
+        is_call: false,
     }
 }
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -196,7 +196,8 @@
         cx: &mut Cx<'_>,
     ) {
         if let Outcome::Whole(status) = outcome {
-            let responding = admission::Event::ResponseStarted(ticket, status);
+            let read = admission::ReadStatement::default();
+            let responding = admission::Event::ResponseStarted(ticket, read);
             self.handle_event(upstream, Event::Admission(responding), cx);
         }
         let ended = admission::Event::Ended(ticket, outcome);
@@ -353,6 +354,7 @@
             idempotent: attempt.idempotent,
             weight: attempt.weight,
             objective: attempt.objective,
+            is_call: false,
             suspected: attempt.suspected,
         });
         cx.tx.push(Output::Deliver {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -14,10 +14,12 @@
 mod load;
 mod message;
 mod recent_entries;
+mod statements;
 mod suspects;
 
 pub use load::REPORT_READ_COST_BYTES;
 pub use message::{Arrival, Effect, Event};
+pub use statements::{ReadStatement, StatementCounts};
 
 use crate::agent::Agent;
 use crate::context::Cx;
@@ -65,6 +67,7 @@
     counts_reported_in: Term,
     measuring: MeasuringBudget,
     recent_entries: RecentEntries,
+    statement_counts: StatementCounts,
     stuck_timeout: Duration,
     isolate_suspects: bool,
     last_break_at: Option<Duration>,
@@ -104,6 +107,7 @@
             counts_reported_in: 0,
             measuring: MeasuringBudget::new(routing.probe_bytes, routing.probe_messages),
             recent_entries: RecentEntries::default(),
+            statement_counts: StatementCounts::default(),
             stuck_timeout: settings.gate.stuck_timeout,
             isolate_suspects: settings.gate.isolate_suspects,
             last_break_at: None,
@@ -132,7 +136,8 @@
                 self.schedule(Job::new(arrival, cx.now), cx);
             }
             Event::Cancelled(ticket) => self.cancel(ticket, Effect::Cancel(ticket), cx),
-            Event::ResponseStarted(..) => {}
+            Event::ResponseStarted(ticket, read) => self.on_statement(ticket, read, cx),
+            Event::HealthResponse(read) => self.on_health_statement(read, cx),
             Event::Ended(ticket, outcome) => self.on_ended(ticket, outcome, cx),
             Event::Announced(announcement) => self.announce(announcement, cx),
             Event::Reported(report) => {
@@ -517,6 +522,7 @@
         class: arrival.class.clone(),
         weight: arrival.weight,
         objective: arrival.objective.map(|o| arrived + o),
+        is_call: arrival.is_call,
     }
 }
 
--- a/crates/node/src/admission/load.rs
+++ b/crates/node/src/admission/load.rs
@@ -33,9 +33,10 @@
     }
 
     /// Charges the measuring budget for reading the upstream's load report
-    /// once; returns whether the budget covers it.
+    /// once; returns whether the budget covers it, and the rate that the upstream
+    /// states allows a request for it.
     pub fn may_read_report(&mut self, now: Duration) -> bool {
-        self.measuring.spend(now, REPORT_READ_COST_BYTES, 1)
+        self.begin_probe(now) && self.measuring.spend(now, REPORT_READ_COST_BYTES, 1)
     }
 
     /// Returns what measuring the load has cost so far.
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -1,5 +1,6 @@
 //! Events that the gate handles, and the effects that it returns.
 
+use super::statements::ReadStatement;
 use crate::event::LinkId;
 use gate::{LoadReport, Outcome, Ticket};
 use std::time::Duration;
@@ -37,6 +38,8 @@
     pub objective: Option<Duration>,
     /// Whether the entry saw it in flight at a possible crash.
     pub suspected: bool,
+    /// Whether a request that runs elsewhere made it and waits for it.
+    pub is_call: bool,
 }
 
 /// An event at the upstream beside this daemon.
@@ -48,8 +51,10 @@
     Arrived(Arrival),
     /// The entry cancelled the request.
     Cancelled(Ticket),
-    /// The upstream's response started, with this HTTP status.
-    ResponseStarted(Ticket, u16),
+    /// The head of the upstream's response arrived, and states this.
+    ResponseStarted(Ticket, ReadStatement),
+    /// The head of the response to a health request arrived, and states this.
+    HealthResponse(ReadStatement),
     /// The upstream has finished the request, with this outcome.
     Ended(Ticket, Outcome),
     /// The upstream announced its state.
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -116,6 +116,7 @@
         idempotent: false,
         weight: 1,
         objective: None,
+        is_call: false,
         suspected: false,
     }
 }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -170,6 +170,7 @@
         weight: 1,
         suspected: false,
         objective: None,
+        is_call: false,
         link: 0,
         believed_slow_percent: 0,
     };
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -126,6 +126,7 @@
             idempotent: true,
             weight: 1,
             objective: None,
+            is_call: false,
             suspected: false,
         };
         self.gate_event(gate, admission::Event::Arrived(arrival));
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -78,6 +78,7 @@
         weight: 2,
         suspected: false,
         objective: None,
+        is_call: false,
         link: 0,
         believed_slow_percent: 0,
     })
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -277,6 +277,7 @@
                 weight: 1,
                 suspected: false,
                 objective: None,
+                is_call: false,
                 link: 0,
                 believed_slow_percent: 0,
             };
@@ -313,7 +314,8 @@
     pub(crate) fn end_ticket(&mut self, at: &str, ticket: Ticket, outcome: Outcome) {
         self.daemons.get_mut(at).unwrap().running.remove(&ticket);
         if let Outcome::Whole(status) = outcome {
-            let started = admission::Event::ResponseStarted(ticket, status);
+            let read = admission::ReadStatement::default();
+            let started = admission::Event::ResponseStarted(ticket, read);
             self.event(at, Event::Admission(started));
         }
         let ended = admission::Event::Ended(ticket, outcome);
@@ -651,6 +653,7 @@
             weight: attempt.weight,
             suspected: attempt.suspected,
             objective: None,
+            is_call: false,
             link: 0,
             believed_slow_percent: 0,
         };
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -213,6 +213,7 @@
             weight: 10,
             suspected: false,
             objective: None,
+            is_call: false,
             link: 0,
             believed_slow_percent: 0,
         };
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -12,6 +12,7 @@
 mod load_report;
 mod pool;
 mod reply_sender;
+mod statement;
 mod upstream_request;
 
 pub(crate) use body_intake::BodyIntake;
@@ -29,6 +30,9 @@
 use tokio::sync::mpsc;
 use wire::{Body, Open, Refuse, RefuseReason};
 
+/// Depth of a request that no other request made.
+const FIRST_DEPTH: u32 = 1;
+
 /// Returns the request that an effect belongs to.
 pub(crate) fn ticket_of(effect: &Effect) -> Ticket {
     match effect {
@@ -99,5 +103,6 @@
         weight: open.weight,
         objective: Some(Duration::from_millis(open.objective_ms)).filter(|o| !o.is_zero()),
         suspected: open.suspected,
+        is_call: open.depth > FIRST_DEPTH,
     }
 }
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -7,13 +7,14 @@
 use super::exchange::{self, ExchangeError, UpstreamResponse};
 use super::load_report;
 use super::reply_sender::ReplySender;
+use super::statement;
 use super::upstream_request::{self, UploadPiece, UploadReader};
 use crate::links::{Credit, Link, Window};
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx};
 use bytes::{Bytes, BytesMut};
 use gate::{Outcome, Ticket};
-use http::{HeaderMap, Method, StatusCode};
+use http::{HeaderMap, Method};
 use node::Event;
 use node::admission::{self, Effect};
 use std::io;
@@ -30,6 +31,9 @@
 /// cancelled, in bytes.
 const MAX_DISCARDED_BYTES: u64 = 16 * 1024 * 1024;
 
+/// HTTP status of the response of another upstream than the one that was addressed.
+const MISDIRECTED: u16 = 421;
+
 /// The task of a request at the gate.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -186,6 +190,10 @@
         if let Some(load) = load_report::from_headers(&self.daemon, &response.headers) {
             self.report(admission::Event::Reported(load));
         }
+        if status != MISDIRECTED {
+            let read = statement::read(&self.daemon.integration.headers, &response.headers);
+            self.report(admission::Event::ResponseStarted(self.ticket, read));
+        }
         if self.is_not_run(&response) {
             self.report_end(Outcome::Rejected);
             self.reply_sender.refuse(RefuseReason::Rejected);
@@ -205,7 +213,6 @@
                 Err(err) => return self.fail(&err),
             }
             if first.len() + buffered.len() > max_buffered_bytes {
-                self.report(admission::Event::ResponseStarted(self.ticket, status));
                 let body = join(first, buffered);
                 let offset = body.len() as u64;
                 self.reply_sender
@@ -213,7 +220,6 @@
                 return self.stream_rest(response, offset).await;
             }
         }
-        self.report(admission::Event::ResponseStarted(self.ticket, status));
         self.report_end(Outcome::Whole(status));
         let body = join(first, buffered);
         self.send_complete(status, &response.headers, body).await;
@@ -251,8 +257,7 @@
         let Some(not_run) = &names.not_run else {
             return false;
         };
-        let misdirected = StatusCode::MISDIRECTED_REQUEST.as_u16();
-        response.headers.contains_key(not_run) || response.status == misdirected
+        response.headers.contains_key(not_run) || response.status == MISDIRECTED
     }
 
     async fn stream_rest(&mut self, mut response: UpstreamResponse, mut offset: u64) {
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -1,6 +1,7 @@
 //! Polling of the load report of the upstream beside this daemon.
 
 use super::exchange::{self, ExchangeError, UpstreamRequest};
+use super::statement;
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use gate::LoadReport;
@@ -73,6 +74,8 @@
     };
     let sent = exchange::send(daemon.clone(), request, None).await;
     let mut response = sent.inspect_err(|err| handle_failure(daemon, err)).ok()?;
+    let read = statement::read(&daemon.integration.headers, &response.headers);
+    daemon.handle_event(Event::Admission(admission::Event::HealthResponse(read)));
     let body = response.read_small_body(MAX_BODY_BYTES).await.ok()?;
     let ok = response.status == StatusCode::OK.as_u16();
     let header_report = from_headers(daemon, &response.headers);
--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -46,6 +46,11 @@
     pub upstream_load: Option<HeaderName>,
     /// Marks an upstream's response to a request that it did not run.
     pub not_run: Option<HeaderName>,
+    /// Maximum rate in an upstream's response, in requests a second from all entries
+    /// together.
+    pub stated_rate: Option<HeaderName>,
+    /// Marks the responses of an upstream that is leaving, with the value 1.
+    pub stated_leaving: Option<HeaderName>,
     /// Remaining time of the cold start in an upstream's health report, in
     /// milliseconds.
     pub cold_remaining_ms: Option<HeaderName>,
@@ -70,6 +75,8 @@
             caller_service: None,
             upstream_load: None,
             not_run: None,
+            stated_rate: Some(name("plumhitch-rate-limit")),
+            stated_leaving: Some(name("plumhitch-leaving")),
             cold_remaining_ms: None,
         }
     }
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -5,6 +5,9 @@
 use prometheus::{Gauge, IntGauge, IntGaugeVec, Opts, Registry};
 use std::time::Duration;
 
+/// Thousandths in a unit.
+const MILLI_PER_UNIT: f64 = 1_000.0;
+
 /// Gauges that are updated whenever the metrics are requested.
 #[derive(Debug)]
 pub(super) struct Gauges {
@@ -18,6 +21,9 @@
     links: IntGaugeVec,
     measuring: IntGaugeVec,
     attempts: IntGaugeVec,
+    stated_rate: Gauge,
+    stated_leaving: IntGauge,
+    statements: IntGaugeVec,
     log_dropped: IntGauge,
 }
 
@@ -84,6 +90,23 @@
                 "Attempts at gates since the start.",
                 "why",
             )?,
+            stated_rate: gauge(
+                registry,
+                "stated_rate",
+                "Requests a second that the upstream states it takes; -1 without a limit.",
+            )?,
+            stated_leaving: int_gauge(
+                registry,
+                "stated_leaving",
+                "1 if the upstream states in its responses that it is leaving.",
+            )?,
+            statements: int_gauge_vec(
+                registry,
+                "statements",
+                "Headers with unusable values, requests rejected because of a stated rate, \
+                 and health requests left out because of it, since the start.",
+                "what",
+            )?,
         })
     }
 
@@ -116,8 +139,20 @@
 
     fn update_counts(&self, daemon: &Daemon) {
         let routing = &daemon.cfg.routing;
-        let (measuring_cost, attempts) =
-            daemon.read(|node| (node.admission.measuring(), node.entry.attempts()));
+        let (measuring_cost, attempts, statement, statements) = daemon.read(|node| {
+            let gate = &node.admission;
+            let (statement, counts) = (gate.statement(), gate.statement_counts());
+            (gate.measuring(), node.entry.attempts(), statement, counts)
+        });
+        self.stated_rate
+            .set(statement.rate_milli.map_or(-1.0, rate));
+        self.stated_leaving.set(i64::from(statement.leaving));
+        let counts = [
+            ("unusable", statements.unusable),
+            ("rejected", statements.rejected),
+            ("probes_skipped", statements.probes_skipped),
+        ];
+        set(&self.statements, &counts);
         let measuring = [
             ("bytes", measuring_cost.bytes),
             ("messages", measuring_cost.messages),
@@ -154,6 +189,12 @@
     Ok(metric)
 }
 
+/// Converts thousandths of a request a second to requests a second.
+#[expect(clippy::cast_precision_loss, reason = "only displayed")]
+fn rate(milli: u64) -> f64 {
+    milli as f64 / MILLI_PER_UNIT
+}
+
 fn to_i64(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
