--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -109,6 +109,8 @@
     stated_limit: RateLimiter,
     /// Whether a response of this start of the upstream stated that it is leaving.
     stated_leaving: bool,
+    /// Whether this start of the upstream stated anything that was in force.
+    has_stated: bool,
     /// Number of starts of the upstream that were announced.
     start: u64,
     limit_hint: Option<(Duration, u32)>,
@@ -136,6 +138,7 @@
             knee: KneeFinder::default(),
             stated_limit: RateLimiter::default(),
             stated_leaving: false,
+            has_stated: false,
             start: 0,
             limit_hint: None,
             reported_slowness: None,
@@ -166,7 +169,9 @@
             self.start += 1;
             self.stated_limit.reset();
             self.stated_leaving = false;
+            self.has_stated = false;
         }
+        announcement.leaving |= self.stated_leaving;
         let cold_remaining = Duration::from_millis(announcement.cold_ms);
         let age = announcement.age_ms.map(Duration::from_millis);
         self.cold_rate.set_remaining(now, cold_remaining);
@@ -280,6 +285,10 @@
 
     fn set_leaving(&mut self, leaving: bool) {
         self.stated_leaving |= leaving;
+        self.has_stated |= leaving || self.stated_limit.rate_milli().is_some();
+        if let Some(announced) = &mut self.announced {
+            announced.leaving |= self.stated_leaving;
+        }
     }
 
     /// Returns what this start of the upstream states, as far as it is in force.
@@ -291,6 +300,12 @@
         }
     }
 
+    /// Returns whether this start of the upstream stated anything that was in force.
+    #[must_use]
+    pub fn has_stated(&self) -> bool {
+        self.has_stated
+    }
+
     /// Returns the stated rate with its age and the recent arrivals, for display.
     #[must_use]
     pub fn stated_limit(&self) -> StatedLimit {
@@ -340,10 +355,13 @@
         if idle && self.slots.len() == 0 {
             self.ramp.reset();
         }
-        if self.limits.unlimited || self.has_free_slot() {
+        let preference = self.preference(request);
+        let by_rate = self.stated_limit.allows(now, preference);
+        if self.limits.unlimited || by_rate && self.has_free_slot() {
             self.start(now, request);
             return Ok(Placement::Running);
         }
+        self.check_stated_limit(request)?;
         self.enqueue(now, request)
     }
 
@@ -355,9 +373,12 @@
     pub fn check_room(&mut self, now: Duration, request: &SlotRequest) -> Result<(), RefuseReason> {
         self.advance_clock(now);
         self.check_service(&request.service)?;
-        if self.limits.unlimited || self.has_free_slot() {
+        let preference = self.preference(request);
+        let by_rate = self.stated_limit.allows(now, preference);
+        if self.limits.unlimited || by_rate && self.has_free_slot() {
             return Ok(());
         }
+        self.check_stated_limit(request)?;
         let load = self.load();
         let cx = QueueContext {
             now,
@@ -376,7 +397,7 @@
     /// Gives a free slot to the queued request with the highest rank.
     pub fn admit_queued(&mut self, now: Duration) -> Option<Ticket> {
         self.advance_clock(now);
-        if !self.has_free_slot() || self.announced.as_ref().is_some_and(|a| a.leaving) {
+        if !self.has_free_slot() || self.is_leaving() || !self.stated_limit.has_token(now) {
             return None;
         }
         let request = self.queue.pop(QueueContext {
@@ -390,6 +411,21 @@
         Some(request.ticket)
     }
 
+    /// Removes all requests from the queue if the upstream is leaving.
+    pub fn remove_if_leaving(&mut self) -> Vec<Ticket> {
+        match self.is_leaving() {
+            true => self.queue.clear(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns the time until a request that the stated rate rejects now can be admitted,
+    /// behind those that were told to come back.
+    pub fn retry_after_limited(&mut self, now: Duration) -> Duration {
+        self.advance_clock(now);
+        self.stated_limit.promise_retry(now)
+    }
+
     /// Removes the requests from the queue whose waiting time has expired.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Ticket> {
         self.advance_clock(now);
@@ -463,6 +499,43 @@
         Ok(())
     }
 
+    fn is_leaving(&self) -> bool {
+        self.announced.as_ref().is_some_and(|a| a.leaving)
+    }
+
+    /// Returns how a request ranks for the tokens of a stated rate: calls first, as the
+    /// request that made them holds a slot elsewhere, then by the weight of the class;
+    /// requests whose response would be late come last.
+    fn preference(&self, request: &SlotRequest) -> u32 {
+        let typical_us = self.service_times.of_class(&request.class);
+        let expected = Duration::from_micros(typical_us.into()).mul_f64(self.slowness());
+        let late = request
+            .objective
+            .is_some_and(|at| self.clock + expected > at);
+        match (request.is_call, late) {
+            (_, true) => 0,
+            (true, false) => u32::MAX,
+            (false, false) => request.weight,
+        }
+    }
+
+    /// Checks whether the stated rate admits a request while it may wait in the queue.
+    fn check_stated_limit(&mut self, request: &SlotRequest) -> Result<(), RefuseReason> {
+        let preference = self.preference(request);
+        let waiting = self.queue.len();
+        let delay = self.stated_limit.delay(self.clock, preference, waiting);
+        match delay < self.wait_limit() {
+            true => Ok(()),
+            false => Err(RefuseReason::Limited),
+        }
+    }
+
+    /// Returns the maximum time in the queue.
+    fn wait_limit(&self) -> Duration {
+        let service_time = Duration::from_micros(u64::from(self.service_times.service_us()));
+        (service_time * MAX_WAIT_SERVICE_TIMES).clamp(MIN_WAIT_LIMIT, MAX_WAIT_LIMIT)
+    }
+
     fn has_free_slot(&self) -> bool {
         let load = self.load();
         load.in_flight < load.limit && self.cold_rate.allows(self.clock)
@@ -506,9 +579,7 @@
 
     fn enqueue(&mut self, now: Duration, request: &SlotRequest) -> Result<Placement, RefuseReason> {
         let load = self.load();
-        let service_time = Duration::from_micros(u64::from(load.service_us));
-        let expires =
-            now + (service_time * MAX_WAIT_SERVICE_TIMES).clamp(MIN_WAIT_LIMIT, MAX_WAIT_LIMIT);
+        let expires = now + self.wait_limit();
         let capacity = self.queue_capacity(load.limit);
         let cx = QueueContext {
             now,
--- a/crates/gate/src/stated_limit.rs
+++ b/crates/gate/src/stated_limit.rs
@@ -20,6 +20,8 @@
 /// Maximum time for which an entry sends nothing. Entries learn that a rate is no longer
 /// stated from what they send.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum time after which a rejected caller is told to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Interval of the requests by which a gate finds out whether a rate near zero is still
 /// stated, where health responses do not say so.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(4);
@@ -77,6 +79,8 @@
     /// Greatest preference seen recently, and when.
     preferred: Option<(u32, Duration)>,
     probed_at: Option<Duration>,
+    /// When the last of the callers that were told when to come back is to do so.
+    promised_until: Duration,
     arrivals: VecDeque<Duration>,
 }
 
@@ -183,6 +187,18 @@
         share.map_or(MAX_PAUSE, |share| share.min(MAX_PAUSE))
     }
 
+    /// Returns the time after which a rejected caller should come back, and counts it
+    /// among those that will: one for each token.
+    pub(crate) fn promise_retry(&mut self, now: Duration) -> Duration {
+        let latest = now + MAX_RETRY_AFTER;
+        let step = self.rate(now).map_or(Duration::ZERO, |rate| {
+            Duration::try_from_secs_f64(rate.recip()).unwrap_or(MAX_RETRY_AFTER)
+        });
+        let at = self.promised_until.max(now).saturating_add(step);
+        self.promised_until = at.min(latest);
+        self.promised_until.saturating_sub(now)
+    }
+
     /// Records that a request is sent.
     pub(crate) fn record_sent(&mut self, now: Duration) {
         self.refill(now);
@@ -192,6 +208,14 @@
 
     /// Returns whether a health request may be sent now, and records it.
     pub(crate) fn begin_probe(&mut self, now: Duration) -> bool {
+        if self.rate_milli.is_some() {
+            let due = self
+                .probed_at
+                .is_none_or(|at| now >= at + self.probe_interval());
+            if !due {
+                return false;
+            }
+        }
         self.refill(now);
         if self
             .stated_rate()
--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -224,6 +224,15 @@
     Out,
     /// The request rate is higher than normal.
     Burst,
+    /// The upstream states in its responses that it takes `factor` requests a second, and
+    /// announces nothing of it.
+    Limit,
+    /// The upstream states in its responses that it is leaving, and announces that it is
+    /// ready.
+    Leave,
+    /// The daemon beside the upstream starts again, and has forgotten what its upstream
+    /// stated.
+    DaemonRestart,
 }
 
 /// A policy with its settings, to be compared with others.
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::experiment::{Class, Experiment, Variant};
 use crate::router::{Arrival, CallId, Cx, Output};
 use crate::upstream::Upstream;
+use conf::Settings;
 use control::{path_prefix, routing};
 use gate::{LoadReport, Outcome, Ticket};
 use miette::Result;
@@ -31,6 +32,7 @@
     address: String,
     data_centre: String,
     announced: Option<Announcement>,
+    settings: Settings,
 }
 
 /// An attempt that an entry has forwarded to a gate.
@@ -85,6 +87,7 @@
                 name,
                 data_centre,
                 announced: None,
+                settings: settings.clone(),
                 node: Node::new(NodeOptions {
                     settings,
                     incarnation: 1,
@@ -195,8 +198,11 @@
         outcome: Outcome,
         cx: &mut Cx<'_>,
     ) {
-        if let Outcome::Whole(status) = outcome {
-            let read = admission::ReadStatement::default();
+        if let Outcome::Whole(_) = outcome {
+            let read = admission::ReadStatement {
+                statement: cx.upstreams[upstream].statement,
+                unusable: Vec::new(),
+            };
             let responding = admission::Event::ResponseStarted(ticket, read);
             self.handle_event(upstream, Event::Admission(responding), cx);
         }
@@ -214,6 +220,7 @@
         match outcome {
             Outcome::Whole(status) => {
                 self.statuses.insert((request, attempt), status);
+                self.send_restriction(sent, cx);
                 let responding = entry::Event::ResponseStarted(request, attempt, status, load);
                 self.send_to_entry(sent, responding, cx);
                 let ended = entry::Event::Ended(request, attempt, sent.bytes, load);
@@ -269,6 +276,22 @@
         });
     }
 
+    /// Sends the entry what the upstream states, ahead of the reply to its request.
+    fn send_restriction(&mut self, sent: ForwardedAttempt, cx: &mut Cx<'_>) {
+        let admission = &mut self.daemons[sent.gate].node.admission;
+        if let Some(restriction) = admission.restriction_to_send(cx.now, true) {
+            let event = entry::Event::Restricted(sent.request, sent.attempt, restriction);
+            self.send_to_entry(sent, event, cx);
+        }
+    }
+
+    /// Restarts the daemon beside an upstream, which then announces itself again.
+    pub(crate) fn restart_daemon(&mut self, index: usize, cx: &mut Cx<'_>) {
+        let daemon = &mut self.daemons[index];
+        daemon.node.admission = admission::Admission::new(&daemon.settings, false);
+        self.upstream_started(index, cx);
+    }
+
     fn handle_entry_effect(&mut self, daemon: usize, effect: entry::Effect, cx: &mut Cx<'_>) {
         match effect {
             entry::Effect::Forward(attempt) => self.forward(daemon, &attempt, cx),
@@ -280,11 +303,7 @@
                     return;
                 };
                 let event = admission::Event::Cancelled(*ticket);
-                cx.tx.push(Output::Deliver {
-                    at: cx.now + self.latency(sent.entry, sent.gate),
-                    daemon: sent.gate,
-                    event: Box::new(Event::Admission(event)),
-                });
+                self.deliver_to_gate(*sent, Event::Admission(event), cx);
             }
             entry::Effect::Relay(call, attempt) => {
                 let status = self.statuses.get(&(call, attempt)).copied();
@@ -341,6 +360,10 @@
         self.forwarded.insert(ticket, sent);
         self.tickets
             .insert((attempt.request, attempt.attempt), ticket);
+        if let Some(known) = attempt.known_restriction {
+            let informed = Event::Admission(admission::Event::Informed(known));
+            self.deliver_to_gate(sent, informed, cx);
+        }
         let event = admission::Event::Arrived(admission::Arrival {
             ticket,
             link: daemon as u64 + 1,
@@ -354,13 +377,17 @@
             idempotent: attempt.idempotent,
             weight: attempt.weight,
             objective: attempt.objective,
-            is_call: false,
+            is_call: arrival.depth > 1,
             suspected: attempt.suspected,
         });
+        self.deliver_to_gate(sent, Event::Admission(event), cx);
+    }
+
+    fn deliver_to_gate(&self, sent: ForwardedAttempt, event: Event, cx: &mut Cx<'_>) {
         cx.tx.push(Output::Deliver {
-            at: cx.now + self.latency(daemon, gate),
-            daemon: gate,
-            event: Box::new(Event::Admission(event)),
+            at: cx.now + self.latency(sent.entry, sent.gate),
+            daemon: sent.gate,
+            event: Box::new(event),
         });
     }
 
@@ -396,8 +423,10 @@
                     load: has_load.then_some(load),
                     retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
                     only_at: only_at.unwrap_or_default().into(),
+                    restriction: None,
                 };
                 if let Some(sent) = self.forwarded.remove(&ticket) {
+                    self.send_restriction(sent, cx);
                     let event = entry::Event::Refused(sent.request, sent.attempt, refuse);
                     self.send_to_entry(sent, event, cx);
                 }
--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Restarts the daemon beside an upstream.
+    pub(crate) fn restart_daemon(&mut self, upstream: usize, cx: &mut Cx<'_>) {
+        if let Self::Fleet(fleet) = self {
+            fleet.restart_daemon(upstream, cx);
+        }
+    }
+
     /// Lets a gate read the load report of its upstream, if one is due.
     pub(crate) fn read_report(&mut self, upstream: usize, cx: &mut Cx<'_>) {
         if let Self::Fleet(fleet) = self {
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -24,6 +24,17 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Window over which the requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Window over which requests to an upstream that states a rate are counted.
+const STATED_WINDOW: Duration = Duration::from_secs(4);
+/// Time after an upstream begins to state a rate from which on requests are counted.
+const STATED_COUNTS_AFTER: Duration = Duration::from_millis(500);
+/// Time after an upstream begins to state a rate, or that it is leaving, from which on it
+/// binds.
+const STATED_BINDS_AFTER: Duration = Duration::from_secs(3);
+/// Requests in the window that are allowed for each request a second that is stated, and
+/// those that are allowed besides.
+const STATED_ALLOWANCE: u64 = 6;
+const STATED_SLACK: u64 = 5;
 /// Offsets that derive the seeds of independent random streams: callers, noise
 /// of upstreams, calls.
 const CALLER_STREAM: u64 = 0x6361_6c6c;
@@ -114,6 +125,10 @@
     generations: Vec<u64>,
     /// Times at which cold upstreams received requests, by upstream.
     cold_runs: Vec<Vec<Duration>>,
+    /// Times of the recent requests to each upstream.
+    stated_runs: Vec<Vec<Duration>>,
+    /// Since when each upstream states something.
+    stated_since: Vec<Option<Duration>>,
     router: Router,
     tx: Vec<Output>,
     pending: BTreeMap<CallId, PendingCall>,
@@ -183,6 +198,8 @@
             noise_rngs: seeded_rngs(seed, NOISE_STREAM, upstreams.len()),
             generations: vec![0; upstreams.len()],
             cold_runs: vec![Vec::new(); upstreams.len()],
+            stated_runs: vec![Vec::new(); upstreams.len()],
+            stated_since: vec![None; upstreams.len()],
             upstreams,
             router,
             tx: Vec::new(),
@@ -335,6 +352,7 @@
         if self.now < upstream.cold_until {
             self.count_cold_excess(index);
         }
+        self.count_stated_excess(index);
         let upstream = &mut self.upstreams[index];
         upstream.advance(self.now);
         let run = Run {
@@ -350,6 +368,24 @@
         self.schedule_completion(index);
     }
 
+    /// Counts a request beyond what its upstream states.
+    fn count_stated_excess(&mut self, index: usize) {
+        let now = self.now;
+        let Some(since) = self.stated_since[index] else {
+            return;
+        };
+        let runs = &mut self.stated_runs[index];
+        runs.retain(|at| now - *at < STATED_WINDOW && *at >= since + STATED_COUNTS_AFTER);
+        runs.push(now);
+        let binds = now >= since + STATED_BINDS_AFTER;
+        let statement = self.upstreams[index].statement;
+        self.tally.late_leaving += u64::from(binds && statement.leaving);
+        let rate_milli = statement.rate_milli.filter(|_| binds);
+        let allowed = rate_milli.map(|rate| rate * STATED_ALLOWANCE / 1_000 + STATED_SLACK);
+        let arrived = runs.len() as u64;
+        self.tally.stated_excess += u64::from(allowed.is_some_and(|allowed| arrived > allowed));
+    }
+
     fn count_cold_excess(&mut self, index: usize) {
         let now = self.now;
         let limit = self.upstreams[index].service.cold.per_s;
--- a/crates/model/src/simulation/fault_events.rs
+++ b/crates/model/src/simulation/fault_events.rs
@@ -12,6 +12,24 @@
         let affected = fault.affected_upstreams(self.experiment, &self.upstreams);
         match fault.kind {
             FaultKind::Burst => {}
+            FaultKind::Limit => {
+                for upstream in affected {
+                    let rate = begins.then(|| thousandths(fault.factor));
+                    self.upstreams[upstream].statement.rate_milli = rate;
+                    self.stated_since[upstream] = begins.then_some(self.now);
+                }
+            }
+            FaultKind::Leave => {
+                for upstream in affected {
+                    self.upstreams[upstream].statement.leaving = begins;
+                    self.stated_since[upstream] = begins.then_some(self.now);
+                }
+            }
+            FaultKind::DaemonRestart => {
+                for upstream in affected.into_iter().filter(|_| begins) {
+                    self.with_router(|router, cx| router.restart_daemon(upstream, cx));
+                }
+            }
             FaultKind::Out => {
                 let out = faults::out_data_centres(self.experiment, self.now);
                 self.router.set_out_data_centres(&out);
@@ -46,3 +64,12 @@
         }
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts of floats saturate"
+)]
+fn thousandths(value: f64) -> u64 {
+    (value * 1_000.0).round() as u64
+}
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -49,6 +49,11 @@
     /// Requests that cold upstreams received beyond the rate that they can
     /// take.
     pub cold_excess: u64,
+    /// Requests that upstreams received beyond the rate that they stated: more in four
+    /// seconds than one and a half times what it allows and five.
+    pub stated_excess: u64,
+    /// Requests that upstreams received that had stated that they were leaving.
+    pub late_leaving: u64,
     /// Bytes sent between data centres.
     pub far_bytes: u64,
 }
@@ -71,6 +76,8 @@
             runs: 0,
             repeats: 0,
             cold_excess: 0,
+            stated_excess: 0,
+            late_leaving: 0,
             far_bytes: 0,
         }
     }
--- a/crates/model/src/upstream.rs
+++ b/crates/model/src/upstream.rs
@@ -2,7 +2,7 @@
 //! faults, concurrency and cold starts cause.
 
 use crate::experiment::Service;
-use gate::Ticket;
+use gate::{Statement, Ticket};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -44,6 +44,8 @@
     /// Factor by which a fault slows down the work. Load reports don't include
     /// it.
     pub(crate) fault_slowdown: f64,
+    /// What its responses state.
+    pub(crate) statement: Statement,
     /// Requests in flight.
     pub(crate) runs: BTreeMap<Ticket, Run>,
     noisy: bool,
@@ -60,6 +62,7 @@
             start_count: 1,
             cold_until: Duration::ZERO,
             fault_slowdown: 1.0,
+            statement: Statement::default(),
             runs: BTreeMap::new(),
             noisy: false,
             updated_at: Duration::ZERO,
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -135,6 +135,7 @@
                 self.recent_entries.record_request(cx.now, arrival.link);
                 self.schedule(Job::new(arrival, cx.now), cx);
             }
+            Event::Informed(restriction) => self.on_informed(&restriction, cx),
             Event::Cancelled(ticket) => self.cancel(ticket, Effect::Cancel(ticket), cx),
             Event::ResponseStarted(ticket, read) => self.on_statement(ticket, read, cx),
             Event::HealthResponse(read) => self.on_health_statement(read, cx),
@@ -183,13 +184,7 @@
     /// announced as leaving.
     pub fn stop(&mut self, cx: &mut Cx<'_>) {
         self.stopping = true;
-        if let Some(announced) = self.gate.announced() {
-            let leaving = Announcement {
-                leaving: true,
-                ..announced.clone()
-            };
-            cx.agent.announce(leaving);
-        }
+        self.announce_leaving(cx);
     }
 
     fn service(&self) -> ServiceId {
@@ -242,6 +237,7 @@
         }
         self.announced_at = cx.now;
         announcement.leaving |= self.stopping;
+        let previous = self.gate.announced().map(|a| a.leaving);
         match self.gate.announce(cx.now, announcement) {
             Some(lost) => {
                 let lost = lost.into_iter();
@@ -250,6 +246,9 @@
             }
             None => self.record_sign_of_life(cx),
         }
+        if previous == Some(false) {
+            self.refuse_waiting_if_leaving(cx);
+        }
         if let Some(announced) = self.gate.announced() {
             cx.agent.service(&announced.service);
             cx.agent.announce(announced.clone());
@@ -496,6 +495,10 @@
             RefuseReason::NoSlot | RefuseReason::Cold => {
                 Duration::from_micros(self.gate.load().service_us.into())
             }
+            RefuseReason::Limited => {
+                self.statement_counts.rejected += 1;
+                self.gate.retry_after_limited(cx.now)
+            }
             _ => DEFAULT_RETRY_AFTER,
         };
         let load = self.load_to_send(cx.now).unwrap_or_default();
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -5,7 +5,8 @@
 use gate::{LoadReport, Outcome, Ticket};
 use std::time::Duration;
 use wire::{
-    Announcement, ClassId, CustomerId, Fingerprint, Load, RefuseReason, ServiceId, UpstreamId,
+    Announcement, ClassId, CustomerId, Fingerprint, Load, RefuseReason, Restriction, ServiceId,
+    UpstreamId,
 };
 
 /// A request that an entry forwarded to this gate.
@@ -47,6 +48,8 @@
 pub enum Event {
     /// An entry offers a request whose body it sends once the gate asks for it.
     Offered(Arrival),
+    /// An entry that is about to send a request reports what it knows of the upstream.
+    Informed(Restriction),
     /// A request arrived completely from an entry.
     Arrived(Arrival),
     /// The entry cancelled the request.
--- a/crates/node/src/admission/recent_entries.rs
+++ b/crates/node/src/admission/recent_entries.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// Returns the number of entries that recently sent requests.
+    pub(super) fn count(&self, now: Duration) -> usize {
+        let recent = |at: &&Duration| now.saturating_sub(**at) < RECENT_WINDOW;
+        self.last_request.values().filter(recent).count()
+    }
+
     /// Returns the recently used connections if the slowness has changed enough
     /// to notify them; otherwise none.
     pub(super) fn entries_to_notify(&mut self, now: Duration, slow_percent: u32) -> Vec<LinkId> {
--- a/crates/node/src/admission/statements.rs
+++ b/crates/node/src/admission/statements.rs
@@ -6,6 +6,7 @@
 use crate::effect::LogLine;
 use gate::{StatedLimit, Statement, Ticket};
 use std::time::Duration;
+use wire::{Announcement, RefuseReason, Restriction, StartHash, start_hash};
 
 /// What a response states, with the values that cannot be used.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -41,6 +42,55 @@
         self.gate.stated_limit()
     }
 
+    /// Returns what to tell an entry about the upstream's statements; `None` if there is
+    /// nothing to tell. An entry that is `informed` already learns that it has ended.
+    pub fn restriction_to_send(&mut self, now: Duration, informed: bool) -> Option<Restriction> {
+        if !self.gate.has_stated() && !informed {
+            return None;
+        }
+        let start = self.start_hash()?;
+        let Statement {
+            rate_milli,
+            leaving,
+        } = self.gate.statement();
+        let entries = self.recent_entries.count(now);
+        let pause = self.gate.pause(now, entries);
+        Some(Restriction {
+            start,
+            leaving,
+            rate_milli,
+            pause_ms: u32::try_from(pause.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Takes over what an entry knows of this start of the upstream, because this gate
+    /// may have started again since.
+    pub(super) fn on_informed(&mut self, restriction: &Restriction, cx: &mut Cx<'_>) {
+        if self.start_hash() != Some(restriction.start) {
+            return;
+        }
+        let statement = Statement {
+            rate_milli: restriction.rate_milli,
+            leaving: restriction.leaving,
+        };
+        if self.gate.adopt_statement(cx.now, statement) {
+            self.on_statement_changed("entry", cx);
+        }
+    }
+
+    /// Refuses the requests that wait in the queue of an upstream that is leaving, so that
+    /// their entries place them elsewhere.
+    pub(super) fn refuse_waiting_if_leaving(&mut self, cx: &mut Cx<'_>) {
+        for ticket in self.gate.remove_if_leaving() {
+            self.jobs.remove(ticket);
+            self.refuse(ticket, RefuseReason::Leaving, None, cx);
+        }
+    }
+
+    fn start_hash(&self) -> Option<StartHash> {
+        self.gate.announced().map(|a| start_hash(&a.boot))
+    }
+
     /// Returns counts of statements.
     #[must_use]
     pub fn statement_counts(&self) -> StatementCounts {
@@ -76,6 +126,10 @@
             rate_milli,
             leaving,
         } = self.gate.statement();
+        if leaving {
+            self.refuse_waiting_if_leaving(cx);
+            self.announce_leaving(cx);
+        }
         let recent = self.gate.stated_limit().recent_arrivals;
         let rate = rate_milli.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         cx.tx.push(crate::Effect::Log(LogLine {
@@ -90,6 +144,16 @@
         }));
     }
 
+    /// Announces the upstream as leaving, whatever its own announcements say.
+    pub(super) fn announce_leaving(&self, cx: &mut Cx<'_>) {
+        if let Some(announced) = self.gate.announced() {
+            cx.agent.announce(Announcement {
+                leaving: true,
+                ..announced.clone()
+            });
+        }
+    }
+
     fn record_unusable(&mut self, unusable: Vec<(&'static str, String)>, cx: &mut Cx<'_>) {
         for (header, value) in unusable {
             self.statement_counts.unusable += 1;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -12,6 +12,7 @@
 mod reachability;
 mod refusal;
 mod request;
+mod restrictions;
 mod route;
 mod wait_estimate;
 
@@ -23,6 +24,7 @@
 use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits, Reachability};
 use refusal::RefusalCause;
 use request::{ActiveRequest, Purpose};
+use restrictions::Restrictions;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wait_estimate::WaitEstimator;
@@ -63,6 +65,7 @@
     retry_after: Duration,
     pickers: BTreeMap<ServiceId, Picker>,
     reachability: Reachability,
+    restrictions: Restrictions,
     budgets: BTreeMap<ServiceId, Budgets>,
     retry_limits: RatioLimits,
     hedge_limits: RatioLimits,
@@ -101,6 +104,7 @@
             retry_after: routing.retry_after,
             pickers: BTreeMap::new(),
             reachability: Reachability::new(),
+            restrictions: Restrictions::default(),
             budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
             hedge_limits: limits(routing.hedge_ratio),
@@ -139,6 +143,9 @@
                     push(cx.tx, Effect::Forget(id));
                 }
             }
+            Event::Restricted(id, attempt, restriction) => {
+                self.on_restricted(id, attempt, restriction, cx);
+            }
             Event::Refused(id, attempt, refuse) => self.on_refused(id, attempt, &refuse, cx),
             Event::NotSent(id, attempt) => self.on_not_sent(id, attempt, cx),
             Event::ResponseStarted(id, attempt, status, load) => {
@@ -161,6 +168,7 @@
             self.refuse(id, Reason::Deadline.into(), cx);
         }
         self.convicted.retain(|_, until| *until > cx.now);
+        self.restrictions.tick(cx.now);
         self.pickers
             .retain(|_, picker| cx.now.saturating_sub(picker.last_used()) < PICKER_IDLE_TIMEOUT);
         self.view_changed(cx);
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -54,7 +54,10 @@
             return;
         };
         let chosen = match check_may_send(active, cx) {
-            Ok(()) => self.choose(id, purpose, cx).ok_or(otherwise),
+            Ok(()) => match self.choose(id, purpose, cx) {
+                Some(estimate) => Ok(estimate),
+                None => Err(self.rate_limit_cause(id, purpose, cx).unwrap_or(otherwise)),
+            },
             Err(cause) => Err(cause),
         };
         match chosen {
@@ -66,6 +69,27 @@
         }
     }
 
+    /// Returns why a request that has not reached an upstream is refused, if every upstream
+    /// that is left has got as many requests from here as the rate that it states allows.
+    fn rate_limit_cause(
+        &mut self,
+        id: RequestId,
+        purpose: Purpose,
+        cx: &Cx<'_>,
+    ) -> Option<RefusalCause> {
+        let active = self.active.get(&id)?;
+        if !matches!(purpose, Purpose::First | Purpose::Repick) {
+            return None;
+        }
+        let tried = active.tried_upstreams();
+        let picker = self.pickers.get_mut(&active.request.service)?;
+        let earliest = picker.promise_retry(cx.now, &tried)?;
+        Some(RefusalCause {
+            earliest,
+            ..Reason::RateLimit.into()
+        })
+    }
+
     /// Returns whether the upstream is expected to respond before the deadline.
     /// If not, refusing at once saves the upstream's slots and the caller's
     /// time. Requests without an objective are always sent.
@@ -121,6 +145,7 @@
         self.reachability.record_sent(cx.now, &known.data_centre);
         let is_last = active.count(AttemptState::NotRun) >= self.max_repicks;
         let mut attempt = active.start_attempt(purpose, upstream, address, cx.now);
+        attempt.known_restriction = self.restrictions.get(upstream);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             if self.by_expected_finish {
                 // The last free attempt states no slowness, so the gate cannot
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -4,7 +4,8 @@
 use compact_str::CompactString;
 use std::time::Duration;
 use wire::{
-    AttemptId, ClassId, CustomerId, Fingerprint, Load, Refuse, RequestId, ServiceId, UpstreamId,
+    AttemptId, ClassId, CustomerId, Fingerprint, Load, Refuse, RequestId, Restriction, ServiceId,
+    UpstreamId,
 };
 
 /// A request as a caller sent it.
@@ -57,6 +58,9 @@
     CallerGone(RequestId),
     /// A gate reported that it did not run the request.
     Refused(RequestId, AttemptId, Refuse),
+    /// A gate reported, with a refusal or the beginning of a response, what its upstream
+    /// states about itself. The refusal or response follows.
+    Restricted(RequestId, AttemptId, Restriction),
     /// No connection could be made, so nothing was sent.
     NotSent(RequestId, AttemptId),
     /// A response started, with this HTTP status.
@@ -100,6 +104,8 @@
     pub claim: u64,
     /// Whether it was in flight at a possible crash and must run exclusively.
     pub suspected: bool,
+    /// What the upstream stated about itself in earlier responses.
+    pub known_restriction: Option<Restriction>,
 }
 
 /// An action for a request.
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -47,6 +47,7 @@
             | RefuseReason::Duplicate
             | RefuseReason::Rejected
             | RefuseReason::Slow
+            | RefuseReason::Limited
             | RefuseReason::Deadline => Reply::NoSlot,
             _ => Reply::Unavailable(cx.now + UNAVAILABLE_TIME),
         };
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -44,6 +44,8 @@
     /// Every gate that was tried refused for lack of capacity, or no upstream
     /// can respond before the deadline.
     Overload,
+    /// The upstreams have got as many requests as they state they take.
+    RateLimit,
     /// The deadline has passed.
     Deadline,
     /// The request crashes upstreams.
@@ -145,6 +147,7 @@
         RefuseReason::NoSlot | RefuseReason::Cold | RefuseReason::Rejected | RefuseReason::Slow => {
             Reason::Overload
         }
+        RefuseReason::Limited => Reason::RateLimit,
         RefuseReason::Deadline => Reason::Deadline,
         RefuseReason::Suspect => Reason::Suspected,
         RefuseReason::Convicted => Reason::Convicted,
@@ -177,6 +180,7 @@
         | Reason::PlanInFlight
         | Reason::NoUpstream
         | Reason::Overload
+        | Reason::RateLimit
         | Reason::Deadline
         | Reason::Suspected
         | Reason::MayHaveRun
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -96,6 +96,8 @@
     bytes: u64,
     /// Time left until the latency objective is missed, if there is one.
     objective: Option<Duration>,
+    /// Rank among requests for upstreams that state a rate.
+    preference: u32,
 }
 
 /// Where the entry is, and what it can reach.
@@ -122,6 +124,7 @@
             default_work: self.default_work,
             bytes: self.bytes,
             objective: self.objective,
+            preference: self.preference,
         }
     }
 }
@@ -189,6 +192,11 @@
             default_work: self.objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK_DIVISOR,
             bytes: self.request.body_bytes,
             objective: self.until_late(now),
+            preference: match self.request.depth {
+                0 | 1 => self.class.weight,
+                // The request that made the call holds a slot elsewhere.
+                _ => u32::MAX,
+            },
         }
     }
 
@@ -233,6 +241,7 @@
             idempotent: self.class.idempotent,
             claim: self.claim_number(),
             suspected: self.suspected,
+            known_restriction: None,
         }
     }
 
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use test_case::test_case;
-use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason};
+use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason, Restriction};
 
 const SLOTS: u32 = 2;
 
@@ -28,6 +28,10 @@
 
 /// Returns a daemon beside an upstream with [`SLOTS`] slots and no queue.
 fn gate() -> Node {
+    gate_with_queue(0.0)
+}
+
+fn gate_with_queue(queue_ratio: f64) -> Node {
     let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
     let listen = ListenSettings {
         callers: Some(address(7100)),
@@ -43,7 +47,7 @@
     settings.control.serve_stale = true;
     settings.gate.isolate_suspects = false;
     settings.gate.cold_slots = SLOTS;
-    settings.gate.queue_ratio = 0.0;
+    settings.gate.queue_ratio = queue_ratio;
     let mut node = Node::new(NodeOptions {
         settings,
         incarnation: 1,
@@ -204,3 +208,115 @@
     assert!(announce(&mut node, 1_000, 100, 5));
     assert!(!announce(&mut node, 60_000, 100, 4));
 }
+
+/// Returns what a response states.
+fn stating(rate_milli: Option<u64>, leaving: bool) -> admission::ReadStatement {
+    admission::ReadStatement {
+        statement: gate::Statement {
+            rate_milli,
+            leaving,
+        },
+        unusable: Vec::new(),
+    }
+}
+
+/// Returns what the gate tells an entry about the upstream that stated this.
+fn told(node: &mut Node, statement: admission::ReadStatement) -> Restriction {
+    assert_eq!(
+        admit(node, 10, admission::Event::Arrived(arrival(1))),
+        [admission::Effect::Run(1)]
+    );
+    admit(node, 20, admission::Event::ResponseStarted(1, statement));
+    let now = Duration::from_millis(20);
+    node.admission.restriction_to_send(now, false).unwrap()
+}
+
+/// Guards against a gate that has started again and sends requests to an upstream that
+/// told its predecessor that it is leaving.
+#[test]
+fn restarted_gate_learns_from_an_entry_that_the_upstream_leaves() {
+    let known = told(&mut gate(), stating(None, true));
+    let mut restarted = gate();
+    admit(&mut restarted, 30, admission::Event::Informed(known));
+    let effects = admit(&mut restarted, 30, admission::Event::Arrived(arrival(2)));
+    assert_eq!(refused(&effects), Some(RefuseReason::Leaving));
+    let next_start = Restriction {
+        start: known.start + 1,
+        ..known
+    };
+    let mut other = gate();
+    admit(&mut other, 30, admission::Event::Informed(next_start));
+    let effects = admit(&mut other, 30, admission::Event::Arrived(arrival(2)));
+    assert_eq!(effects, [admission::Effect::Run(2)]);
+}
+
+/// Guards against a gate that has started again and sends as much as if its predecessor
+/// had sent nothing.
+#[test]
+fn restarted_gate_begins_with_a_rate_that_is_used_up() {
+    let known = told(&mut gate(), stating(Some(2_000), false));
+    let mut restarted = gate();
+    admit(&mut restarted, 30, admission::Event::Informed(known));
+    let effects = admit(&mut restarted, 30, admission::Event::Arrived(arrival(2)));
+    assert_eq!(refused(&effects), Some(RefuseReason::Limited));
+    let effects = admit(&mut restarted, 540, admission::Event::Arrived(arrival(3)));
+    assert_eq!(effects, [admission::Effect::Run(3)]);
+}
+
+/// Guards against an entry that keeps to a rate which the upstream no longer states.
+#[test]
+fn entry_that_knows_a_rate_is_told_of_its_end() {
+    let mut node = gate();
+    let known = told(&mut node, stating(Some(2_000), false));
+    assert_eq!(known.rate_milli, Some(2_000));
+    admit(&mut node, 600, admission::Event::Arrived(arrival(2)));
+    admit(
+        &mut node,
+        700,
+        admission::Event::ResponseStarted(2, stating(None, false)),
+    );
+    let told = node
+        .admission
+        .restriction_to_send(Duration::from_millis(700), true);
+    let told = told.unwrap();
+    assert_eq!(
+        (told.rate_milli, told.leaving, told.pause_ms),
+        (None, false, 0)
+    );
+}
+
+/// Guards against requests that wait in the queue of an upstream that is leaving until
+/// their time is up.
+#[test_case(true; "stated in a response")]
+#[test_case(false; "announced")]
+fn waiting_requests_are_refused_at_once_when_the_upstream_leaves(stated: bool) {
+    let mut node = gate_with_queue(1.0);
+    for ticket in 1..=3 {
+        admit(&mut node, 10, admission::Event::Arrived(arrival(ticket)));
+    }
+    let event = match stated {
+        true => admission::Event::ResponseStarted(1, stating(None, true)),
+        false => admission::Event::Announced(Announcement {
+            leaving: true,
+            ..announcement(100, 2)
+        }),
+    };
+    let effects = admit(&mut node, 11, event);
+    assert_eq!(
+        refused(&effects),
+        Some(RefuseReason::Leaving),
+        "{effects:?}"
+    );
+}
+
+/// Guards against announcements of the upstream that bring it back to the fleet although
+/// its responses state that it is leaving.
+#[test]
+fn stated_leaving_is_announced_to_the_fleet() {
+    let mut node = gate();
+    told(&mut node, stating(None, true));
+    announce(&mut node, 100, 100, 2);
+    assert!(node.admission.announced().unwrap().leaving);
+    assert!(announce(&mut node, 200, 101, 1));
+    assert!(!node.admission.announced().unwrap().leaving);
+}
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -313,7 +313,7 @@
 
     pub(crate) fn end_ticket(&mut self, at: &str, ticket: Ticket, outcome: Outcome) {
         self.daemons.get_mut(at).unwrap().running.remove(&ticket);
-        if let Outcome::Whole(status) = outcome {
+        if let Outcome::Whole(_) = outcome {
             let read = admission::ReadStatement::default();
             let started = admission::Event::ResponseStarted(ticket, read);
             self.event(at, Event::Admission(started));
@@ -722,6 +722,7 @@
                     load: Some(load),
                     retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap(),
                     only_at: only_at.unwrap_or_default().into(),
+                    restriction: None,
                 };
                 self.notify_entry(ticket, |r, a| entry::Event::Refused(r, a, refuse));
             }
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use test_case::test_case;
 use wire::{
-    Body, ConfigDelta, HeartbeatReply, LinkKind, Load, LoadUpdate, Refuse, RefuseReason, Route,
-    RouteDestination, RouteKind, Routing, ServiceDelta, UpstreamInfo,
+    Body, ConfigDelta, HeartbeatReply, LinkKind, Load, LoadUpdate, Refuse, RefuseReason,
+    Restriction, Route, RouteDestination, RouteKind, Routing, ServiceDelta, UpstreamInfo,
 };
 
 /// Fraction of requests that may be retried, and retries that an entry may
@@ -580,3 +580,93 @@
         assert_eq!(attempt.upstream, "u4");
     }
 }
+
+/// Reports what the upstream of an attempt states.
+fn restrict(node: &mut Node, at_ms: u64, (id, attempt): (u64, u32), restriction: Restriction) {
+    let event = entry::Event::Restricted(id, attempt, restriction);
+    run(node, at_ms, Event::Entry(event));
+}
+
+/// Returns a restriction to two requests a second with a pause.
+fn limited(pause_ms: u32) -> Restriction {
+    Restriction {
+        start: 5,
+        leaving: false,
+        rate_milli: Some(2_000),
+        pause_ms,
+    }
+}
+
+/// Guards against callers who are rejected because one upstream states a rate, though
+/// others have room, and against a rejection at once without a time to come back.
+#[test]
+fn upstreams_that_state_a_rate_are_paused_and_others_used() {
+    let mut node = ready_node();
+    let mut paused = Vec::new();
+    for id in 1..=3 {
+        let attempt = forwarded(&arrive(&mut node, 3_010 + id, id, "/read/x")).unwrap();
+        assert!(
+            !paused.contains(&attempt.upstream),
+            "{:?}",
+            attempt.upstream
+        );
+        let number = attempt.attempt;
+        paused.push(attempt.upstream);
+        restrict(&mut node, 3_011 + id, (id, number), limited(500));
+        let refused = Refuse {
+            reason: RefuseReason::Limited.into(),
+            retry_after_ms: 500,
+            ..Refuse::default()
+        };
+        if id < 3 {
+            for event in [
+                entry::Event::ResponseStarted(id, number, 200, None),
+                entry::Event::Ended(id, number, 1, None),
+            ] {
+                run(&mut node, 3_011 + id, Event::Entry(event));
+            }
+        } else {
+            let refused = entry::Event::Refused(id, number, refused);
+            let refusal = refusal(&run(&mut node, 3_014, Event::Entry(refused))).unwrap();
+            assert_eq!(
+                (refusal.reason, refusal.run),
+                (Reason::RateLimit, RunState::NotRun)
+            );
+            assert!(refusal.retry_after >= Some(Duration::from_millis(400)));
+        }
+    }
+    let effects = arrive(&mut node, 3_100, 4, "/read/x");
+    assert!(
+        forwarded(&effects).is_none(),
+        "sent to an upstream that is paused"
+    );
+    let refusal = refusal(&effects).unwrap();
+    assert_eq!(
+        (refusal.reason, refusal.run),
+        (Reason::RateLimit, RunState::NotRun)
+    );
+    assert!(forwarded(&arrive(&mut node, 3_520, 5, "/read/x")).is_some());
+}
+
+/// Guards against a gate that starts again and hears of no entry what its upstream
+/// stated, also while the upstream is missing from the view meanwhile.
+#[test]
+fn requests_carry_what_their_upstream_stated_before() {
+    let mut node = prepared_node(7, &[("u1", "ams")]);
+    let first = forwarded(&arrive(&mut node, 3_010, 1, "/read/x")).unwrap();
+    assert_eq!(first.known_restriction, None);
+    restrict(&mut node, 3_020, (1, first.attempt), limited(0));
+    for places in [&[("u2", "ams")][..], &[("u1", "ams")][..]] {
+        let effects = run(&mut node, 4_600, Event::Tick { unix_ms: 0 });
+        reply_to_heartbeats(&mut node, 4_601, effects, (7, places));
+    }
+    let second = forwarded(&arrive(&mut node, 4_700, 2, "/read/x")).unwrap();
+    assert_eq!(second.known_restriction, Some(limited(0)));
+    let ended = Restriction {
+        rate_milli: None,
+        ..limited(0)
+    };
+    restrict(&mut node, 4_710, (2, second.attempt), ended);
+    let third = forwarded(&arrive(&mut node, 4_720, 3, "/read/x")).unwrap();
+    assert_eq!(third.known_restriction, None);
+}
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -6,7 +6,7 @@
 use crate::policy::{Policy, ScoredCandidate};
 use crate::quantile::LatencyQuantiles;
 use crate::reachability::Reachability;
-use crate::stats::UpstreamStats;
+use crate::stats::{Pause, UpstreamStats};
 use crate::{score, straggler};
 use rand::rngs::SmallRng;
 use std::collections::BTreeMap;
@@ -25,6 +25,23 @@
 /// Minimum share of the normal traffic that a returning upstream receives.
 const MIN_RAMP_SHARE: f64 = 0.05;
 
+/// Time after a request with the greatest preference for which it counts.
+const PREFERENCE_TIME: Duration = Duration::from_secs(2);
+/// Fraction of the interval between requests to an upstream that states a rate in which
+/// only preferred requests are sent.
+const RESERVED_RATIO: f64 = 0.25;
+/// Maximum time after which a rejected caller is told to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// How a request ranks among the recent ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rank {
+    /// None had a greater preference.
+    Preferred,
+    /// Another one had.
+    Other,
+}
+
 /// An upstream that can be chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -74,6 +91,8 @@
     pub bytes: u64,
     /// Time left until the response is late, if the request has an objective.
     pub objective: Option<Duration>,
+    /// Rank among requests for upstreams that state a rate, the greatest first.
+    pub preference: u32,
 }
 
 /// Reply to an attempt at an upstream.
@@ -116,6 +135,10 @@
     /// Average response size of each class, in bytes.
     response_bytes: BTreeMap<ClassId, f64>,
     choices_made: u64,
+    /// Greatest preference seen recently, and when.
+    preferred: Option<(u32, Duration)>,
+    /// When the last of the callers that were told when to come back is to do so.
+    promised_until: Duration,
     last_used: Duration,
 }
 
@@ -131,6 +154,8 @@
             service_times: BTreeMap::new(),
             response_bytes: BTreeMap::new(),
             choices_made: 0,
+            preferred: None,
+            promised_until: Duration::ZERO,
             last_used: Duration::ZERO,
         }
     }
@@ -189,8 +214,11 @@
         eject::update(&mut self.all_stats, self.settings.eject_ratio, now);
         let choices_made = self.choices_made;
         self.choices_made += 1;
+        self.record_preference(now, request.preference);
         let peers = PeerSummary::new(&self.all_stats, now);
-        let candidates = self.score_untried(now, &peers, request);
+        let mut candidates = self.score_untried(now, &peers, request);
+        let rank = self.rank(now, request.preference);
+        candidates.retain(|c| !self.is_paused(now, c.index, rank));
         let index = (self.settings.policy.choose)(rng, &candidates, choices_made)?;
         let chosen = candidates.iter().find(|c| c.index == index)?;
         self.estimate_for(now, &peers, chosen)
@@ -295,7 +323,8 @@
     #[must_use]
     pub fn best_finish(&self, now: Duration, request: PickRequest<'_>) -> Option<Duration> {
         let candidates = self.scored_candidates(now, request).into_iter();
-        let usable = candidates.filter(|c| !c.avoid);
+        let rank = self.rank(now, request.preference);
+        let usable = candidates.filter(|c| !c.avoid && !self.is_paused(now, c.index, rank));
         let best = usable.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
         Duration::try_from_secs_f64(best.finish).ok()
     }
@@ -314,6 +343,41 @@
         }
     }
 
+    /// Sends an upstream nothing for a time, because of the rate that it states. The
+    /// pause is also the interval at which this entry may send to it.
+    pub fn record_pause(&mut self, now: Duration, upstream: &str, interval: Duration) {
+        if let Some(stats) = self.all_stats.get_mut(upstream) {
+            stats.pause = Pause {
+                until: now + interval,
+                interval,
+            };
+        }
+    }
+
+    /// Returns the time after which a caller should come back whose request no upstream
+    /// can get now because of the rates that they state, and counts it among those that
+    /// will. Returns `None` if there is an upstream without a pause that was not tried.
+    pub fn promise_retry(&mut self, now: Duration, tried: &[UpstreamId]) -> Option<Duration> {
+        let untried = self.candidates.iter();
+        let untried = untried.filter(|c| !tried.contains(&c.upstream));
+        let pauses: Vec<Pause> = untried
+            .map(|c| self.all_stats.get(&c.upstream).map(|stats| stats.pause))
+            .map(|pause| pause.unwrap_or_default())
+            .collect();
+        let first = pauses.iter().map(|pause| pause.until).min()?;
+        if pauses.iter().any(|p| now >= p.until + p.interval) {
+            return None;
+        }
+        let rate: f64 = pauses
+            .iter()
+            .map(|p| p.interval.as_secs_f64().recip())
+            .sum();
+        let step = Duration::try_from_secs_f64(rate.recip()).unwrap_or(MAX_RETRY_AFTER);
+        let at = self.promised_until.max(first).saturating_add(step);
+        self.promised_until = at.min(now + MAX_RETRY_AFTER);
+        Some(self.promised_until.saturating_sub(now))
+    }
+
     /// Records that an attempt has ended.
     pub fn record_end(&mut self, upstream: &str) {
         if let Some(stats) = self.all_stats.get_mut(upstream) {
@@ -405,6 +469,35 @@
         })
     }
 
+    fn record_preference(&mut self, now: Duration, preference: u32) {
+        if self.rank(now, preference) == Rank::Preferred {
+            self.preferred = Some((preference, now));
+        }
+    }
+
+    fn rank(&self, now: Duration, preference: u32) -> Rank {
+        let recent = |(_, at): &&(u32, Duration)| now.saturating_sub(*at) < PREFERENCE_TIME;
+        match self.preferred.as_ref().filter(recent) {
+            Some((greatest, _)) if preference < *greatest => Rank::Other,
+            _ => Rank::Preferred,
+        }
+    }
+
+    /// Returns whether an upstream gets no request now because of the rate that it
+    /// states. What the rate allows is first kept for preferred requests.
+    fn is_paused(&self, now: Duration, index: usize, rank: Rank) -> bool {
+        let candidate = self.candidates.get(index);
+        let stats = candidate.and_then(|c| self.all_stats.get(&c.upstream));
+        let Some(pause) = stats.map(|stats| stats.pause) else {
+            return false;
+        };
+        let reserved = match rank {
+            Rank::Preferred => Duration::ZERO,
+            Rank::Other => pause.interval.mul_f64(RESERVED_RATIO),
+        };
+        now < pause.until + reserved
+    }
+
     /// Returns the service time of the request at normal speed, in seconds.
     fn service_time(&self, request: PickRequest<'_>) -> f64 {
         let measured = self.service_times.get(request.class).copied();
--- a/crates/pick/src/stats.rs
+++ b/crates/pick/src/stats.rs
@@ -19,6 +19,14 @@
     pub(crate) own_in_flight: u32,
 }
 
+/// Time in which an upstream gets no requests from this entry.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pause {
+    pub(crate) until: Duration,
+    /// Length of the pause, which is the interval of this entry's requests.
+    pub(crate) interval: Duration,
+}
+
 /// Statistics about one upstream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamStats {
@@ -34,6 +42,8 @@
     pub(crate) last_sent: Duration,
     pub(crate) last_activity: Option<Duration>,
     pub(crate) unavailable_until: Duration,
+    /// Pause because of the rate that the upstream states.
+    pub(crate) pause: Pause,
     pub(crate) ejected_until: Option<Duration>,
     pub(crate) ejections: u32,
     failures: f64,
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -64,6 +64,7 @@
         default_work: WORK,
         bytes,
         objective: None,
+        preference: 1,
     }
 }
 
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -95,6 +95,7 @@
             default_work: Duration::from_millis(100),
             bytes: 0,
             objective: None,
+            preference: 1,
         };
         let mut out = String::new();
         for candidate in self.picker.scored_candidates(self.now, request) {
@@ -123,6 +124,7 @@
                 default_work: Duration::from_millis(100),
                 bytes: 0,
                 objective: None,
+                preference: 1,
             };
             let estimate = self.picker.choose(self.now, &mut self.rng, request);
             let name = estimate.map_or("none".into(), |estimate| estimate.upstream);
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -89,6 +89,7 @@
             weight: attempt.weight,
             suspected: attempt.suspected,
             believed_slow_percent: attempt.believed_slow_percent,
+            known_restriction: attempt.known_restriction,
             objective_ms: attempt
                 .objective
                 .map_or(0, |o| u64::try_from(o.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -13,7 +13,7 @@
 use node::entry::{self, Effect, Refusal};
 use std::io;
 use std::sync::Arc;
-use wire::{AttemptId, Body, RequestId, ResponseHead};
+use wire::{AttemptId, Body, RequestId, ResponseHead, Restriction};
 
 /// Beginning of the final response to a caller.
 #[derive(Debug)]
@@ -232,6 +232,7 @@
                 self.on_response_part(id, accepted, load);
             }
             Body::Refuse(refuse) => {
+                self.report_restriction(id, refuse.restriction);
                 self.drop_attempt(id);
                 self.report(entry::Event::Refused(self.id, id, refuse));
             }
@@ -241,18 +242,25 @@
     }
 
     fn on_response_head(&mut self, id: AttemptId, head: ResponseHead) {
-        let load = head.load;
+        let (load, restriction) = (head.load, head.restriction);
         let status = u16::try_from(head.status).unwrap_or_default();
         let Some(attempt) = self.attempt(id) else {
             return;
         };
         let accepted = attempt.on_head(head);
         if accepted {
+            self.report_restriction(id, restriction);
             self.report(entry::Event::ResponseStarted(self.id, id, status, load));
         }
         self.on_response_part(id, accepted, load);
     }
 
+    fn report_restriction(&self, id: AttemptId, restriction: Option<Restriction>) {
+        if let Some(restriction) = restriction {
+            self.report(entry::Event::Restricted(self.id, id, restriction));
+        }
+    }
+
     /// Notifies the reducer if the response is complete, or not valid.
     fn on_response_part(&mut self, id: AttemptId, accepted: bool, load: Option<wire::Load>) {
         if !accepted {
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -138,6 +138,7 @@
         Reason::UnknownCustomer => "unknown-customer",
         Reason::UnknownClass => "unknown-class",
         Reason::NoRoute => "no-route",
+        Reason::RateLimit => "rate-limit",
         Reason::PlanRate => "plan-rate",
         Reason::PlanInFlight => "plan-in-flight",
         Reason::NoUpstream => "no-upstream",
@@ -185,6 +186,7 @@
         | Reason::Stopping
         | Reason::NoUpstream
         | Reason::Overload
+        | Reason::RateLimit
         | Reason::ClaimsFull
         | Reason::NoControl => StatusCode::SERVICE_UNAVAILABLE,
     }
@@ -201,6 +203,7 @@
         Reason::PlanInFlight => "the customer has too many requests in flight",
         Reason::NoUpstream => "the service has no upstream that may take work",
         Reason::Overload => "every slot asked for is taken",
+        Reason::RateLimit => "every upstream has got as many requests as it states it takes",
         Reason::Deadline => "the deadline has passed",
         Reason::Convicted => "this request crashes upstreams",
         Reason::Suspected => "this request may crash upstreams and runs elsewhere now",
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -72,6 +72,9 @@
         return;
     };
     lock(&daemon.gate_tasks).insert(ticket, tx);
+    if let Some(known) = open.known_restriction {
+        daemon.handle_event(Event::Admission(admission::Event::Informed(known)));
+    }
     let arrival = arrival(ticket, link.id(), &open);
     let event = match open.hold_body && !open.end {
         true => admission::Event::Offered(arrival),
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -72,6 +72,7 @@
                 link,
                 stream: open.stream,
                 closed: false,
+                informed: open.known_restriction.is_some(),
             },
             daemon,
             ticket,
@@ -399,7 +400,7 @@
         log::info!(
             "event=not_admitted ticket={} attempt_id={} class={} reason={reason:?} \
              deadline_ms={} believed_slow_percent={} in_flight={} waiting={} limit={} cold={} \
-             slow_percent={}",
+             slow_percent={}{}",
             self.ticket,
             self.attempt_id,
             self.open.class,
@@ -410,9 +411,24 @@
             load.limit,
             load.cold,
             load.slow_percent,
+            self.describe_limit(reason),
         );
     }
 
+    /// Returns the log fields of a rejection because of a stated rate.
+    fn describe_limit(&self, reason: RefuseReason) -> String {
+        if reason != RefuseReason::Limited {
+            return String::new();
+        }
+        let limit = self.daemon.read(|node| node.admission.stated_limit());
+        format!(
+            " rate_milli={} rate_age_ms={} recent_arrivals={}",
+            limit.rate_milli.unwrap_or_default(),
+            limit.age.as_millis(),
+            limit.recent_arrivals,
+        )
+    }
+
     fn log_end(&self, outcome: Outcome) {
         let Some((admitted_at, load)) = &self.admitted else {
             return;
--- a/crates/plumhitchd/src/gate_http/reply_sender.rs
+++ b/crates/plumhitchd/src/gate_http/reply_sender.rs
@@ -19,6 +19,8 @@
     pub(super) stream: StreamId,
     /// Whether the entry no longer expects a reply; nothing is sent then.
     pub(super) closed: bool,
+    /// Whether the entry stated what it knows of the upstream's statements.
+    pub(super) informed: bool,
 }
 
 impl ReplySender {
@@ -35,12 +37,17 @@
         retry_after_ms: u32,
         only_at: Option<UpstreamId>,
     ) {
+        let reason = match reason {
+            RefuseReason::Limited if !self.link.peer_knows_limited() => RefuseReason::NoSlot,
+            reason => reason,
+        };
         self.send(Body::Refuse(Refuse {
             stream: self.stream,
             reason: reason.into(),
             load,
             retry_after_ms,
             only_at: only_at.unwrap_or_default().into(),
+            restriction: self.daemon.restriction_to_send(self.informed),
         }));
     }
 
@@ -65,6 +72,7 @@
             load: self.daemon.load_to_send(),
             body,
             end,
+            restriction: self.daemon.restriction_to_send(self.informed),
         }));
     }
 
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
-use wire::{Body, HOLD_BODY_VERSION, LinkKind, Open, Ping, StreamId};
+use wire::{Body, HOLD_BODY_VERSION, LIMITED_VERSION, LinkKind, Open, Ping, StreamId};
 
 /// An open connection to another daemon.
 #[derive(Debug)]
@@ -127,6 +127,11 @@
         self.peer_version.load(Ordering::Acquire) >= HOLD_BODY_VERSION
     }
 
+    /// Returns whether the peer is known to understand a refusal because of a stated rate.
+    pub(crate) fn peer_knows_limited(&self) -> bool {
+        self.peer_version.load(Ordering::Acquire) >= LIMITED_VERSION
+    }
+
     /// Returns the time since the last bytes in either direction.
     pub(super) fn idle(&self) -> Duration {
         clock::now().saturating_sub(lock(&self.state).used_at)
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -21,7 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use wire::{CallerLimits, Load, RequestId, control_reply};
+use wire::{CallerLimits, Load, RequestId, Restriction, control_reply};
 
 /// Environment variable that selects a baseline policy, for measurements only.
 const POLICY_VARIABLE: &str = "PLUMHITCH_BASELINE";
@@ -183,6 +183,12 @@
         lock(&self.node).admission.load_to_send(clock::now())
     }
 
+    /// Returns what to tell an entry about the upstream's statements.
+    pub(crate) fn restriction_to_send(&self, informed: bool) -> Option<Restriction> {
+        let mut node = lock(&self.node);
+        node.admission.restriction_to_send(clock::now(), informed)
+    }
+
     /// Returns whether the budget for load measurement allows reading the
     /// upstream's load report now.
     pub(crate) fn may_read_report(&self) -> bool {
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -87,6 +87,10 @@
     /// ignore it.
     #[prost(bool, tag = "21")]
     pub hold_body: bool,
+    /// Latest restriction of the upstream that the entry knows, for a gate that has
+    /// started again.
+    #[prost(message, optional, tag = "22")]
+    pub known_restriction: Option<Restriction>,
 }
 
 impl Open {
@@ -156,6 +160,28 @@
     /// Whether `body` is the complete body.
     #[prost(bool, tag = "7")]
     pub end: bool,
+    /// What the upstream states about itself. Absent if it never stated anything and the
+    /// entry knows of nothing.
+    #[prost(message, optional, tag = "8")]
+    pub restriction: Option<Restriction>,
+}
+
+/// What a start of an upstream states in its responses, because of which it gets fewer
+/// requests or none.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Restriction {
+    /// Hash of the boot id of the start that states it.
+    #[prost(fixed64, tag = "1")]
+    pub start: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Maximum rate from all entries together, in thousandths of a request a second.
+    #[prost(uint64, optional, tag = "3")]
+    pub rate_milli: Option<u64>,
+    /// Time for which the entry should send nothing because of the rate, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub pause_ms: u32,
 }
 
 /// Load of an upstream, with exact request counts from its gate.
@@ -231,6 +257,9 @@
     Rejected = 14,
     /// The upstream is slower than the entry expected when it chose it.
     Slow = 15,
+    /// The upstream has got as many requests as the rate that it states allows. Entries
+    /// of protocol versions below 3 get `NoSlot` instead.
+    Limited = 16,
 }
 
 /// The gate did not run the request, so that it may be sent elsewhere. Unless the
@@ -252,6 +281,9 @@
     /// For `Suspect`: the only upstream that may run it.
     #[prost(string, tag = "5")]
     pub only_at: String,
+    /// What the upstream states about itself, as in [`ResponseHead`].
+    #[prost(message, optional, tag = "6")]
+    pub restriction: Option<Restriction>,
 }
 
 /// Why a stream ended without a complete response.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,9 +6,11 @@
 use crate::replica::ReplicaMessage;
 
 /// Version of the protocol that this program implements.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 /// First version whose gates follow [`Open::hold_body`].
 pub const HOLD_BODY_VERSION: u32 = 2;
+/// First version whose entries know [`RefuseReason::Limited`](crate::RefuseReason::Limited).
+pub const LIMITED_VERSION: u32 = 3;
 
 /// One message on a connection between daemons.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -36,6 +36,15 @@
 /// Hash by which a request is recognised when its caller sends it again.
 pub type Fingerprint = u64;
 
+/// Hash of the boot id of a start of an upstream.
+pub type StartHash = u64;
+
+/// Hashes the boot id of a start of an upstream.
+#[must_use]
+pub fn start_hash(boot: &str) -> StartHash {
+    xxhash_rust::xxh3::xxh3_64(boot.as_bytes())
+}
+
 /// Hashes what identifies a request, independently of its connection.
 ///
 /// `body` is the part of the body that the entry buffered before it sent the
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,12 +26,15 @@
 };
 pub use data::{
     Cancel, Credit, Data, Header, Load, LoadUpdate, Open, Refuse, RefuseReason, Reset, ResetReason,
-    ResponseHead, Suspect, SuspectState, Verdict,
+    ResponseHead, Restriction, Suspect, SuspectState, Verdict,
+};
+pub use frame::{
+    Body, Frame, HOLD_BODY_VERSION, Hello, LIMITED_VERSION, LinkKind, PROTOCOL_VERSION, Ping, Pong,
 };
-pub use frame::{Body, Frame, HOLD_BODY_VERSION, Hello, LinkKind, PROTOCOL_VERSION, Ping, Pong};
 pub use ids::{
     AttemptId, ChangeId, ClassId, ConfigVersion, CustomerId, DaemonId, DataCentreId, Fingerprint,
-    LogIndex, PlanId, ReplicaId, RequestId, ServiceId, StreamId, Term, UpstreamId, fingerprint,
+    LogIndex, PlanId, ReplicaId, RequestId, ServiceId, StartHash, StreamId, Term, UpstreamId,
+    fingerprint, start_hash,
 };
 pub use quota::{Allowance, AllowanceRequest};
 pub use replica::{
