Take over nothing from another upstream's health response, nor only beside a load

Found in the search for the same cause elsewhere: words of an upstream that are read at one place only, or by the wrong one.

The response to a health request was applied to the announced upstream, whatever id it states. After its address has gone to another upstream, that one's rate of 0 stopped all requests here: 0 in two seconds. The time for which an upstream stays cold was read only beside a load. Of one that hides its load 37 requests arrived in a second, of 30 that it tolerates. It is read with the other statements now, and by the same rules about late responses and earlier starts; LoadReport has it no longer.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -74,8 +74,6 @@
     pub in_flight: u32,
     /// Concurrency limit that the upstream reports, if it reports one.
     pub limit: Option<u32>,
-    /// Remaining time for which the upstream reports to be cold, if it does.
-    pub cold_remaining: Option<Duration>,
     /// Reported service time in percent of the normal one, if it is reported.
     pub slow_percent: Option<u32>,
 }
@@ -230,9 +228,6 @@
             None => self.predecessor.record_report(now, report.in_flight),
         }
         self.limit_hint = report.limit.map(|limit| (now, limit));
-        if let Some(left) = report.cold_remaining {
-            self.cold_rate.set_remaining(now, left);
-        }
         if let Some(slow) = report.slow_percent {
             if !self.is_near_normal_speed() || slow > NEAR_NORMAL_PERCENT {
                 self.last_slow = Some(now);
@@ -280,6 +275,9 @@
         self.stated_limit
             .record(self.clock, source, sent_at, stated);
         self.set_leaving(stated.leaving);
+        if let Some(left) = stated.cold_remaining {
+            self.cold_rate.set_remaining(self.clock, left);
+        }
         before != (self.stated_limit.rate_milli(), self.stated_leaving)
     }
 
@@ -297,6 +295,7 @@
         Statement {
             rate_milli: self.stated_limit.rate_milli(),
             leaving: self.stated_leaving,
+            cold_remaining: None,
         }
     }
 
--- a/crates/gate/src/statement.rs
+++ b/crates/gate/src/statement.rs
@@ -1,5 +1,7 @@
 //! What an upstream states about itself in the heads of its responses.
 
+use std::time::Duration;
+
 /// Thousandths in a unit.
 const MILLI_PER_UNIT: u64 = 1_000;
 /// Maximum number of decimals that are significant; the rest is below the unit in which
@@ -14,6 +16,8 @@
     pub rate_milli: Option<u64>,
     /// Whether the upstream is leaving.
     pub leaving: bool,
+    /// Time for which the upstream remains cold.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// Parses a rate, a decimal number of requests a second, to thousandths. A number too
--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use gate::{ColdLimit, Gate, GateLimits, LoadReport, Outcome, Placement};
+use gate::{ColdLimit, Gate, GateLimits, LoadReport, Outcome, Placement, Statement};
 use std::collections::VecDeque;
 use std::time::Duration;
 use support::slot_request;
@@ -119,18 +119,22 @@
     assert_eq!(offer(&mut gate, 6_005, 7_000)[0], 6_005);
 }
 
+/// Reports in a health response how long the upstream stays cold.
+fn report_cold(gate: &mut Gate, now: Duration, left: Duration) {
+    assert!(gate.begin_probe(now));
+    let statement = Statement {
+        cold_remaining: Some(left),
+        ..Statement::default()
+    };
+    gate.record_health_statement(now, statement);
+}
+
 #[test]
 fn admit_counts_what_was_sent_while_warm() {
     let mut gate = gate();
     gate.announce(ms(0), announcement("b1", 0));
     assert_eq!(offer(&mut gate, 2_000, 2_200).len(), 40);
-    let report = LoadReport {
-        in_flight: 0,
-        limit: None,
-        cold_remaining: Some(ms(3_000)),
-        slow_percent: Some(100),
-    };
-    gate.record_report(ms(2_200), report);
+    report_cold(&mut gate, ms(2_200), ms(3_000));
     let admitted = offer(&mut gate, 2_200, 4_000);
     assert!(admitted[0] >= 3_000, "{admitted:?}");
 }
@@ -146,13 +150,7 @@
     gate.finish(ms(2_011), 1, outcome);
     let admitted = offer(&mut gate, 2_015, 2_900);
     assert_eq!(admitted.len() + 2, PER_SECOND as usize);
-    let report = LoadReport {
-        in_flight: 0,
-        limit: None,
-        cold_remaining: Some(ms(0)),
-        slow_percent: Some(100),
-    };
-    gate.record_report(ms(2_900), report);
+    report_cold(&mut gate, ms(2_900), ms(0));
     assert_eq!(offer(&mut gate, 2_900, 3_000).len(), 20);
 }
 
@@ -173,7 +171,6 @@
         LoadReport {
             in_flight: 60,
             limit: None,
-            cold_remaining: None,
             slow_percent: Some(100),
         },
     );
--- a/crates/gate/tests/knee.rs
+++ b/crates/gate/tests/knee.rs
@@ -117,7 +117,6 @@
             let report = LoadReport {
                 in_flight: u32::try_from(self.remaining.len()).unwrap(),
                 limit: None,
-                cold_remaining: None,
                 slow_percent: Some(if slow { 700 } else { 100 }),
             };
             self.gate
--- a/crates/gate/tests/scenarios.rs
+++ b/crates/gate/tests/scenarios.rs
@@ -216,7 +216,6 @@
                 let report = LoadReport {
                     in_flight: args.lookup_parse("in_flight")?.unwrap_or(0),
                     limit: args.lookup_parse("limit")?,
-                    cold_remaining: None,
                     slow_percent: None,
                 };
                 self.gate.record_report(self.now, report);
--- a/crates/gate/tests/shuffle.rs
+++ b/crates/gate/tests/shuffle.rs
@@ -101,7 +101,6 @@
                         .rng
                         .random_bool(0.3)
                         .then(|| self.rng.random_range(0..9)),
-                    cold_remaining: None,
                     slow_percent: None,
                 },
             ),
--- a/crates/gate/tests/stated_limit.rs
+++ b/crates/gate/tests/stated_limit.rs
@@ -26,7 +26,7 @@
 fn rate(rate_milli: u64) -> Statement {
     Statement {
         rate_milli: Some(rate_milli),
-        leaving: false,
+        ..Statement::default()
     }
 }
 
@@ -211,8 +211,8 @@
     let mut gate = new_gate(ms(0), "b1");
     respond(&mut gate, ms(100), 1, rate(1_000));
     let leaving = Statement {
-        rate_milli: None,
         leaving: true,
+        ..Statement::default()
     };
     assert!(send(&mut gate, ms(1_500), 2));
     announce(&mut gate, ms(1_600), "b2");
@@ -227,8 +227,8 @@
 fn stated_leaving_holds_for_the_start() {
     let mut gate = new_gate(ms(0), "b1");
     let leaving = Statement {
-        rate_milli: None,
         leaving: true,
+        ..Statement::default()
     };
     assert!(send(&mut gate, ms(100), 1) && send(&mut gate, ms(100), 2));
     receive(&mut gate, ms(200), 1, leaving);
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -184,7 +184,6 @@
         let report = LoadReport {
             in_flight: u32::try_from(upstream.runs.len()).unwrap_or(u32::MAX),
             limit: None,
-            cold_remaining: None,
             slow_percent: Some(upstream.reported_slow_percent(cx.now)),
         };
         let event = admission::Event::Reported(report);
--- a/crates/node/src/admission/statements.rs
+++ b/crates/node/src/admission/statements.rs
@@ -52,6 +52,7 @@
         let Statement {
             rate_milli,
             leaving,
+            ..
         } = self.gate.statement();
         let entries = self.recent_entries.count(now);
         let pause = self.gate.pause(now, entries);
@@ -72,6 +73,7 @@
         let statement = Statement {
             rate_milli: restriction.rate_milli,
             leaving: restriction.leaving,
+            cold_remaining: None,
         };
         if self.gate.adopt_statement(cx.now, statement) {
             self.on_statement_changed("entry", cx);
@@ -125,6 +127,7 @@
         let Statement {
             rate_milli,
             leaving,
+            ..
         } = self.gate.statement();
         if leaving {
             self.refuse_waiting_if_leaving(cx);
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -215,6 +215,7 @@
         statement: gate::Statement {
             rate_milli,
             leaving,
+            cold_remaining: None,
         },
         unusable: Vec::new(),
     }
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -362,7 +362,6 @@
     let report = LoadReport {
         in_flight: 0,
         limit: None,
-        cold_remaining: None,
         slow_percent: Some(700),
     };
     for _ in 0..8 {
@@ -390,7 +389,6 @@
     let report = LoadReport {
         in_flight: 0,
         limit: None,
-        cold_remaining: None,
         slow_percent: Some(700),
     };
     for gate in 0..3 {
@@ -456,7 +454,6 @@
         let report = LoadReport {
             in_flight: 0,
             limit: None,
-            cold_remaining: None,
             slow_percent: Some(100),
         };
         fleet.gate_event(gate, admission::Event::Reported(report));
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -197,7 +197,6 @@
                 let report = LoadReport {
                     in_flight: args.lookup_parse("in_flight")?.unwrap_or(0),
                     limit: args.lookup_parse("limit")?,
-                    cold_remaining: None,
                     slow_percent: None,
                 };
                 let event = admission::Event::Reported(report);
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -188,10 +188,10 @@
     /// the buffer.
     async fn relay_response(&mut self, mut response: UpstreamResponse) {
         let status = response.status;
-        if let Some(load) = load_report::from_headers(&self.daemon, &response.headers) {
-            self.report(admission::Event::Reported(load));
-        }
         if status != MISDIRECTED {
+            if let Some(load) = load_report::from_headers(&self.daemon, &response.headers) {
+                self.report(admission::Event::Reported(load));
+            }
             let read = statement::read(&self.daemon.integration.headers, &response.headers);
             self.report(admission::Event::ResponseStarted(self.ticket, read));
         }
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -74,6 +74,10 @@
     };
     let sent = exchange::send(daemon.clone(), request, None).await;
     let mut response = sent.inspect_err(|err| handle_failure(daemon, err)).ok()?;
+    if !is_announced(daemon, &response.headers) {
+        log::info!("event=report_ignored reason=\"another upstream has the address\"");
+        return None;
+    }
     let read = statement::read(&daemon.integration.headers, &response.headers);
     daemon.handle_event(Event::Admission(admission::Event::HealthResponse(read)));
     let body = response.read_small_body(MAX_BODY_BYTES).await.ok()?;
@@ -87,11 +91,23 @@
     Some(LoadReport {
         in_flight: body.in_flight,
         limit: body.limit,
-        cold_remaining: None,
         slow_percent: None,
     })
 }
 
+/// Returns whether a health response is of the upstream that is announced, as far as it
+/// says so: the address may be used by another one since.
+fn is_announced(daemon: &Daemon, headers: &HeaderMap) -> bool {
+    let name = daemon.integration.headers.upstream_id.as_ref();
+    let Some(stated) = name.and_then(|name| headers.get(name)) else {
+        return true;
+    };
+    daemon.read(|node| {
+        let announced = node.admission.announced();
+        announced.is_none_or(|a| a.target.as_bytes() == stated.as_bytes())
+    })
+}
+
 /// Logs why no report was received, and reports an upstream that accepts no
 /// connection.
 fn handle_failure(daemon: &Arc<Daemon>, err: &ExchangeError) {
@@ -108,15 +124,9 @@
     let load = headers.get(names.upstream_load.as_ref()?)?.to_str().ok()?;
     let mut fields = load.split(',').map(|f| f.trim().parse::<u32>().ok());
     let in_flight = fields.next()??;
-    let cold = names
-        .cold_remaining_ms
-        .as_ref()
-        .and_then(|name| headers.get(name));
-    let cold = cold.and_then(|v| v.to_str().ok()?.trim().parse::<u64>().ok());
     Some(LoadReport {
         in_flight,
         limit: None,
-        cold_remaining: cold.map(Duration::from_millis),
         slow_percent: fields.nth(2).flatten(),
     })
 }
--- a/crates/plumhitchd/src/gate_http/statement.rs
+++ b/crates/plumhitchd/src/gate_http/statement.rs
@@ -5,6 +5,7 @@
 use http::HeaderMap;
 use http::header::{HeaderName, HeaderValue};
 use node::admission::ReadStatement;
+use std::time::Duration;
 
 /// Value of the header by which an upstream states that it is leaving, and the one by
 /// which it states that it is not.
@@ -36,10 +37,14 @@
             &mut unusable,
         )
     });
+    let cold = names.cold_remaining_ms.as_ref();
+    let cold_remaining =
+        cold.and_then(|name| read_single(headers, name, "cold_remaining", parse_ms, &mut unusable));
     ReadStatement {
         statement: Statement {
             rate_milli,
             leaving: leaving.unwrap_or_default(),
+            cold_remaining,
         },
         unusable,
     }
@@ -65,6 +70,10 @@
     parsed
 }
 
+fn parse_ms(text: &str) -> Option<Duration> {
+    text.parse().ok().map(Duration::from_millis)
+}
+
 fn parse_leaving(text: &str) -> Option<bool> {
     match text {
         LEAVING => Some(true),
--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -46,6 +46,8 @@
     pub upstream_load: Option<HeaderName>,
     /// Marks an upstream's response to a request that it did not run.
     pub not_run: Option<HeaderName>,
+    /// Name of the upstream in its health responses.
+    pub upstream_id: Option<HeaderName>,
     /// Maximum rate in an upstream's response, in requests a second from all entries
     /// together.
     pub stated_rate: Option<HeaderName>,
@@ -75,6 +77,7 @@
             caller_service: None,
             upstream_load: None,
             not_run: None,
+            upstream_id: None,
             stated_rate: Some(name("plumhitch-rate-limit")),
             stated_leaving: Some(name("plumhitch-leaving")),
             cold_remaining_ms: None,
