--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -5,6 +5,8 @@
 
 /// Sliding window over which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
+/// Time for which what a response states goes before announcements.
+const STATEMENT_TTL: Duration = Duration::from_secs(5);
 /// Maximum number of request times kept for the window.
 const MAX_SENT: usize = 10_000;
 /// Maximum time by which an upstream may have started before the gate and still
@@ -56,6 +58,8 @@
     /// Whether the upstream may have restarted since it last reported how long
     /// it stays cold.
     may_have_restarted: bool,
+    /// When a response last stated how long the upstream stays cold.
+    stated_at: Option<Duration>,
     /// Time at which this gate started.
     gate_start: Option<Duration>,
     first_announcement: Option<FirstAnnouncement>,
@@ -88,10 +92,28 @@
         });
     }
 
-    /// Sets the remaining time for which the upstream reports to be cold.
+    /// Sets the remaining time for which the upstream states in a response that it is
+    /// cold.
     pub(crate) fn set_remaining(&mut self, now: Duration, left: Duration) {
         self.may_have_restarted = false;
         self.cold_until = now + left;
+        self.stated_at = Some(now);
+    }
+
+    /// Applies the remaining time in an announcement. Announcements may be delayed, so
+    /// one does not shorten what a response has stated recently.
+    pub(crate) fn record_announced(&mut self, now: Duration, left: Duration) {
+        self.may_have_restarted = false;
+        let stated = |at: Duration| now.saturating_sub(at) < STATEMENT_TTL;
+        self.cold_until = match self.stated_at.is_some_and(stated) {
+            true => self.cold_until.max(now + left),
+            false => now + left,
+        };
+    }
+
+    /// Forgets what responses of the start before stated.
+    pub(crate) fn forget_statements(&mut self) {
+        self.stated_at = None;
     }
 
     /// Treats the upstream as cold until it reports otherwise, because it may
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -166,13 +166,14 @@
         if start != Start::Same {
             self.start += 1;
             self.stated_limit.reset();
+            self.cold_rate.forget_statements();
             self.stated_leaving = false;
             self.has_stated = false;
         }
         announcement.leaving |= self.stated_leaving;
         let cold_remaining = Duration::from_millis(announcement.cold_ms);
         let age = announcement.age_ms.map(Duration::from_millis);
-        self.cold_rate.set_remaining(now, cold_remaining);
+        self.cold_rate.record_announced(now, cold_remaining);
         let new_service = announcement.service.clone();
         let not_leaving = !announcement.leaving;
         if self
--- a/crates/gate/tests/cold.rs
+++ b/crates/gate/tests/cold.rs
@@ -179,3 +179,19 @@
         Ok(Placement::Running)
     );
 }
+
+/// Guards against a delayed announcement that ends the cold state which the upstream has
+/// reported since.
+#[test]
+fn delayed_announcement_does_not_end_reported_cold_state() {
+    let mut gate = gate();
+    gate.announce(ms(0), announcement("b1", 0));
+    report_cold(&mut gate, ms(2_000), ms(3_000));
+    gate.announce(ms(2_100), announcement("b1", 0));
+    let admitted = offer(&mut gate, 2_100, 3_000);
+    assert_eq!(admitted.len(), PER_SECOND as usize, "{admitted:?}");
+    // What the start before reported does not hold for the next.
+    gate.announce(ms(3_100), announcement("b2", 0));
+    gate.announce(ms(3_600), announcement("b2", 0));
+    assert!(offer(&mut gate, 4_200, 4_400).len() > PER_SECOND as usize);
+}
