Recognise late copies of responses where upstreams repeat the request id

Operators of similar systems saw it: an upstream sent a second copy of a response late, on a connection that was in use again, and the next caller got a response that was not its own.

Cause: only callers' attempt ids were compared, which the platform has and the product's own interface has not; and the check of an idle connection asked the runtime, which knows of bytes that have just arrived only after its next poll. Responses to health requests were compared with nothing, so that a late copy could be read as one.

Change: a response that repeats plumhitch-request-id must repeat that of its request, or it is skipped; a health response must not repeat an id; the kernel is asked for pending bytes before a connection is used again.

--- a/crates/plumhitchd/src/gate_http/cancel.rs
+++ b/crates/plumhitchd/src/gate_http/cancel.rs
@@ -1,6 +1,6 @@
 //! Cancellation of requests at the upstream.
 
-use super::exchange::{self, UpstreamRequest};
+use super::exchange::{self, Echo, UpstreamRequest};
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
@@ -11,14 +11,15 @@
 pub(super) async fn post(daemon: Arc<Daemon>, path: String, id: String) {
     let mut headers = HeaderMap::new();
     let value = HeaderValue::from_str(&id).ok();
-    headers.extend(daemon.integration.headers.request_id.clone().zip(value));
+    let echo = daemon.integration.headers.request_id.clone().zip(value);
+    headers.extend(echo.clone());
     let request = UpstreamRequest {
         method: Method::POST,
         target: path,
         headers,
         framing: Framing::Empty,
         body_start: Bytes::new(),
-        expected_echo: None,
+        echo: echo.map_or(Echo::Unchecked, |(name, id)| Echo::IfPresent(name, id)),
     };
     let sent = exchange::send(daemon.clone(), request, None).await;
     match sent {
--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -43,9 +43,45 @@
     pub(super) framing: Framing,
     /// The body, or its beginning if the rest is uploaded.
     pub(super) body_start: Bytes,
-    /// Header that the upstream has to repeat in its response to this request,
-    /// and the value that it must have.
-    pub(super) expected_echo: Option<(HeaderName, HeaderValue)>,
+    /// How the response to this request is recognised.
+    pub(super) echo: Echo,
+}
+
+/// How the response to a request is recognised among late and second copies of others.
+#[derive(Debug)]
+pub(super) enum Echo {
+    /// It repeats this header.
+    Required(HeaderName, HeaderValue),
+    /// If it has this header, it has this value.
+    IfPresent(HeaderName, HeaderValue),
+    /// It does not have this header, which responses to callers' requests have.
+    Absent(HeaderName),
+    /// Not at all.
+    Unchecked,
+}
+
+/// Whether a response is the one to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Match {
+    Own,
+    Other,
+    Unknown,
+}
+
+impl Echo {
+    fn check(&self, headers: &HeaderMap) -> Match {
+        let (name, expected, if_missing) = match self {
+            Self::Required(name, value) => (name, Some(value), Match::Unknown),
+            Self::IfPresent(name, value) => (name, Some(value), Match::Own),
+            Self::Absent(name) => (name, None, Match::Own),
+            Self::Unchecked => return Match::Own,
+        };
+        match headers.get(name) {
+            None => if_missing,
+            Some(echoed) if Some(echoed) == expected => Match::Own,
+            Some(_) => Match::Other,
+        }
+    }
 }
 
 /// Why no complete response was received.
@@ -246,13 +282,10 @@
             if (100..200).contains(&head.status) {
                 continue;
             }
-            let Some((name, value)) = &request.expected_echo else {
-                return Ok(head);
-            };
-            match head.headers.get(name) {
-                Some(echoed) if echoed == value => return Ok(head),
-                Some(_) => self.skip_body(&head).await?,
-                None => {
+            match request.echo.check(&head.headers) {
+                Match::Own => return Ok(head),
+                Match::Other => self.skip_body(&head).await?,
+                Match::Unknown => {
                     return Err(broken(
                         "the response does not repeat the attempt id header of the request",
                     ));
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -1,6 +1,6 @@
 //! Polling of the load report of the upstream beside this daemon.
 
-use super::exchange::{self, ExchangeError, UpstreamRequest};
+use super::exchange::{self, Echo, ExchangeError, UpstreamRequest};
 use super::statement;
 use crate::runtime::Daemon;
 use bytes::Bytes;
@@ -64,13 +64,19 @@
 }
 
 async fn read_report(daemon: &Arc<Daemon>, path: String) -> Option<LoadReport> {
+    let names = &daemon.integration.headers;
+    let id = names
+        .attempt_id
+        .clone()
+        .or_else(|| names.request_id.clone());
+    let echo = id.map_or(Echo::Unchecked, Echo::Absent);
     let request = UpstreamRequest {
         method: Method::GET,
         target: path,
         headers: HeaderMap::new(),
         framing: Framing::Empty,
         body_start: Bytes::new(),
-        expected_echo: None,
+        echo,
     };
     let sent = exchange::send(daemon.clone(), request, None).await;
     let mut response = sent.inspect_err(|err| handle_failure(daemon, err)).ok()?;
--- a/crates/plumhitchd/src/gate_http/pool.rs
+++ b/crates/plumhitchd/src/gate_http/pool.rs
@@ -3,6 +3,8 @@
 use crate::runtime::lock;
 use bytes::BytesMut;
 use http::HeaderMap;
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -111,13 +113,12 @@
 }
 
 /// Returns whether a connection is open and has no bytes to read: surplus bytes
-/// after a response belong to no request.
+/// after a response belong to no request. The kernel is asked, because the runtime learns
+/// of bytes that have just arrived only when it next polls.
 fn is_reusable(stream: &TcpStream) -> bool {
     let mut buf = [0; 1];
-    match stream.try_read(&mut buf) {
-        Err(err) => err.kind() == io::ErrorKind::WouldBlock,
-        Ok(_) => false,
-    }
+    let peeked = recv(stream, &mut buf, RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    peeked.is_err_and(|err| err == Errno::WOULDBLOCK)
 }
 
 /// Returns the idle timeout that the upstream advertises in `keep-alive`.
--- a/crates/plumhitchd/src/gate_http/upstream_request.rs
+++ b/crates/plumhitchd/src/gate_http/upstream_request.rs
@@ -1,7 +1,7 @@
 //! Builds the HTTP request for the upstream from a request that an entry
 //! forwarded.
 
-use super::exchange::UpstreamRequest;
+use super::exchange::{Echo, UpstreamRequest};
 use crate::http_headers::from_wire;
 use crate::links::{Link, Window};
 use crate::runtime::Daemon;
@@ -82,9 +82,6 @@
 ) -> UpstreamRequest {
     let names = &daemon.integration.headers;
     let mut headers = to_header_map(std::mem::take(&mut open.headers));
-    let expected_echo = names.attempt_id.clone();
-    let expected_echo =
-        expected_echo.and_then(|name| headers.get(&name).cloned().map(|value| (name, value)));
     let deadline = HeaderValue::from(open.deadline_ms);
     headers.insert(names.deadline_ms.clone(), deadline);
     let budget = HeaderValue::from(open.retry_budget);
@@ -93,6 +90,7 @@
     insert_if_set(&mut headers, names.depth.as_ref(), Some(depth));
     let id = HeaderValue::from_str(&request_id(daemon, ticket)).ok();
     insert_if_set(&mut headers, names.request_id.as_ref(), id);
+    let echo = expected_echo(daemon, &headers);
     insert_if_set(
         &mut headers,
         names.target_upstream.as_ref(),
@@ -114,10 +112,24 @@
         headers,
         framing,
         body_start,
-        expected_echo,
+        echo,
     }
 }
 
+/// Returns how the response is recognised: by the caller's id of its attempt, which
+/// upstreams repeat, or by the id of the request, which they may repeat.
+fn expected_echo(daemon: &Daemon, headers: &HeaderMap) -> Echo {
+    let names = &daemon.integration.headers;
+    let with_value = |name: &HeaderName| Some((name.clone(), headers.get(name)?.clone()));
+    if let Some((name, value)) = names.attempt_id.as_ref().and_then(with_value) {
+        return Echo::Required(name, value);
+    }
+    let id = names.request_id.as_ref().and_then(with_value);
+    id.map_or(Echo::Unchecked, |(name, value)| {
+        Echo::IfPresent(name, value)
+    })
+}
+
 fn to_header_map(from: Vec<Header>) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(from.len() + 8);
     for (name, value) in from.into_iter().filter_map(from_wire) {
--- a/crates/plumhitchd/tests/support/mod.rs
+++ b/crates/plumhitchd/tests/support/mod.rs
@@ -199,7 +199,16 @@
 impl Pair {
     /// Starts the daemons and waits until they serve requests.
     pub async fn start(entry_settings: &str, gate_settings: &str) -> Self {
-        let (address, upstream_stats) = upstream::start().await;
+        let started = upstream::start().await;
+        Self::start_with_upstream(started, entry_settings, gate_settings).await
+    }
+
+    /// Does the same, with this upstream beside the gate.
+    pub async fn start_with_upstream(
+        (address, upstream_stats): (SocketAddr, Arc<upstream::Stats>),
+        entry_settings: &str,
+        gate_settings: &str,
+    ) -> Self {
         let control = free_address();
         let entry = Daemon::start(Options {
             name: "entry-1",
