Answer what was accepted just before the process ends

Cause: the listener stayed open until the process ended, 200 ms after the last request was seen. Whoever connected in that time, or stood in the kernel's queue, was reset.

Change: when nothing is in progress any more, the established connections are accepted and the listener is closed, so that later callers are refused by the kernel and go elsewhere; then callers have up to a second to send what they connected for, within the stop's time limit, and get their responses.

--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -19,7 +19,7 @@
 use crate::runtime::Daemon;
 use node::entry::Effect;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use wire::RequestId;
@@ -27,12 +27,18 @@
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves callers' connections on a listener until the process ends.
+/// Serves callers' connections on a listener until no more are accepted.
 pub(crate) async fn serve(daemon: Arc<Daemon>, listener: TcpListener) {
     let max = daemon.cfg.limits.connections;
-    let open = Arc::new(AtomicUsize::new(0));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            // Connections that were established before are accepted before the listener
+            // is closed, which would reset them.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = daemon.wait_until_refusing() => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
                 log::warn!("event=accept_failed listener=callers reason=\"{err}\"");
@@ -40,11 +46,11 @@
                 continue;
             }
         };
-        if open.load(Ordering::Acquire) >= max {
+        if daemon.caller_connections.load(Ordering::Acquire) >= max {
             log::warn!("event=connection_refused reason=too_many max={max}");
             continue;
         }
-        let count = ConnectionCount::new(open.clone());
+        let count = ConnectionCount::new(daemon.clone());
         let daemon = daemon.clone();
         tokio::spawn(async move {
             connection::serve(&daemon, stream).await;
@@ -55,19 +61,20 @@
 
 /// Counts a caller's connection as open until it is dropped.
 struct ConnectionCount {
-    open: Arc<AtomicUsize>,
+    daemon: Arc<Daemon>,
 }
 
 impl ConnectionCount {
-    fn new(open: Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::AcqRel);
-        Self { open }
+    fn new(daemon: Arc<Daemon>) -> Self {
+        daemon.caller_connections.fetch_add(1, Ordering::AcqRel);
+        Self { daemon }
     }
 }
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::AcqRel);
+        let open = &self.daemon.caller_connections;
+        open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -64,6 +64,10 @@
     pub(crate) buffering: Mutex<BTreeSet<RequestId>>,
     /// Whether idle connections of callers are to be closed.
     pub(crate) closing: watch::Sender<bool>,
+    /// Whether no more connections of callers are to be accepted.
+    pub(crate) refusing: watch::Sender<bool>,
+    /// Number of callers' connections that are open.
+    pub(crate) caller_connections: AtomicUsize,
     /// Whether a graceful stop has begun.
     pub(crate) stopping: AtomicBool,
     /// Random number that identifies this run of the process.
@@ -103,6 +107,8 @@
             body_intake: BodyIntake::new(cfg.limits.link_bytes, cfg.limits.window_bytes as u64),
             integration,
             closing: watch::Sender::new(false),
+            refusing: watch::Sender::new(false),
+            caller_connections: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
             buffering: Mutex::default(),
@@ -166,6 +172,12 @@
         *self.closing.borrow()
     }
 
+    /// Waits until no more connections of callers are to be accepted.
+    pub(crate) async fn wait_until_refusing(&self) {
+        let mut refusing = self.refusing.subscribe();
+        let _ = refusing.wait_for(|refusing| *refusing).await;
+    }
+
     /// Waits until idle connections of callers are to be closed.
     pub(crate) async fn wait_until_closing(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -11,6 +11,8 @@
 /// Time for the last frames to reach the peers. A connection that is closed with
 /// unread data is reset, and the peer may lose frames that were already sent.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Maximum time for callers to send their requests on connections that were accepted.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for requests in progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -36,9 +38,10 @@
     tokio::time::sleep(daemon.cfg.stop.linger).await;
     wait_for_buffered(daemon, deadline).await;
     daemon.handle_event(Event::Stop);
-    while in_progress(daemon) > 0 && !has_passed(deadline) {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
+    wait_until_idle(daemon, deadline).await;
+    daemon.refusing.send_replace(true);
+    wait_for_connections(daemon, deadline).await;
+    wait_until_idle(daemon, deadline).await;
     tokio::time::sleep(FLUSH_TIME).await;
     if in_progress(daemon) > 0 {
         log::warn!(
@@ -50,6 +53,22 @@
     Ok(())
 }
 
+async fn wait_until_idle(daemon: &Daemon, deadline: Option<Instant>) {
+    while in_progress(daemon) > 0 && !has_passed(deadline) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for callers whose connections were accepted to send their requests and to get
+/// their responses, or to have nothing to send.
+async fn wait_for_connections(daemon: &Daemon, deadline: Option<Instant>) {
+    let latest = Instant::now() + FIRST_REQUEST_TIME;
+    let latest = deadline.map_or(latest, |deadline| deadline.min(latest));
+    while daemon.caller_connections.load(Ordering::Acquire) > 0 && Instant::now() < latest {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 fn has_passed(deadline: Option<Instant>) -> bool {
     deadline.is_some_and(|at| Instant::now() >= at)
 }
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use support::{Daemon, Pair, WAIT_TIMEOUT, wait_until};
 use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Number of chunks of a slow upload.
 const CHUNKS: usize = 20;
@@ -88,3 +89,45 @@
     assert!(wait_for_exit(&mut pair.entry).await.success());
     assert!(upload.await.unwrap().is_err());
 }
+
+/// Callers that connect and send one request each, one after the other.
+const CALLERS: usize = 24;
+
+/// Sends requests on new connections until the daemon accepts none. Returns how many were
+/// answered, and how many were cut off after the connection was accepted.
+async fn send_until_refused(callers: std::net::SocketAddr) -> (usize, usize) {
+    let request = "GET /ready HTTP/1.1\r\nhost: h\r\nplumhitch-customer: tc-utrecht\r\n\
+                   plumhitch-service: booking\r\nplumhitch-class: page\r\nconnection: close\r\n\r\n";
+    let (mut answered, mut cut) = (0, 0);
+    while let Ok(mut stream) = tokio::net::TcpStream::connect(callers).await {
+        let mut received = Vec::new();
+        let sent = stream.write_all(request.as_bytes()).await;
+        let read = stream.read_to_end(&mut received).await;
+        match sent.is_ok() && read.is_ok() && received.starts_with(b"HTTP/1.1 ") {
+            true => answered += 1,
+            false => cut += 1,
+        }
+    }
+    (answered, cut)
+}
+
+/// Guards against requests on connections that were accepted just before the process ends,
+/// which are cut off without a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_under_load_answers_what_was_accepted() {
+    let mut pair = Pair::start("", "").await;
+    let callers = pair.entry.callers;
+    let sending: Vec<_> = (0..CALLERS)
+        .map(|_| tokio::spawn(send_until_refused(callers)))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    pair.entry.signal("TERM");
+    let (mut answered, mut cut) = (0, 0);
+    for task in sending {
+        let counts = task.await.unwrap();
+        (answered, cut) = (answered + counts.0, cut + counts.1);
+    }
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+    assert!(answered > CALLERS, "{answered} answered");
+    assert_eq!(cut, 0, "cut off, of {answered} answered");
+}
