--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use wire::RequestId;
 
 /// Delay before the next `accept` after a failed one.
@@ -29,14 +29,10 @@
 
 /// Serves callers' connections on a listener until no more are accepted.
 pub(crate) async fn serve(daemon: Arc<Daemon>, listener: TcpListener) {
-    let max = daemon.cfg.limits.connections;
     loop {
         let accepted = tokio::select! {
-            // Connections that were established before are accepted before the listener
-            // is closed, which would reset them.
-            biased;
             accepted = listener.accept() => accepted,
-            () = daemon.wait_until_refusing() => return,
+            () = daemon.wait_until_refusing() => return accept_established(&daemon, listener),
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -46,19 +42,42 @@
                 continue;
             }
         };
-        if daemon.caller_connections.load(Ordering::Acquire) >= max {
-            log::warn!("event=connection_refused reason=too_many max={max}");
-            continue;
+        serve_connection(&daemon, stream);
+    }
+}
+
+/// Accepts the connections that are established already, and closes the listener, which
+/// resets those that were not accepted.
+fn accept_established(daemon: &Arc<Daemon>, listener: TcpListener) {
+    // The runtime may not have learnt of the latest ones, so the kernel is asked.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(err) => return log::warn!("event=accept_failed listener=callers reason=\"{err}\""),
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        match stream.and_then(TcpStream::from_std) {
+            Ok(stream) => serve_connection(daemon, stream),
+            Err(err) => log::warn!("event=accept_failed listener=callers reason=\"{err}\""),
         }
-        let count = ConnectionCount::new(daemon.clone());
-        let daemon = daemon.clone();
-        tokio::spawn(async move {
-            connection::serve(&daemon, stream).await;
-            drop(count);
-        });
     }
 }
 
+/// Serves a connection in a task of its own, unless there are too many.
+fn serve_connection(daemon: &Arc<Daemon>, stream: TcpStream) {
+    let max = daemon.cfg.limits.connections;
+    if daemon.caller_connections.load(Ordering::Acquire) >= max {
+        log::warn!("event=connection_refused reason=too_many max={max}");
+        return;
+    }
+    let count = ConnectionCount::new(daemon.clone());
+    let daemon = daemon.clone();
+    tokio::spawn(async move {
+        connection::serve(&daemon, stream).await;
+        drop(count);
+    });
+}
+
 /// Counts a caller's connection as open until it is dropped.
 struct ConnectionCount {
     daemon: Arc<Daemon>,
