Reset a response of unknown length that breaks off for a caller of HTTP/1.0

Operators of similar systems saw responses that broke off halfway and reached the caller as complete. Checked: truncated, reset and chunked responses of upstreams, small and streamed, at the platform's and the product's interface; all hold (two cases added) but one. A caller of HTTP/1.0 got a chunked response, which it cannot read, and whose end it takes to be the end of the connection. It now gets the body as it is, up to the end of the connection, and a reset where the body breaks off.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -58,6 +58,8 @@
     pub keep_alive: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub expects_continue: bool,
+    /// Whether the client can read a chunked response; one of HTTP/1.0 cannot.
+    pub reads_chunks: bool,
 }
 
 /// Status and headers of a response.
@@ -98,6 +100,7 @@
         DeclaredLength::Chunked => Framing::Chunked,
     };
     let expects_continue = headers.contains_key(EXPECT);
+    let parsed_version = parsed.version;
     buf.advance(len);
     Ok(Some(RequestHead {
         method,
@@ -106,6 +109,7 @@
         framing,
         keep_alive,
         expects_continue,
+        reads_chunks: parsed_version == Some(HTTP_1_1),
     }))
 }
 
@@ -179,6 +183,9 @@
     Ok(headers)
 }
 
+/// Minor version of HTTP/1.1.
+const HTTP_1_1: u8 = 1;
+
 fn keeps_alive(headers: &HeaderMap, version: Option<u8>) -> bool {
     let has_token = |token: &str| {
         let values = headers.get_all(CONNECTION).iter();
@@ -188,7 +195,7 @@
             .any(|t| t.trim().eq_ignore_ascii_case(token))
     };
     match version {
-        Some(1) => !has_token("close"),
+        Some(HTTP_1_1) => !has_token("close"),
         _ => has_token("keep-alive"),
     }
 }
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -58,6 +58,7 @@
     task: AbortHandle,
     keep_alive: bool,
     method: Method,
+    reads_chunks: bool,
 }
 
 impl Drop for PendingResponse {
@@ -193,6 +194,7 @@
         let (body_tx, body) = channel();
         let (response_tx, response) = oneshot::channel();
         let keep_alive = head.keep_alive;
+        let reads_chunks = head.reads_chunks;
         let method = head.method.clone();
         let expects_continue = head.expects_continue;
         let handled = request::handle(self.daemon.clone(), head, body);
@@ -204,6 +206,7 @@
             task: task.abort_handle(),
             keep_alive,
             method,
+            reads_chunks,
         };
         self.pending_responses.fetch_add(1, Ordering::AcqRel);
         let tx = self.tx.as_ref()?;
@@ -255,6 +258,7 @@
             task: tokio::spawn(async {}).abort_handle(),
             keep_alive: false,
             method: Method::GET,
+            reads_chunks: true,
         };
         if let Some(tx) = self.tx.take() {
             let _ = tx.send(QueuedWrite::Response(Box::new(queued))).await;
@@ -291,9 +295,25 @@
         };
         let response = (&mut queued.response).await;
         let response = response.map_err(|_| io::Error::from(io::ErrorKind::ConnectionAborted))?;
-        let close = !queued.keep_alive || daemon.is_closing_connections() && rx.is_empty();
+        let until_close = !queued.reads_chunks && response.has_unknown_length();
+        let close =
+            !queued.keep_alive || until_close || daemon.is_closing_connections() && rx.is_empty();
         let keep_alive_s = (!close).then(|| daemon.idle_timeout().as_secs());
-        write_response(&mut write, &mut buf, &queued.method, response, keep_alive_s).await?;
+        let unknown_length = match queued.reads_chunks {
+            true => Framing::Chunked,
+            false => Framing::UntilClose,
+        };
+        let format = ResponseFormat {
+            method: &queued.method,
+            unknown_length,
+            keep_alive_s,
+        };
+        let written = write_response(&mut write, &mut buf, format, response).await;
+        if written.is_err() && until_close {
+            // An orderly close would make the part that was sent look complete.
+            reset_on_close(&write);
+        }
+        written?;
         pending_responses.fetch_sub(1, Ordering::AcqRel);
         if close {
             return Ok(write);
@@ -302,8 +322,25 @@
     Ok(write)
 }
 
-/// Writes one response. `keep_alive_s` is the idle timeout in seconds, or
-/// `None` if the connection closes after the response.
+/// Lets the connection be reset instead of closed in order.
+fn reset_on_close(write: &OwnedWriteHalf) {
+    if let Err(err) = write.as_ref().set_zero_linger() {
+        log::warn!("event=socket_option_refused reason=\"{err}\"");
+    }
+}
+
+/// How a response is written.
+#[derive(Clone, Copy, Debug)]
+struct ResponseFormat<'a> {
+    /// Method of the request.
+    method: &'a Method,
+    /// Framing of a body whose length is not known.
+    unknown_length: Framing,
+    /// Idle timeout in seconds, or `None` if the connection closes after the response.
+    keep_alive_s: Option<u64>,
+}
+
+/// Writes one response.
 ///
 /// # Errors
 ///
@@ -312,10 +349,14 @@
 async fn write_response(
     write: &mut OwnedWriteHalf,
     buf: &mut BytesMut,
-    method: &Method,
+    format: ResponseFormat<'_>,
     response: Response,
-    keep_alive_s: Option<u64>,
 ) -> io::Result<()> {
+    let ResponseFormat {
+        method,
+        unknown_length,
+        keep_alive_s,
+    } = format;
     let Response {
         status,
         headers,
@@ -339,7 +380,7 @@
             write.write_all_buf(buf).await
         }
         ResponseBody::Stream(len, mut driver) => {
-            let framing = len.map_or(Framing::Chunked, Framing::Length);
+            let framing = len.map_or(unknown_length, Framing::Length);
             http1::write_response(buf, status, &headers, framing, keep_alive_s);
             while let Some(piece) = driver.next_chunk().await {
                 let piece = piece?;
--- a/crates/plumhitchd/src/entry_http/response.rs
+++ b/crates/plumhitchd/src/entry_http/response.rs
@@ -16,6 +16,13 @@
     pub(super) declared_len: Option<u64>,
 }
 
+impl Response {
+    /// Returns whether the length of the body is not known before its end.
+    pub(super) fn has_unknown_length(&self) -> bool {
+        matches!(self.body, ResponseBody::Stream(None, _))
+    }
+}
+
 /// Body of a final response.
 #[derive(Debug)]
 pub(super) enum ResponseBody {
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 use support::{Pair, wait_until};
 use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 const MB: usize = 1024 * 1024;
@@ -149,6 +151,40 @@
     assert!(res.bytes().await.is_err());
 }
 
+/// Sends a GET request of a caller that knows no chunks; reads until the connection ends.
+async fn get_with_http_1_0(pair: &Pair, path: &str) -> (String, std::io::Result<()>) {
+    let mut stream = TcpStream::connect(pair.entry.callers).await.unwrap();
+    let request = format!(
+        "GET {path} HTTP/1.0\r\nplumhitch-customer: tc-utrecht\r\n\
+         plumhitch-service: booking\r\nplumhitch-class: page\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let read = stream.read_to_end(&mut received).await;
+    let text = String::from_utf8_lossy(&received).into_owned();
+    (text, read.map(|_| ()))
+}
+
+/// Guards against a response of unknown length that breaks off and looks complete to a
+/// caller of HTTP/1.0, which takes the end of the connection for the end of the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_response_is_reset_for_http_1_0() {
+    let pair = Pair::start("", "").await;
+    let (_, read) = get_with_http_1_0(&pair, "/short?len=300000").await;
+    assert!(read.is_err(), "the connection was closed in order");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn response_of_unknown_length_has_no_chunks_for_http_1_0() {
+    let pair = Pair::start("", "").await;
+    let (text, read) = get_with_http_1_0(&pair, "/big?len=300000").await;
+    assert!(read.is_ok());
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    assert!(!head.contains("transfer-encoding"), "{head}");
+    // Bytes above 127 are no valid text, and each is replaced by three bytes.
+    assert!(body.len() >= 300_000, "{}", body.len());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn response_truncated_while_buffered_may_have_run() {
     let pair = Pair::start("", "").await;
