Await the replies of a gate that does not respond for a while

Operators of similar systems saw machines that were only silent for a while, and whose running work was started again elsewhere or given up. So it was here: a gate that was stopped for 2.5 s cost the request that ran at its upstream (502, red before, for a request that may run twice and for one that must not).

Cause: a connection without a reply to a ping for 750 ms was closed, and everything on it given up, though the upstream worked on and the peer's kernel acknowledged.

Change: such a connection gets no new requests, and requests of which nothing can have run go elsewhere as before. Those that may have run stay open until they end, the connection fails, or nothing arrives for 10 s; one that may run twice gets a second attempt meanwhile, within its budgets, and the first response counts. What was ruled out: a longer timeout for the ping, which finds dead VMs later for all requests.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -152,6 +152,7 @@
                 self.on_response_started(id, attempt, (status, load), cx);
             }
             Event::Ended(id, attempt, bytes, load) => self.on_ended(id, attempt, (bytes, load), cx),
+            Event::Silent(id, attempt) => self.on_silent(id, attempt, cx),
             Event::Broken(id, attempt, load) => self.on_broken(id, attempt, load, cx),
         }
     }
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -67,6 +67,8 @@
     ResponseStarted(RequestId, AttemptId, u16, Option<Load>),
     /// The response is complete, with this number of body bytes.
     Ended(RequestId, AttemptId, u64, Option<Load>),
+    /// The gate does not respond. It may have run the request and may still reply.
+    Silent(RequestId, AttemptId),
     /// The response broke off or the connection was lost: the request may have
     /// run.
     Broken(RequestId, AttemptId, Option<Load>),
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -196,6 +196,24 @@
         }
     }
 
+    /// Makes a second attempt beside one whose gate does not respond, if the request may
+    /// run twice and the budgets allow it. The first stays in flight: a gate that was only
+    /// stopped for a while still replies.
+    pub(super) fn on_silent(&mut self, id: RequestId, attempt: AttemptId, cx: &mut Cx<'_>) {
+        let Some(active) = self.active.get_mut(&id) else {
+            return;
+        };
+        let awaited = active.relayed.is_none() && active.in_flight_attempt(attempt).is_some();
+        let repeatable = active.class.idempotent && active.request.body_buffered;
+        let is_only_one = active.count(AttemptState::InFlight) == 1;
+        let exhausted = active.reached_upstreams() >= active.max_reached_upstreams
+            || active.attempts.len() >= MAX_ATTEMPTS + self.max_repicks
+            || active.retry_budget == 0;
+        if awaited && repeatable && is_only_one && !exhausted {
+            self.attempt(id, Purpose::Retry, Reason::Broken.into(), cx);
+        }
+    }
+
     /// Retries a request that may have crashed its upstream, at the upstream to
     /// which the gates assign it too. This spends the one retry that the entry
     /// reserves for itself, so a second broken connection ends the request.
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -309,11 +309,13 @@
             keep_alive_s,
         };
         let written = write_response(&mut write, &mut buf, format, response).await;
-        if written.is_err() && until_close {
-            // An orderly close would make the part that was sent look complete.
-            reset_on_close(&write);
+        if let Err(err) = written {
+            if until_close {
+                // An orderly close would make the part that was sent look complete.
+                reset_on_close(write);
+            }
+            return Err(err);
         }
-        written?;
         pending_responses.fetch_sub(1, Ordering::AcqRel);
         if close {
             return Ok(write);
@@ -323,10 +325,12 @@
 }
 
 /// Lets the connection be reset instead of closed in order.
-fn reset_on_close(write: &OwnedWriteHalf) {
+fn reset_on_close(write: OwnedWriteHalf) {
     if let Err(err) = write.as_ref().set_zero_linger() {
         log::warn!("event=socket_option_refused reason=\"{err}\"");
     }
+    // Dropping the write half would end the stream in order first.
+    write.forget();
 }
 
 /// How a response is written.
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -213,6 +213,7 @@
     fn on_stream_event(&mut self, id: AttemptId, event: StreamEvent) {
         match event {
             StreamEvent::Frame(body) => self.on_frame(id, *body),
+            StreamEvent::Silent => self.report(entry::Event::Silent(self.id, id)),
             StreamEvent::Lost { may_have_run: true } => self.on_broken(id, None),
             StreamEvent::Lost {
                 may_have_run: false,
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -333,6 +333,7 @@
                 Body::Cancel(_) => self.report_cancelled(),
                 _ => {}
             },
+            StreamEvent::Silent => {}
             StreamEvent::Lost { .. } => self.report_cancelled(),
         }
     }
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -11,10 +11,14 @@
 use compact_str::CompactString;
 use node::Event;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use wire::{Body, LinkKind};
 
+/// Maximum time for which replies are awaited from a peer that does not respond.
+const MAX_SILENCE: Duration = Duration::from_secs(10);
 /// Id shared by all connections that this daemon dialled.
 const DIALLED: node::LinkId = 0;
 
@@ -56,24 +60,35 @@
 async fn connect(daemon: Arc<Daemon>, key: Key, link: Arc<Link>) {
     let mut closed_by_peer = false;
     let reason = match open(&key).await {
-        Ok(stream) => tokio::select! {
-            err = run(&daemon, &link, stream, Side::Dialled(key.1)) => {
-                closed_by_peer = matches!(err, LinkError::Closed);
-                err.to_string()
+        Ok(stream) => {
+            let mut running = pin!(run(&daemon, &link, stream, Side::Dialled(key.1)));
+            tokio::select! {
+                err = &mut running => {
+                    closed_by_peer = matches!(err, LinkError::Closed);
+                    err.to_string()
+                }
+                () = remove_when_idle(&daemon, &key, &link) => return,
+                () = link.failed() => {
+                    remove(&daemon, &key, &link);
+                    if link.report_silence() {
+                        report_failure(&daemon, &key, "no reply to a ping", false);
+                        await_late_replies(&key, &link, running).await;
+                        return link.close();
+                    }
+                    "no reply to a ping".to_owned()
+                }
             }
-            () = remove_when_idle(&daemon, &key, &link) => return,
-            () = link.failed() => "no reply to a ping".to_owned(),
-        },
+        }
         Err(err) => err.to_string(),
     };
-    log::info!(
-        "event=link_failed address={} kind={:?} reason=\"{reason}\"",
-        key.0,
-        key.1
-    );
     remove(&daemon, &key, &link);
     link.close();
-    let (address, kind) = key;
+    report_failure(&daemon, &key, &reason, closed_by_peer);
+}
+
+fn report_failure(daemon: &Arc<Daemon>, key: &Key, reason: &str, closed_by_peer: bool) {
+    let (address, kind) = key.clone();
+    log::info!("event=link_failed address={address} kind={kind:?} reason=\"{reason}\"");
     daemon.handle_event(Event::LinkFailed {
         address,
         kind,
@@ -81,6 +96,33 @@
     });
 }
 
+/// Serves the open streams of a connection whose peer does not respond, until they have
+/// ended: a peer that was only stopped for a while still replies. New streams use another
+/// connection.
+async fn await_late_replies(key: &Key, link: &Link, running: impl Future<Output = LinkError>) {
+    let reason = tokio::select! {
+        err = running => err.to_string(),
+        reason = wait_until_ended(link) => reason.to_owned(),
+    };
+    log::info!(
+        "event=link_retired address={} kind={:?} reason=\"{reason}\"",
+        key.0,
+        key.1
+    );
+}
+
+async fn wait_until_ended(link: &Link) -> &'static str {
+    loop {
+        tokio::time::sleep(LIVENESS_INTERVAL).await;
+        if link.streams.close_if_empty() {
+            return "all requests have ended";
+        }
+        if link.idle() >= MAX_SILENCE {
+            return "silent for too long";
+        }
+    }
+}
+
 async fn open((address, kind): &Key) -> io::Result<TcpStream> {
     let timeout = match kind {
         LinkKind::Data => DATA_DIAL_TIMEOUT,
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -183,6 +183,12 @@
         self.failed.notified().await;
     }
 
+    /// Notifies the streams that the peer does not respond. Returns whether any stays
+    /// open.
+    pub(super) fn report_silence(&self) -> bool {
+        self.streams.report_silence(self.peer_holds_bodies())
+    }
+
     /// Closes the streams, and drops what is and will be queued.
     pub(super) fn close(&self) {
         let mut state = lock(&self.state);
--- a/crates/plumhitchd/src/links/stream.rs
+++ b/crates/plumhitchd/src/links/stream.rs
@@ -22,6 +22,16 @@
     pub(crate) progress: SendProgress,
 }
 
+impl StreamHandle {
+    fn may_have_run(&self, peer_holds_bodies: bool) -> bool {
+        match self.progress {
+            SendProgress::Queued => false,
+            SendProgress::Incomplete => !peer_holds_bodies,
+            SendProgress::MayRun => true,
+        }
+    }
+}
+
 /// How much of a request has been written to the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendProgress {
@@ -127,6 +137,22 @@
         table.closed
     }
 
+    /// Notifies the streams' tasks that the peer does not respond. Streams whose request
+    /// cannot have run are closed as lost, the others stay open. Returns whether any does.
+    pub(crate) fn report_silence(&self, peer_holds_bodies: bool) -> bool {
+        let mut table = lock(&self.table);
+        table.handles.retain(|_, handle| {
+            let may_have_run = handle.may_have_run(peer_holds_bodies);
+            let event = match may_have_run {
+                true => StreamEvent::Silent,
+                false => StreamEvent::Lost { may_have_run },
+            };
+            let _ = handle.tx.send(TaskMessage::Stream(handle.attempt, event));
+            may_have_run
+        });
+        !table.handles.is_empty()
+    }
+
     /// Closes the table and notifies every stream's task that the connection is
     /// lost. `peer_holds_bodies` is whether the peer runs no request before it has a
     /// complete body that is to be held.
@@ -134,11 +160,7 @@
         let mut table = lock(&self.table);
         table.closed = true;
         for (_, handle) in table.handles.drain() {
-            let may_have_run = match handle.progress {
-                SendProgress::Queued => false,
-                SendProgress::Incomplete => !peer_holds_bodies,
-                SendProgress::MayRun => true,
-            };
+            let may_have_run = handle.may_have_run(peer_holds_bodies);
             let event = StreamEvent::Lost { may_have_run };
             let _ = handle.tx.send(TaskMessage::Stream(handle.attempt, event));
         }
--- a/crates/plumhitchd/src/task_messages.rs
+++ b/crates/plumhitchd/src/task_messages.rs
@@ -27,6 +27,8 @@
 pub(crate) enum StreamEvent {
     /// The peer sent a frame.
     Frame(Box<Body>),
+    /// The peer does not respond, but may have run the request and may still reply.
+    Silent,
     /// The connection was lost, or the peer exceeded its credit.
     Lost {
         /// Whether the peer may have run the request.
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -251,3 +251,32 @@
     })
     .await;
 }
+
+/// Guards against running work that is given up because its machine was only silent for a
+/// while: the response is delivered, though late.
+#[test_case("page"; "request that may run twice")]
+#[test_case("reservation"; "request that must not run twice")]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_of_a_gate_that_was_frozen_for_a_while_is_delivered(class: &'static str) {
+    let pair = Pair::start("", "").await;
+    let started = pair.upstream_stats.started.load(Ordering::SeqCst);
+    let request = pair
+        .request("POST", "/slow")
+        .header("idempotency-key", "frozen");
+    let mut request = request.build().unwrap();
+    request
+        .headers_mut()
+        .insert("plumhitch-class", class.parse().unwrap());
+    let call = tokio::spawn(pair.client.execute(request));
+    wait_until("the upstream runs the request", async || {
+        pair.upstream_stats.started.load(Ordering::SeqCst) > started
+    })
+    .await;
+    pair.gate.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    pair.gate.signal("CONT");
+    let response = call.await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+    let runs = pair.upstream_stats.started.load(Ordering::SeqCst) - started;
+    assert_eq!(runs, 1);
+}
