Keep an upstream that has left out when its daemon starts again

Operators of similar systems saw a server that had left in use again after a restart of one of the system's processes. It could happen here: a daemon that starts again knows no announcement, and the first to reach it may be one that was delayed by seconds, from before the upstream left; the control leader took its word and brought the upstream back into all views (red before: restarted_daemon_does_not_bring_back...).

Change: the leader keeps the newest announcement of a start by its number, over restarts of the daemon. A later announcement of the start, or another start, counts as before. Not covered: a new leader, which knows none; until the next announcement of the upstream.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{
-    ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId, Subscription,
-    UpstreamInfo, VIEW_BUCKETS,
+    Announcement, ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId,
+    Subscription, UpstreamInfo, VIEW_BUCKETS,
 };
 
 /// Time between two checks of the leases from which this process must have been
@@ -29,6 +29,31 @@
     config_version: ConfigVersion,
     service: Option<ServiceId>,
     info: UpstreamInfo,
+    /// Newest announcement of the upstream that was reported.
+    newest: Option<ReportedStart>,
+}
+
+/// An announcement of an upstream, as far as later ones are compared with it.
+#[derive(Clone, Debug)]
+struct ReportedStart {
+    boot: String,
+    sequence: u64,
+    leaving: bool,
+}
+
+impl ReportedStart {
+    /// Returns the newer one of this announcement and another. Announcements of one start
+    /// are numbered; of two starts the one that was reported later counts.
+    fn newer(self, other: &Announcement) -> Self {
+        if other.sequence < self.sequence && other.boot == self.boot {
+            return self;
+        }
+        Self {
+            boot: other.boot.clone(),
+            sequence: other.sequence,
+            leaving: other.leaving,
+        }
+    }
 }
 
 /// Daemons registered under leases, and the version of each service.
@@ -284,6 +309,16 @@
         }
     }
     let upstream = heartbeat.upstream.as_ref();
+    // A daemon that has started again may be reached by a delayed announcement first.
+    let newest = match (old.and_then(|o| o.newest.clone()), upstream) {
+        (Some(known), Some(upstream)) => Some(known.newer(upstream)),
+        (known, None) => known,
+        (None, Some(upstream)) => Some(ReportedStart {
+            boot: upstream.boot.clone(),
+            sequence: upstream.sequence,
+            leaving: upstream.leaving,
+        }),
+    };
     let same_start = old.filter(|o| o.incarnation == heartbeat.incarnation);
     let age = Duration::from_millis(heartbeat.age_ms);
     Some(Registration {
@@ -299,7 +334,8 @@
             address: heartbeat.address.clone(),
             data_centre: heartbeat.data_centre.clone(),
             slots: upstream.map_or(0, |u| u.slots),
-            leaving: upstream.is_some_and(|u| u.leaving),
+            leaving: upstream.is_some() && newest.as_ref().is_some_and(|n| n.leaving),
         },
+        newest,
     })
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -293,3 +293,36 @@
         .expect("an update");
     assert!(delta.full && delta.upstreams.len() == 2);
 }
+
+/// Guards against an upstream that has left and is in use again, because its daemon has
+/// started again and was reached by an announcement that was delayed.
+#[test]
+fn restarted_daemon_does_not_bring_back_an_upstream_that_has_left() {
+    let announced = |incarnation, sequence, boot: &str, number, leaving| {
+        let mut heartbeat = heartbeat("a", incarnation, sequence, 6);
+        let upstream = heartbeat.upstream.as_mut().unwrap();
+        upstream.boot = boot.to_owned();
+        upstream.sequence = number;
+        upstream.leaving = leaving;
+        heartbeat
+    };
+    let mut registry = Registry::new(1, LEASE, secs(0));
+    let is_leaving = |registry: &Registry| registry.services()[0].upstreams[0].leaving;
+    registry.handle_heartbeat(secs(1), &announced(1, 1, "b1", 5, false));
+    registry.handle_heartbeat(secs(2), &announced(1, 2, "b1", 7, true));
+    let before_any = Heartbeat {
+        upstream: None,
+        ..heartbeat("a", 2, 1, 6)
+    };
+    registry.handle_heartbeat(secs(3), &before_any);
+    registry.handle_heartbeat(secs(4), &announced(2, 2, "b1", 6, false));
+    assert!(
+        is_leaving(&registry),
+        "brought back by a delayed announcement"
+    );
+    registry.handle_heartbeat(secs(5), &announced(2, 3, "b1", 8, false));
+    assert!(!is_leaving(&registry), "a later announcement counts");
+    registry.handle_heartbeat(secs(6), &announced(2, 4, "b1", 9, true));
+    registry.handle_heartbeat(secs(7), &announced(3, 1, "b2", 1, false));
+    assert!(!is_leaving(&registry), "another start counts");
+}
