Show in the status what the upstream beside the daemon states

The command status and /v1/status give the stated rate and leaving of the upstream beside the daemon that responds, since the views of the fleet hold only leaving. Fields are added with defaults, so that commands and daemons of both versions understand each other.

--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -9,6 +9,13 @@
     pub daemon: String,
     /// Configuration version in force at that daemon.
     pub daemon_version: u64,
+    /// Requests a second that the upstream beside that daemon states it takes, in
+    /// thousandths, if it states any.
+    #[serde(default)]
+    pub stated_rate_milli: Option<u64>,
+    /// Whether that upstream states in its responses that it is leaving.
+    #[serde(default)]
+    pub stated_leaving: bool,
     /// Committed configuration version.
     pub version: u64,
     /// Lowest configuration version reported by a live daemon.
--- a/crates/plumhitch/src/output.rs
+++ b/crates/plumhitch/src/output.rs
@@ -127,6 +127,9 @@
     )
 }
 
+/// Thousandths in a unit.
+const MILLI_PER_UNIT: u64 = 1_000;
+
 fn print_status(status: &StatusBody) {
     println!("configuration version {}", status.version);
     println!(
@@ -137,6 +140,16 @@
         "  version at {}, the daemon queried: {}",
         status.daemon, status.daemon_version
     );
+    if let Some(milli) = status.stated_rate_milli {
+        println!(
+            "  its upstream states that it takes {}.{:03} requests a second",
+            milli / MILLI_PER_UNIT,
+            milli % MILLI_PER_UNIT
+        );
+    }
+    if status.stated_leaving {
+        println!("  its upstream states that it is leaving");
+    }
     println!("daemons with a recent heartbeat: {}", status.daemons);
     println!("control: leader {}, term {}", status.leader, status.term);
     println!("  voters: {}", join_or_none(&status.voters));
--- a/crates/plumhitch/tests/fake_daemon/mod.rs
+++ b/crates/plumhitch/tests/fake_daemon/mod.rs
@@ -141,6 +141,8 @@
     let body = StatusBody {
         daemon: "booking-1".into(),
         daemon_version: version,
+        stated_rate_milli: None,
+        stated_leaving: false,
         version,
         lowest_version: version,
         daemons: 1,
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -8,6 +8,7 @@
 use crate::handle::Handle;
 use crate::runtime::Daemon;
 use api::{ErrorBody, OutcomeBody, Verdict};
+use convert::OwnStatus;
 use node::{Event, admission};
 use replica::Role;
 use salvo::conn::tcp::TcpAcceptor;
@@ -168,15 +169,17 @@
     }
 
     async fn status(&self) -> Result<HttpResponse, HttpResponse> {
-        let (name, version) = self
-            .daemon
-            .read(|node| (node.agent.name.to_string(), node.agent.config.version));
+        let own = self.daemon.read(|node| OwnStatus {
+            daemon: node.agent.name.to_string(),
+            version: node.agent.config.version,
+            statement: node.admission.statement(),
+        });
         match self
             .request(control_request::Kind::Status(StatusRequest {}))
             .await?
         {
             control_reply::Kind::Status(status) => {
-                let body = convert::status_body(name, version, status);
+                let body = convert::status_body(own, status);
                 Ok(json(StatusCode::OK, &body))
             }
             _ => Err(no_outcome()),
--- a/crates/plumhitchd/src/operators_http/convert.rs
+++ b/crates/plumhitchd/src/operators_http/convert.rs
@@ -5,6 +5,7 @@
     ChangeBody, HistoryBody, HistoryItem, Operation, OutcomeBody, ServiceStatus, StatusBody,
     UpstreamStatus, Verdict,
 };
+use gate::Statement;
 use wire::{
     ChangeOperation, ChangeOutcome, ChangeRequest, ChangeResult, ConfigVersion, HistoryEntry,
     HistoryReply, Lists, Member, OperationKind, ServiceDelta, StatusReply, UpstreamInfo,
@@ -75,16 +76,23 @@
     }
 }
 
-/// Converts the status of control, and adds the daemon's name and version.
-pub(super) fn status_body(
-    daemon: String,
-    daemon_version: ConfigVersion,
-    status: StatusReply,
-) -> StatusBody {
+/// What the daemon that responds adds to the status of control.
+#[derive(Debug)]
+pub(super) struct OwnStatus {
+    pub(super) daemon: String,
+    pub(super) version: ConfigVersion,
+    /// What the upstream beside it states.
+    pub(super) statement: Statement,
+}
+
+/// Converts the status of control, and adds that of the daemon.
+pub(super) fn status_body(own: OwnStatus, status: StatusReply) -> StatusBody {
     let membership = status.membership.unwrap_or_default();
     StatusBody {
-        daemon,
-        daemon_version,
+        daemon: own.daemon,
+        daemon_version: own.version,
+        stated_rate_milli: own.statement.rate_milli,
+        stated_leaving: own.statement.leaving,
         version: status.config_version,
         lowest_version: status.lowest_version,
         daemons: status.daemons,
