Send nothing new to a gate that does not respond

Found by reading the diff: a connection that is kept for late replies kept its queue too. A request reported as not run because nothing of it had been written could have been written when the peer's buffers emptied, and run there beside its second attempt. What is queued is dropped before the streams are told, only cancellations and credit follow, and no stream opens on it any more. The new test (an upload beside a running request) was green before as well: the gate asks for a held body first; the queued head could not be brought about in a test, so that this is by construction.

--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -517,7 +517,8 @@
     }
 
     /// Returns whether an upstream gets no request now, because its gate has no slot for
-    /// one of this preference or because of the rate that it states. What the rate allows is first kept for preferred requests.
+    /// one of this preference or because of the rate that it states. What the rate allows
+    /// is first kept for preferred requests.
     fn is_paused(&self, now: Duration, index: usize, preference: u32, rank: Rank) -> bool {
         let candidate = self.candidates.get(index);
         let stats = candidate.and_then(|c| self.all_stats.get(&c.upstream));
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -114,7 +114,7 @@
 async fn wait_until_ended(link: &Link) -> &'static str {
     loop {
         tokio::time::sleep(LIVENESS_INTERVAL).await;
-        if link.streams.close_if_empty() {
+        if link.streams.is_empty() {
             return "all requests have ended";
         }
         if link.idle() >= MAX_SILENCE {
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -32,6 +32,14 @@
     /// Time of the latest bytes in either direction.
     used_at: Duration,
     closed: bool,
+    /// Whether the peer does not respond, so that only replies are awaited.
+    retired: bool,
+}
+
+/// Returns whether a frame may be sent to a peer that does not respond: it neither begins
+/// nor completes a request, which may run elsewhere by then.
+fn may_follow_silence(body: &Body) -> bool {
+    matches!(body, Body::Cancel(_) | Body::Credit(_))
 }
 
 impl Link {
@@ -43,6 +51,7 @@
             liveness: Liveness::new(now),
             used_at: now,
             closed: false,
+            retired: false,
         };
         Arc::new(Self {
             id,
@@ -62,7 +71,7 @@
     /// Queues a frame; it is dropped if the connection is closed.
     pub(crate) fn send(&self, body: Body) {
         let mut state = lock(&self.state);
-        if state.closed {
+        if state.closed || state.retired && !may_follow_silence(&body) {
             return;
         }
         state.queue.push(clock::now(), body);
@@ -183,9 +192,13 @@
         self.failed.notified().await;
     }
 
-    /// Notifies the streams that the peer does not respond. Returns whether any stays
-    /// open.
+    /// Drops what is queued and notifies the streams that the peer does not respond.
+    /// Returns whether any stays open. What is reported as not run is not sent later.
     pub(super) fn report_silence(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.retired = true;
+        state.queue = SendQueue::default();
+        drop(state);
         self.streams.report_silence(self.peer_holds_bodies())
     }
 
--- a/crates/plumhitchd/src/links/stream.rs
+++ b/crates/plumhitchd/src/links/stream.rs
@@ -130,6 +130,11 @@
         handles.any(|handle| handle.progress != SendProgress::Queued)
     }
 
+    /// Returns whether no stream is open.
+    pub(crate) fn is_empty(&self) -> bool {
+        lock(&self.table).handles.is_empty()
+    }
+
     /// Closes the table if no stream is open; returns whether it is closed.
     pub(crate) fn close_if_empty(&self) -> bool {
         let mut table = lock(&self.table);
@@ -137,10 +142,12 @@
         table.closed
     }
 
-    /// Notifies the streams' tasks that the peer does not respond. Streams whose request
-    /// cannot have run are closed as lost, the others stay open. Returns whether any does.
+    /// Closes the table for new streams, and notifies the others' tasks that the peer does
+    /// not respond. Streams whose request cannot have run are lost, the others stay open.
+    /// Returns whether any does.
     pub(crate) fn report_silence(&self, peer_holds_bodies: bool) -> bool {
         let mut table = lock(&self.table);
+        table.closed = true;
         table.handles.retain(|_, handle| {
             let may_have_run = handle.may_have_run(peer_holds_bodies);
             let event = match may_have_run {
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -280,3 +280,21 @@
     let runs = pair.upstream_stats.started.load(Ordering::SeqCst) - started;
     assert_eq!(runs, 1);
 }
+
+/// Guards against an upload that was reported as not run and is completed at the gate
+/// later, because its connection stays open for another request that runs there.
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_beside_a_running_request_never_runs_after_it_was_refused() {
+    let pair = Pair::start("[limits]\nheld-size = 1 MB\n", "").await;
+    let running = slow_call(&pair).await;
+    pair.gate.signal("STOP");
+    let upload = pair.request("POST", "/echo").body(vec![7; 300 * 1024]);
+    let response = upload.send().await.unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["plumhitch-run"], "not-run");
+    pair.gate.signal("CONT");
+    assert_eq!(running.await.unwrap().unwrap().status(), 200);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let bodies = pair.upstream_stats.body_bytes_read.load(Ordering::SeqCst);
+    assert_eq!(bodies, 0, "the upload ran after it was refused");
+}
