Add the messages of roll-outs, credentials and limits of customers

Cause: roll-outs, customers' keys and limits in the routing are the next features, and their parts are written side by side. Change: messages only; announcements carry the upstream's version into the registry and the view.

--- a/crates/bench/src/session.rs
+++ b/crates/bench/src/session.rs
@@ -233,8 +233,8 @@
         subscriptions: state.subscriptions.clone(),
         config_page: state.page,
         homes_hash: state.homes_hash,
-        age_ms: 0,
         supports_routing_changes: true,
+        ..Heartbeat::default()
     }
 }
 
--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use wire::{CallerLimits, Route, RouteKind, Routing, ServiceRules};
+use wire::{CallerLimits, CustomerRules, Route, RouteKind, Routing, ServiceRules};
 
 /// Maximum number of routes.
 pub const MAX_ROUTES: usize = 100_000;
@@ -71,6 +71,12 @@
         self.content.services.iter().find(|s| s.name == name)
     }
 
+    /// Returns the rules of a customer.
+    #[must_use]
+    pub fn customer(&self, name: &str) -> Option<&CustomerRules> {
+        self.content.customers.iter().find(|c| c.name == name)
+    }
+
     /// Returns the services that are destinations of routes.
     #[must_use]
     pub fn routed_services(&self) -> BTreeSet<&str> {
--- a/crates/conf/src/state/configuration.rs
+++ b/crates/conf/src/state/configuration.rs
@@ -2,8 +2,10 @@
 
 use crate::lists::{Customers, Plans};
 use crate::routes::RouteTable;
-use std::collections::BTreeSet;
-use wire::{ConfigVersion, CustomerPlan, DataCentreId, OperationKind, UpstreamId};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::{
+    ConfigVersion, CustomerPlan, DataCentreId, OperationKind, Rollout, ServiceId, UpstreamId,
+};
 
 /// The configuration at one version, as daemons hold it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,6 +24,8 @@
     pub out_upstreams: BTreeSet<UpstreamId>,
     /// Routes, services and limits.
     pub routing: RouteTable,
+    /// The newest roll-out of each service.
+    pub rollouts: BTreeMap<ServiceId, Rollout>,
 }
 
 impl Configuration {
--- a/crates/conf/src/state/receiver.rs
+++ b/crates/conf/src/state/receiver.rs
@@ -113,6 +113,10 @@
     config.set_plans(plans, parsed);
     config.out_data_centres = last.out_data_centres.iter().map(Into::into).collect();
     config.out_upstreams = last.out_upstreams.iter().map(Into::into).collect();
+    let rollouts = last.rollouts.iter();
+    config.rollouts = rollouts
+        .map(|rollout| (rollout.service.as_str().into(), rollout.clone()))
+        .collect();
     if let Some(routing) = &last.routing {
         config.routing = RouteTable::new(routing.clone());
     }
--- a/crates/conf/src/state/routing.rs
+++ b/crates/conf/src/state/routing.rs
@@ -110,6 +110,7 @@
             routes: change.routes.clone(),
             services: change.services.clone(),
             limits: change.limits,
+            ..Routing::default()
         };
     }
     let mut next = current.clone();
--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -89,6 +89,7 @@
         last: true,
         routing,
         routing_change,
+        rollouts: current.rollouts.values().cloned().collect(),
     });
     deltas
 }
@@ -119,6 +120,7 @@
                 limits: current.limits,
                 removed_routes: removed_routes.cloned().collect(),
                 removed_services: removed_services.cloned().collect(),
+                ..RoutingChange::default()
             };
             (None, Some(Box::new(change)))
         }
--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -25,7 +25,7 @@
             service: "booking".into(),
             weight: 1,
         }],
-        split: false,
+        ..Route::default()
     }
 }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -335,6 +335,7 @@
             data_centre: heartbeat.data_centre.clone(),
             slots: upstream.map_or(0, |u| u.slots),
             leaving: upstream.is_some() && newest.as_ref().is_some_and(|n| n.leaving),
+            version: upstream.map(|u| u.version.clone()).unwrap_or_default(),
         },
         newest,
     })
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -17,6 +17,8 @@
     pub slots: u32,
     /// Whether it is leaving the fleet.
     pub leaving: bool,
+    /// Version of its software, or empty if it states none.
+    pub version: CompactString,
 }
 
 /// The upstreams of one service, at one version.
@@ -41,6 +43,7 @@
                 data_centre: upstream.data_centre.to_string(),
                 slots: upstream.slots,
                 leaving: upstream.leaving,
+                version: upstream.version.to_string(),
             })
             .collect();
         checksums::checksums(infos.iter())
@@ -150,6 +153,7 @@
                     data_centre: info.data_centre.as_str().into(),
                     slots: info.slots,
                     leaving: info.leaving,
+                    version: info.version.as_str().into(),
                 },
             );
         }
--- a/crates/model/src/fleet/control.rs
+++ b/crates/model/src/fleet/control.rs
@@ -76,6 +76,7 @@
                 data_centre: d.data_centre.clone(),
                 slots: announced.slots,
                 leaving: announced.leaving,
+                version: announced.version.clone(),
             })
         });
         ServiceDelta {
@@ -110,7 +111,7 @@
             service: class.service.clone(),
             weight: 1,
         }],
-        split: false,
+        ..Route::default()
     };
     let rules = |service: &Service| ServiceRules {
         name: service.name.clone(),
@@ -123,6 +124,6 @@
         version: 1,
         routes: experiment.class.iter().map(route).collect(),
         services: experiment.service.iter().map(rules).collect(),
-        limits: None,
+        ..Routing::default()
     }
 }
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -401,6 +401,8 @@
             homes_hash: homes_hash(&self.homes),
             supports_routing_changes: true,
             age_ms: millis(age),
+            evidence: None,
+            in_progress: 0,
         };
         self.send(Body::Heartbeat(heartbeat), tx);
     }
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -104,7 +104,9 @@
             | control_request::Kind::Settle(_)
             | control_request::Kind::Suspect(_)
             | control_request::Kind::Routing(_)
-            | control_request::Kind::DataCentre(_) => return,
+            | control_request::Kind::DataCentre(_)
+            | control_request::Kind::StartRollout(_)
+            | control_request::Kind::ReadRollout(_) => return,
         };
         reply(waiter, true, String::new(), Some(reply_kind), tx);
     }
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -223,6 +223,10 @@
                 .collect();
             lines.join("; ")
         }
+        control_reply::Kind::Rollout(outcome) => {
+            let state = outcome.rollout.as_ref().map(|r| (r.stage(), r.share_ppm));
+            format!("rollout {:?} {state:?}", outcome.result())
+        }
     }
 }
 
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -566,6 +566,7 @@
                 data_centre: d.data_centre.clone(),
                 slots: announced.slots,
                 leaving: announced.leaving,
+                version: announced.version.clone(),
             })
         });
         ServiceDelta {
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -62,7 +62,7 @@
             service: "booking".into(),
             weight: 1,
         }],
-        split: false,
+        ..Route::default()
     }
 }
 
@@ -84,7 +84,7 @@
             address: format!("127.0.0.1:{}", 9_000 + n),
             data_centre: (*data_centre).into(),
             slots: 6,
-            leaving: false,
+            ..UpstreamInfo::default()
         })
         .collect()
 }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -42,6 +42,12 @@
     /// routing.
     #[prost(bool, tag = "12")]
     pub supports_routing_changes: bool,
+    /// Responses of the upstream, during a roll-out of its service.
+    #[prost(message, optional, tag = "13")]
+    pub evidence: Option<crate::rollout::VersionEvidence>,
+    /// Requests that are in progress at the upstream.
+    #[prost(uint32, tag = "14")]
+    pub in_progress: u32,
 }
 
 /// An upstream's announcement of itself to the daemon on its VM.
@@ -75,6 +81,9 @@
     /// Time since its start by the clock of its VM, in milliseconds, if known.
     #[prost(uint64, optional, tag = "9")]
     pub age_ms: Option<u64>,
+    /// Version of its software, or empty if it states none.
+    #[prost(string, tag = "10")]
+    pub version: String,
 }
 
 /// A subscription to a service, with the version that the daemon has.
@@ -199,6 +208,9 @@
     /// The routing delta, if one is sent; valid on the last page.
     #[prost(message, optional, boxed, tag = "10")]
     pub routing_change: Option<Box<crate::routing::RoutingChange>>,
+    /// The newest roll-out of each service; valid on the last page.
+    #[prost(message, repeated, tag = "11")]
+    pub rollouts: Vec<crate::rollout::Rollout>,
 }
 
 /// An upstream as registered with the control leader.
@@ -219,6 +231,9 @@
     /// Whether it is leaving the fleet.
     #[prost(bool, tag = "5")]
     pub leaving: bool,
+    /// Version of its software, or empty if it states none.
+    #[prost(string, tag = "6")]
+    pub version: String,
 }
 
 /// Changes in a service, or its full state.
@@ -258,7 +273,10 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The request itself.
-    #[prost(oneof = "control_request::Kind", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(
+        oneof = "control_request::Kind",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12"
+    )]
     pub kind: Option<control_request::Kind>,
 }
 
@@ -296,6 +314,12 @@
         /// Reads the current routing.
         #[prost(message, tag = "10")]
         ReadRouting(crate::routing::RoutingRequest),
+        /// Orders a roll-out.
+        #[prost(message, tag = "11")]
+        StartRollout(crate::rollout::RolloutOrder),
+        /// Reads the newest roll-out of a service.
+        #[prost(message, tag = "12")]
+        ReadRollout(crate::rollout::RolloutQuery),
     }
 }
 
@@ -313,7 +337,7 @@
     pub leader_address: String,
     /// The reply itself; absent if the sender is not the leader, or lost its
     /// leadership before the outcome was known.
-    #[prost(oneof = "control_reply::Kind", tags = "4, 5, 6, 7, 8")]
+    #[prost(oneof = "control_reply::Kind", tags = "4, 5, 6, 7, 8, 9")]
     pub kind: Option<control_reply::Kind>,
 }
 
@@ -339,6 +363,9 @@
         /// The current routing.
         #[prost(message, tag = "8")]
         Routing(crate::routing::Routing),
+        /// Outcome of a roll-out order or query.
+        #[prost(message, tag = "9")]
+        Rollout(crate::rollout::RolloutOutcome),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod quota;
 mod replica;
+mod rollout;
 mod routing;
 
 pub use codec::{CodecError, FrameCodec, MAX_FRAME_BYTES};
@@ -41,7 +42,11 @@
     AppendReply, AppendRequest, JoinReply, JoinRequest, LogEntry, Member, Membership,
     ReplicaMessage, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest, replica_message,
 };
+pub use rollout::{
+    Rollout, RolloutOrder, RolloutOutcome, RolloutQuery, RolloutResult, RolloutStage,
+    RouteEvidence, VersionEvidence,
+};
 pub use routing::{
-    CallerLimits, DataCentreOrder, Route, RouteDestination, RouteKind, Routing, RoutingChange,
-    RoutingRequest, ServiceRules,
+    CallerLimits, CustomerRules, DataCentreOrder, Route, RouteDestination, RouteKind, Routing,
+    RoutingChange, RoutingRequest, ServiceRules,
 };
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -1,5 +1,7 @@
 //! Routing configuration, as control stores it and sends it to daemons.
 
+use bytes::Bytes;
+
 /// Whether the requests of a route may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
@@ -59,6 +61,34 @@
     /// as a single service, so that they can be shown in the same form.
     #[prost(bool, tag = "10")]
     pub split: bool,
+    /// Whether its requests need no credential.
+    #[prost(bool, tag = "11")]
+    pub open: bool,
+}
+
+/// A customer with its credentials and limits.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CustomerRules {
+    /// Name, unique among the customers.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its API keys as the operator set them. Only control replicas hold them.
+    #[prost(string, repeated, tag = "2")]
+    pub keys: Vec<String>,
+    /// Salted digests of its API keys, in what daemons receive.
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    pub key_digests: Vec<Bytes>,
+    /// Priority of its requests under overload in place of that of their route; 0 is the
+    /// highest.
+    #[prost(uint32, optional, tag = "4")]
+    pub priority: Option<u32>,
+    /// Maximum rate over all entries together, in requests per 1,000 seconds; 0 for no
+    /// limit.
+    #[prost(uint64, tag = "5")]
+    pub rate_milli: u64,
+    /// Requests that may exceed the rate at once.
+    #[prost(uint32, tag = "6")]
+    pub burst: u32,
 }
 
 /// Settings that apply to every upstream of a service.
@@ -119,6 +149,15 @@
     /// Limits on callers, if set.
     #[prost(message, optional, tag = "4")]
     pub limits: Option<CallerLimits>,
+    /// All customers.
+    #[prost(message, repeated, tag = "5")]
+    pub customers: Vec<CustomerRules>,
+    /// Whether requests need a credential of a customer, unless their route is open.
+    #[prost(bool, tag = "6")]
+    pub needs_credentials: bool,
+    /// Salt of the digests of the customers' keys.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub credential_salt: Bytes,
 }
 
 /// Changes routes, services or limits, if the routing is at version `base`.
@@ -149,6 +188,19 @@
     /// Names of services removed.
     #[prost(string, repeated, tag = "8")]
     pub removed_services: Vec<String>,
+    /// Customers added or replaced.
+    #[prost(message, repeated, tag = "9")]
+    pub customers: Vec<CustomerRules>,
+    /// Names of customers removed.
+    #[prost(string, repeated, tag = "10")]
+    pub removed_customers: Vec<String>,
+    /// Whether requests need a credential from now on; stays as it is where a change
+    /// that is not full states nothing about customers.
+    #[prost(bool, tag = "11")]
+    pub needs_credentials: bool,
+    /// Salt of the digests of the customers' keys, in what daemons receive.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub credential_salt: Bytes,
 }
 
 /// Takes a data centre out of service, or returns it, independently of the
