--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -215,6 +215,9 @@
         count(t, 0..=MAX_REPICKS).map(|n: u32| Some(f64::from(n)))
     });
     keys.set("far-per-kb", &mut cfg.far_per_kb, |t| time(t, UP_TO_A_DAY));
+    keys.set("far-limit", &mut cfg.far_limit, |t| {
+        time(t, UP_TO_A_DAY).map(Some)
+    });
     keys.set("late-cost", &mut cfg.late_cost, |t| time(t, UP_TO_A_DAY));
     keys.set("by-expected-finish", &mut cfg.by_expected_finish, yes_no);
     keys.set("repicks", &mut cfg.repicks, |t| count(t, 0..=MAX_REPICKS));
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -119,6 +119,10 @@
     /// Cost of sending one kilobyte to another data centre, expressed as response
     /// time.
     pub far_per_kb: Duration,
+    /// Maximum cost of sending a request and its response to another data centre, so
+    /// that a large body still goes where it can be served in time. `None` for no
+    /// maximum.
+    pub far_limit: Option<Duration>,
     /// Cost of a response that misses its route's latency objective, expressed as
     /// response time, for comparison with other costs.
     pub late_cost: Duration,
@@ -286,6 +290,7 @@
             repicks: 0,
             shared_retries: None,
             far_per_kb: Duration::ZERO,
+            far_limit: None,
             late_cost: Duration::ZERO,
             by_expected_finish: false,
             retry_after: DEFAULT_RETRY_AFTER,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -91,6 +91,7 @@
                 eject_ratio: routing.eject_ratio,
                 return_ramp: routing.return_ramp,
                 far_per_kb: routing.far_per_kb,
+                far_limit: routing.far_limit,
                 late_cost: routing.late_cost,
                 link_bytes: settings.limits.link_bytes,
                 policy: match routing.by_expected_finish {
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -27,6 +27,12 @@
 /// Divisor of a request's objective that gives its estimated work as long as no
 /// request of its class was measured.
 const UNMEASURED_WORK_DIVISOR: u32 = 4;
+/// Weight of a class whose late responses cost what the settings say.
+const ORDINARY_WEIGHT: u32 = 1 << 8;
+/// Lowest factor on the cost of a late response.
+const MIN_LATE_FACTOR: f64 = 0.5;
+/// Highest factor on the cost of a late response.
+const MAX_LATE_FACTOR: f64 = 4.0;
 /// Retries that an entry reserves for itself when it forwards a request.
 const RESERVED_RETRIES: u32 = 1;
 
@@ -96,8 +102,12 @@
     bytes: u64,
     /// Time left until the latency objective is missed, if there is one.
     objective: Option<Duration>,
+    /// Time left until the deadline.
+    deadline: Duration,
     /// Rank among requests for upstreams that state a rate.
     preference: u32,
+    /// Factor on the cost of a late response.
+    late_factor: f64,
 }
 
 /// Where the entry is, and what it can reach.
@@ -124,7 +134,9 @@
             default_work: self.default_work,
             bytes: self.bytes,
             objective: self.objective,
+            deadline: self.deadline,
             preference: self.preference,
+            late_factor: self.late_factor,
         }
     }
 }
@@ -192,7 +204,9 @@
             default_work: self.objective.unwrap_or(self.class.deadline) / UNMEASURED_WORK_DIVISOR,
             bytes: self.request.body_bytes,
             objective: self.until_late(now),
+            deadline: self.deadline.saturating_sub(now),
             preference: self.preference(),
+            late_factor: self.late_factor(),
         }
     }
 
@@ -205,6 +219,12 @@
         }
     }
 
+    /// Returns the factor on the cost of a late response, by the weight of the class.
+    fn late_factor(&self) -> f64 {
+        let factor = f64::from(self.class.weight) / f64::from(ORDINARY_WEIGHT);
+        factor.clamp(MIN_LATE_FACTOR, MAX_LATE_FACTOR)
+    }
+
     /// Returns the time left until the latency objective is missed, if there is
     /// one; never zero, which would mean that there is no objective.
     fn until_late(&self, now: Duration) -> Option<Duration> {
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -22,6 +22,9 @@
 /// exponent of the ratio of the response time to the objective. Service times
 /// vary by about a third, and reports are slightly outdated.
 const LATENESS_EXPONENT: i32 = 4;
+/// Cost of a response after the deadline, in seconds: above all others, so that such an
+/// upstream is chosen only if no other can respond in time.
+const MISSED_DEADLINE_COST: f64 = 60.0;
 /// Slowness of an upstream at its normal speed.
 pub(crate) const NORMAL_SLOWNESS: f64 = 1.0;
 /// Hundredths in a unit.
@@ -43,6 +46,8 @@
     pub(crate) transfer: f64,
     /// Time left until the response is late, if there is an objective.
     pub(crate) objective: Option<f64>,
+    /// Time left until the caller leaves.
+    pub(crate) deadline: f64,
     /// Cost of a late response.
     pub(crate) late_cost: f64,
 }
@@ -58,7 +63,11 @@
             1.0
         }
     });
-    finish + inputs.transfer + inputs.late_cost * lateness
+    let missed = match inputs.objective {
+        Some(_) if finish > inputs.deadline => MISSED_DEADLINE_COST,
+        _ => 0.0,
+    };
+    finish + inputs.transfer + inputs.late_cost * lateness + missed
 }
 
 /// Returns the expected response time in seconds.
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -63,6 +63,8 @@
     /// Cost of sending a kilobyte to another data centre, as the response time
     /// that it is worth.
     pub far_per_kb: Duration,
+    /// Maximum cost of sending a request and its response to another data centre.
+    pub far_limit: Option<Duration>,
     /// Cost of a response after its objective, as the response time that it is
     /// worth.
     pub late_cost: Duration,
@@ -91,8 +93,13 @@
     pub bytes: u64,
     /// Time left until the response is late, if the request has an objective.
     pub objective: Option<Duration>,
+    /// Time left until the caller leaves.
+    pub deadline: Duration,
     /// Rank among requests for upstreams that state a rate, the greatest first.
     pub preference: u32,
+    /// Factor on the cost of a late response, which is higher for more important
+    /// requests.
+    pub late_factor: f64,
 }
 
 /// Reply to an attempt at an upstream.
@@ -479,7 +486,8 @@
         let inputs = CostInputs {
             transfer: far * self.transfer_cost(request),
             objective: request.objective.map(|o| o.as_secs_f64()),
-            late_cost: self.settings.late_cost.as_secs_f64(),
+            deadline: request.deadline.as_secs_f64(),
+            late_cost: self.settings.late_cost.as_secs_f64() * request.late_factor,
         };
         let slowness = finish::slowness(stats, finish::NORMAL_SLOWNESS, now).max(relative_latency);
         let finish = finish::expected(stats, candidate.slots, slowness, work, now);
@@ -546,7 +554,10 @@
     /// Returns the cost of transferring the request and response between data
     /// centres, in seconds.
     fn transfer_cost(&self, request: PickRequest<'_>) -> f64 {
-        self.settings.far_per_kb.as_secs_f64() * self.transferred_bytes(request) / KILOBYTE
+        let per_kb = self.settings.far_per_kb.as_secs_f64();
+        let cost = per_kb * self.transferred_bytes(request) / KILOBYTE;
+        let limit = self.settings.far_limit.map(|limit| limit.as_secs_f64());
+        limit.map_or(cost, |limit| cost.min(limit))
     }
 
     /// Returns how long the request and response take on a network link, in seconds.
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -34,14 +34,27 @@
 
 /// Returns the same on VMs whose network links carry this many bytes a second.
 fn picker_behind(far_per_kb: Duration, link_bytes: u64) -> Picker {
-    let mut picker = Picker::new(PickSettings {
+    picker_with(PickSettings {
+        far_per_kb,
+        link_bytes,
+        ..settings()
+    })
+}
+
+fn settings() -> PickSettings {
+    PickSettings {
         eject_ratio: 0.3,
         return_ramp: Duration::ZERO,
-        far_per_kb,
+        far_per_kb: Duration::ZERO,
+        far_limit: None,
         late_cost: ms(500),
-        link_bytes,
+        link_bytes: 0,
         policy: Policy::EXPECTED_FINISH,
-    });
+    }
+}
+
+fn picker_with(settings: PickSettings) -> Picker {
+    let mut picker = Picker::new(settings);
     let candidates = (0..6).map(|n| Candidate {
         upstream: format!("u{n}").into(),
         data_centre: format!("dc{}", n / 2).into(),
@@ -65,6 +78,8 @@
         bytes,
         objective: None,
         preference: 1,
+        late_factor: 1.0,
+        deadline: Duration::from_secs(10),
     }
 }
 
@@ -200,6 +215,72 @@
     }
 }
 
+/// Load pattern: near upstreams are slow for a moment. A large body must not stay there
+/// because of its bytes when its caller leaves before the response.
+#[test_case(5_000, true; "near before the deadline")]
+#[test_case(350, false; "near after the deadline")]
+fn choose_sends_a_large_body_far_if_near_misses_the_deadline(deadline: u64, stays_local: bool) {
+    let mut picker = picker(ms(100));
+    for local in ["u0", "u1"] {
+        picker.record_load(ms(1_000), local, load(1, 700));
+    }
+    let request = PickRequest {
+        objective: Some(ms(300)),
+        deadline: ms(deadline),
+        ..pick_request(60_000)
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let chosen = picker.choose(ms(1_000), &mut rng, request).unwrap();
+    let is_local = ["u0", "u1"].contains(&chosen.upstream.as_str());
+    assert_eq!(is_local, stays_local, "{chosen:?}");
+}
+
+/// Load pattern: near upstreams are slow for a moment. Without a limit on the cost, the
+/// bytes of a large body cost more than any late response.
+#[test]
+fn choose_sends_a_large_body_far_within_the_limit_of_its_cost() {
+    let mut picker = picker_with(PickSettings {
+        far_per_kb: ms(100),
+        far_limit: Some(ms(600)),
+        ..settings()
+    });
+    for local in ["u0", "u1"] {
+        picker.record_load(ms(1_000), local, load(1, 700));
+    }
+    let request = PickRequest {
+        objective: Some(ms(300)),
+        ..pick_request(60_000)
+    };
+    let mut rng = SmallRng::seed_from_u64(7);
+    let chosen = picker.choose(ms(1_000), &mut rng, request).unwrap();
+    assert!(
+        !["u0", "u1"].contains(&chosen.upstream.as_str()),
+        "{chosen:?}"
+    );
+}
+
+/// Load pattern: near upstreams are slow for a moment, and bytes to another data centre
+/// are costly. Only a request whose late response costs more than they do goes there.
+#[test_case(1.0, true; "ordinary request")]
+#[test_case(4.0, false; "important request")]
+fn choose_sends_only_an_important_request_far_at_high_cost(late_factor: f64, stays_local: bool) {
+    let mut picker = picker(ms(100));
+    for local in ["u0", "u1"] {
+        picker.record_load(ms(1_000), local, load(1, 700));
+    }
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..100 {
+        let request = PickRequest {
+            objective: Some(ms(300)),
+            late_factor,
+            ..pick_request(12_000)
+        };
+        let chosen = picker.choose(ms(1_000), &mut rng, request).unwrap();
+        let is_local = ["u0", "u1"].contains(&chosen.upstream.as_str());
+        assert_eq!(is_local, stays_local, "{chosen:?}");
+    }
+}
+
 /// The weight of a report decreases with its age.
 #[test]
 fn estimate_decays_towards_the_average() {
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -34,6 +34,7 @@
         return_ramp: Duration::from_secs(20),
         policy,
         far_per_kb: Duration::ZERO,
+        far_limit: None,
         late_cost: Duration::ZERO,
         link_bytes: 0,
     }
@@ -96,6 +97,8 @@
             bytes: 0,
             objective: None,
             preference: 1,
+            late_factor: 1.0,
+            deadline: Duration::from_secs(10),
         };
         let mut out = String::new();
         for candidate in self.picker.scored_candidates(self.now, request) {
@@ -125,6 +128,8 @@
                 bytes: 0,
                 objective: None,
                 preference: 1,
+                late_factor: 1.0,
+                deadline: Duration::from_secs(10),
             };
             let estimate = self.picker.choose(self.now, &mut self.rng, request);
             let name = estimate.map_or("none".into(), |estimate| estimate.upstream);
