--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 use wire::{
-    CallerLimits, ChangeResult, DataCentreOrder, Route, RouteDestination, RouteKind, Routing,
-    RoutingChange, ServiceRules,
+    CallerLimits, ChangeResult, CustomerRules, DataCentreOrder, Route, RouteDestination, RouteKind,
+    Routing, RoutingChange, ServiceRules,
 };
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -197,11 +197,14 @@
 }
 
 /// Returns the routing with its lists sorted by name. A daemon that applies
-/// changes may have another order, which does not affect route lookup.
+/// changes may have another order, which does not affect route lookup. Daemons receive no
+/// keys.
 fn sorted(routing: &Routing) -> Routing {
     let mut routing = routing.clone();
     routing.routes.sort_by(|a, b| a.name.cmp(&b.name));
     routing.services.sort_by(|a, b| a.name.cmp(&b.name));
+    routing.customers.sort_by(|a, b| a.name.cmp(&b.name));
+    routing.customers.iter_mut().for_each(|c| c.keys.clear());
     routing
 }
 
@@ -227,6 +230,22 @@
     if rng.random_bool(0.3) {
         change.services.push(service("club"));
     }
+    if rng.random_bool(0.5) {
+        change.needs_credentials = true;
+        change.credential_salt = credentials::salt(1);
+        for n in 0..4 {
+            let name = format!("c{n}");
+            match rng.random_range(0..3) {
+                0 => change.customers.push(CustomerRules {
+                    keys: vec![format!("{name}-{}", rng.random_range(0..3))],
+                    name,
+                    ..CustomerRules::default()
+                }),
+                1 => change.removed_customers.push(name),
+                _ => {}
+            }
+        }
+    }
     if change.full || rng.random_bool(0.2) {
         change.limits = Some(CallerLimits {
             body_bytes: rng.random_range(1_000..1_005),
@@ -264,6 +283,7 @@
                 receiver.receive_page(config, 1, page).unwrap();
             }
             let (received, current) = (config.routing.content(), state.current().routing.content());
+            assert!(received.customers.iter().all(|c| c.keys.is_empty()));
             assert_eq!(sorted(received), sorted(current));
             assert_eq!(config.version, state.current().version);
         }
