--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -52,6 +52,8 @@
     assert_eq!(cfg.gate.stuck_timeout, Duration::from_secs(90));
     assert_eq!(cfg.quota.block_lifetime, Duration::from_millis(500));
     assert_eq!(cfg.control.replicas.len(), 3);
+    let credential_lease = Some(Duration::from_millis(2_500));
+    assert_eq!(cfg.control.credential_lease, credential_lease);
     assert_eq!(
         cfg.control.claim_retention,
         Duration::from_secs(7 * 24 * 3600)
