--- a/crates/conf/src/customers.rs
+++ b/crates/conf/src/customers.rs
@@ -100,6 +100,21 @@
     }
 }
 
+/// Returns a routing as daemons without a control replica receive it: without the text of
+/// keys.
+#[must_use]
+pub fn routing_without_keys(routing: &Routing) -> Routing {
+    Routing {
+        version: routing.version,
+        routes: routing.routes.clone(),
+        services: routing.services.clone(),
+        limits: routing.limits,
+        customers: routing.customers.iter().map(without_keys).collect(),
+        needs_credentials: routing.needs_credentials,
+        credential_salt: routing.credential_salt.clone(),
+    }
+}
+
 /// Returns the index from the digests of keys to the positions of the customers.
 pub(crate) fn index(routing: &Routing) -> credentials::Index {
     let customers = routing.customers.iter().enumerate();
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -16,6 +16,7 @@
 mod state;
 mod value;
 
+pub use customers::routing_without_keys;
 pub use finding::{Finding, Findings};
 pub use lists::{
     Class, Customers, KeyRule, MAX_CLASSES, MAX_CUSTOMERS, MAX_LIST_BYTES, MAX_PLANS, Plan, Plans,
--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -3,7 +3,7 @@
 
 use super::ConfigState;
 use super::recent_changes::{RoutingDelta, customer_bytes};
-use crate::customers::without_keys;
+use crate::customers::{routing_without_keys, without_keys};
 use std::collections::BTreeMap;
 use wire::{ConfigDelta, ConfigVersion, CustomerPlan, Routing, RoutingChange};
 
@@ -136,20 +136,9 @@
             };
             (None, Some(Box::new(change)))
         }
-        RoutingDelta::Named { .. } | RoutingDelta::Full => (Some(for_daemons(current)), None),
-    }
-}
-
-fn for_daemons(current: &Routing) -> Routing {
-    let customers = current.customers.iter().map(without_keys).collect();
-    Routing {
-        version: current.version,
-        routes: current.routes.clone(),
-        services: current.services.clone(),
-        limits: current.limits,
-        customers,
-        needs_credentials: current.needs_credentials,
-        credential_salt: current.credential_salt.clone(),
+        RoutingDelta::Named { .. } | RoutingDelta::Full => {
+            (Some(routing_without_keys(current)), None)
+        }
     }
 }
 
--- a/crates/conf/tests/customers.rs
+++ b/crates/conf/tests/customers.rs
@@ -1,7 +1,7 @@
 //! Tests of customers and their keys in the routing.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{ConfigState, Configuration, TransferReceiver, Transfers};
+use conf::{ConfigState, Configuration, TransferReceiver, Transfers, routing_without_keys};
 use credentials::Key;
 use prost::Message;
 use test_case::test_case;
@@ -205,6 +205,17 @@
     }
 }
 
+/// A daemon without a control replica that reads the routing gets no keys either.
+#[test]
+fn routing_without_keys_has_the_rest() {
+    let state = state();
+    let stripped = routing_without_keys(routing(&state));
+    assert!(stripped.customers.iter().all(|c| c.keys.is_empty()));
+    let mut expected = routing(&state).clone();
+    expected.customers.iter_mut().for_each(|c| c.keys.clear());
+    assert_eq!(stripped, expected);
+}
+
 /// A withdrawn key must not stay valid at a daemon that receives only the difference.
 #[test]
 fn transfer_of_a_difference_replaces_keys() {
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -90,8 +90,12 @@
                 return;
             }
             control_request::Kind::Status(_) => control_reply::Kind::Status(self.status()),
-            control_request::Kind::ReadRouting(_) => {
-                control_reply::Kind::Routing(self.config().routing.content().clone())
+            control_request::Kind::ReadRouting(request) => {
+                let routing = self.config().routing.content();
+                control_reply::Kind::Routing(match request.with_keys {
+                    true => routing.clone(),
+                    false => conf::routing_without_keys(routing),
+                })
             }
             control_request::Kind::History(request) => {
                 let limit = usize::try_from(request.limit).unwrap_or(usize::MAX);
--- a/crates/node/src/control/state_machine.rs
+++ b/crates/node/src/control/state_machine.rs
@@ -111,7 +111,9 @@
             }
             Operation::Settle(settle) => Some(control_reply::Kind::Claim(self.settle(&settle))),
             Operation::Routing(mut change) => {
-                change.credential_salt = credentials::salt(self.claim_salt);
+                if change.credential_salt.is_empty() {
+                    change.credential_salt = credentials::salt(self.claim_salt);
+                }
                 let outcome = self.config.apply_routing(&change);
                 Some(control_reply::Kind::Change(outcome))
             }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,7 +19,7 @@
 mod wait_estimate;
 
 pub use credential_counts::CredentialCounts;
-pub use message::{Attempt, Effect, Event, Request, RouteKey};
+pub use message::{Attempt, Effect, Event, Request, RouteKey, Sender};
 pub use refusal::{Reason, Refusal, RunState};
 
 use crate::context::Cx;
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -153,8 +153,7 @@
         self.reachability.record_sent(cx.now, &known.data_centre);
         let is_last = active.count(AttemptState::NotRun) >= self.max_repicks;
         let mut attempt = active.start_attempt(purpose, upstream, address, cx.now);
-        attempt.hides_credential |= cx.agent.config.routing.content().needs_credentials;
-        attempt.send_until = identity::send_until(active.identity, cx);
+        attempt.sender = identity::sender(active, cx).map(Box::new);
         attempt.known_restriction = self.restrictions.get(upstream);
         if let Some(picker) = self.pickers.get_mut(&active.request.service) {
             if self.by_expected_finish {
--- a/crates/node/src/entry/identity.rs
+++ b/crates/node/src/entry/identity.rs
@@ -1,11 +1,10 @@
 //! Identifies the customer of a request by its credential.
 
-use super::message::Request;
+use super::message::{Request, Sender};
 use super::refusal::{Reason, RefusalCause};
 use super::request::ActiveRequest;
 use crate::context::Cx;
 use conf::RouteTable;
-use std::time::Duration;
 use wire::{CustomerRules, Route};
 
 /// How a request was identified, where the configuration needs credentials.
@@ -61,11 +60,18 @@
     }
 }
 
-/// Returns the time until which a request with this identity may be sent, if it is
-/// limited.
-pub(super) fn send_until(identity: Option<Identity>, cx: &Cx<'_>) -> Option<Duration> {
-    identity.filter(|identity| identity.required)?;
-    cx.agent.credential_lease_end()
+/// Returns what replaces the credential of a request, where the configuration needs
+/// credentials or did when the request arrived.
+pub(super) fn sender(active: &ActiveRequest, cx: &Cx<'_>) -> Option<Sender> {
+    let needed = cx.agent.config.routing.content().needs_credentials;
+    if active.identity.is_none() && !needed {
+        return None;
+    }
+    let is_limited = active.identity.is_some_and(|identity| identity.required);
+    Some(Sender {
+        customer: active.request.customer.clone(),
+        send_until: cx.agent.credential_lease_end().filter(|_| is_limited),
+    })
 }
 
 fn check_lease(cx: &Cx<'_>) -> Result<(), RefusalCause> {
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -95,14 +95,8 @@
     pub retry_budget: u32,
     /// Requested service.
     pub service: ServiceId,
-    /// Customer of the request; empty if there is none.
-    pub customer: CustomerId,
-    /// Whether the configuration needs credentials: the credential is not forwarded
-    /// then, and the upstream receives the name of the customer.
-    pub hides_credential: bool,
-    /// Time since the VM booted until which the attempt may be sent, if it is limited
-    /// beyond the deadline.
-    pub send_until: Option<Duration>,
+    /// Where the configuration needs credentials, what replaces the credential.
+    pub sender: Option<Box<Sender>>,
     /// Slowness that the entry assumed for the upstream, in percent of the
     /// normal service time; 0 if the entry states none.
     pub believed_slow_percent: u32,
@@ -122,6 +116,16 @@
     pub known_restriction: Option<Restriction>,
 }
 
+/// What replaces the credential of a request, which is not forwarded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sender {
+    /// Customer that the upstream is told; empty if there is none.
+    pub customer: CustomerId,
+    /// Time since the VM booted until which the attempt may be sent, if it is limited
+    /// beyond the deadline.
+    pub send_until: Option<Duration>,
+}
+
 /// An action for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -70,10 +70,12 @@
 
     fn open(&self, attempt: &entry::Attempt, names: &HeaderNames) -> Open {
         let inbound = &self.inbound;
+        let sender = attempt.sender.as_ref();
+        let customer = sender.map_or(&inbound.customer, |sender| &sender.customer);
         Open {
             stream: 0,
             service: attempt.service.to_string(),
-            customer: attempt.customer.to_string(),
+            customer: customer.to_string(),
             class: attempt.class.to_string(),
             method: inbound.method.to_string(),
             path: inbound.path.clone(),
--- a/crates/plumhitchd/src/entry_http/identity_headers.rs
+++ b/crates/plumhitchd/src/entry_http/identity_headers.rs
@@ -13,17 +13,17 @@
     attempt: &Attempt,
     names: &HeaderNames,
 ) -> Vec<Header> {
-    if !attempt.hides_credential {
+    let Some(sender) = &attempt.sender else {
         return headers.to_vec();
-    }
+    };
     let replaced = [&names.credential, &names.identified_customer];
     let is_replaced = |h: &&Header| replaced.iter().any(|n| is_named(n.as_ref(), h));
     let kept = headers.iter().filter(|h| !is_replaced(h));
     let mut headers: Vec<Header> = kept.cloned().collect();
-    if let (Some(name), false) = (&names.identified_customer, attempt.customer.is_empty()) {
+    if let (Some(name), false) = (&names.identified_customer, sender.customer.is_empty()) {
         headers.push(Header {
             name: name.as_str().to_owned(),
-            value: Bytes::copy_from_slice(attempt.customer.as_bytes()),
+            value: Bytes::copy_from_slice(sender.customer.as_bytes()),
         });
     }
     headers
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -4,7 +4,7 @@
 use super::response::{Response, ResponseBody};
 use crate::runtime::Daemon;
 use crate::task_messages::UploadError;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, StatusCode};
 use http1::HeadError;
 use node::entry::{Reason, Refusal, RunState};
@@ -35,6 +35,10 @@
     };
     let status = status(daemon, refusal.reason, refusal.run);
     let mut response = build(daemon, status, &body);
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static(daemon.integration.credential_scheme);
+        response.headers.insert(WWW_AUTHENTICATE, scheme);
+    }
     if let Some(after) = refusal.retry_after {
         let value = match daemon.integration.fractional_retry_after {
             true => HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())).ok(),
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::runtime::{Daemon, lock};
+use bytes::Bytes;
 use node::{Event, admission};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,9 @@
     control_reply, control_request,
 };
 
+/// Length of the salt of digests, in bytes.
+const SALT_BYTES: usize = 16;
+
 /// Handle to a running daemon.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -67,8 +71,13 @@
     }
 
     /// Changes the routing; returns `None` if no control leader confirmed an
-    /// outcome in time.
-    pub async fn change_routing(&self, change: RoutingChange) -> Option<ChangeOutcome> {
+    /// outcome in time. The first change with customers determines the salt of the digests
+    /// of their keys; a random one is offered with each.
+    pub async fn change_routing(&self, mut change: RoutingChange) -> Option<ChangeOutcome> {
+        if change.needs_credentials {
+            let salt: [u8; SALT_BYTES] = rand::random();
+            change.credential_salt = Bytes::copy_from_slice(&salt);
+        }
         self.change(control_request::Kind::Routing(change)).await
     }
 
@@ -79,9 +88,10 @@
     }
 
     /// Returns the routing in force, or `None` if no control leader confirmed it
-    /// in time.
+    /// in time. It contains the keys of customers only at a daemon with a control replica.
     pub async fn read_routing(&self) -> Option<Routing> {
-        let kind = control_request::Kind::ReadRouting(RoutingRequest {});
+        let with_keys = self.daemon.cfg.control.data_dir.is_some();
+        let kind = control_request::Kind::ReadRouting(RoutingRequest { with_keys });
         match self.request(kind).await? {
             control_reply::Kind::Routing(routing) => Some(routing),
             _ => None,
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -242,4 +242,9 @@
 
 /// Reads the current routing.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct RoutingRequest {}
+pub struct RoutingRequest {
+    /// Whether the reply shall contain the keys of customers. Only daemons with a control
+    /// replica request them.
+    #[prost(bool, tag = "1")]
+    pub with_keys: bool,
+}
