Carry what replaces the credential in one field of the attempt

Separate fields made the effect of forwarding over 200 bytes larger than the others (clippy: large_enum_variant). `Attempt::sender` now holds the customer for the upstream and the time until which the attempt may be sent.

--- a/crates/node/tests/credentials.rs
+++ b/crates/node/tests/credentials.rs
@@ -215,10 +215,10 @@
 fn arrived_with_a_key_is_forwarded_for_its_customer_by_its_priority() {
     let mut node = ready_node();
     let attempt = forwarded(&arrive(&mut node, 3_010, "/read/x", key("k"))).unwrap();
-    assert_eq!((&*attempt.customer, attempt.weight), ("acme", 1 << 10));
-    assert!(attempt.hides_credential);
+    let sender = attempt.sender.unwrap();
+    assert_eq!((&*sender.customer, attempt.weight), ("acme", 1 << 10));
     assert_eq!(
-        attempt.send_until,
+        sender.send_until,
         Some(Duration::from_millis(CONFIRMED_MS) + LEASE)
     );
 }
@@ -228,7 +228,8 @@
 fn arrived_with_a_key_without_priority_has_that_of_the_route() {
     let mut node = ready_node();
     let attempt = forwarded(&arrive(&mut node, 3_010, "/read/x", key("o"))).unwrap();
-    assert_eq!((&*attempt.customer, attempt.weight), ("other", 1 << 7));
+    let sender = attempt.sender.unwrap();
+    assert_eq!((&*sender.customer, attempt.weight), ("other", 1 << 7));
 }
 
 #[test_case(Presented::Missing; "missing")]
@@ -250,9 +251,9 @@
 fn arrived_on_an_open_route_is_forwarded(credential: Presented, customer: &str) {
     let mut node = ready_node();
     let attempt = forwarded(&arrive(&mut node, 3_010, "/open/x", credential)).unwrap();
-    assert_eq!(attempt.customer, customer);
-    assert!(attempt.hides_credential);
-    assert_eq!(attempt.send_until, None);
+    let sender = attempt.sender.unwrap();
+    assert_eq!(sender.customer, customer);
+    assert_eq!(sender.send_until, None);
 }
 
 /// The route is checked before the key.
@@ -280,7 +281,7 @@
         beat(&mut node, at, &without);
     }
     let attempt = forwarded(&arrive(&mut node, 60_000, "/read/x", key("K"))).unwrap();
-    assert!(!attempt.hides_credential && attempt.customer.is_empty());
+    assert_eq!(attempt.sender, None);
 }
 
 /// A daemon that restarted has neither configuration nor confirmation; the key may be
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -202,10 +202,8 @@
             return;
         }
         // The process may have been suspended since the reducer decided.
-        if attempt
-            .send_until
-            .is_some_and(|until| clock::now() >= until)
-        {
+        let send_until = attempt.sender.as_ref().and_then(|sender| sender.send_until);
+        if send_until.is_some_and(|until| clock::now() >= until) {
             self.report(entry::Event::NotSent(self.id, attempt.attempt));
             return;
         }
@@ -217,7 +215,9 @@
         self.record.upstream = attempt.upstream.clone();
         self.record.class = attempt.class.clone();
         self.record.service = attempt.service.clone();
-        self.record.customer = attempt.customer.clone();
+        if let Some(sender) = &attempt.sender {
+            self.record.customer = sender.customer.clone();
+        }
     }
 
     fn on_stream_event(&mut self, id: AttemptId, event: StreamEvent) {
