Merge the credentials of customers

Change: keys of customers in the routing, checked at the entry, with a lease (docs/design/credentials.md).

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,6 +4,7 @@
 //! Settings and lists are INI. All problems in a text are collected with their
 //! locations and reported together.
 
+mod customers;
 mod finding;
 mod ini;
 mod lists;
@@ -15,6 +16,7 @@
 mod state;
 mod value;
 
+pub use customers::routing_without_keys;
 pub use finding::{Finding, Findings};
 pub use lists::{
     Class, Customers, KeyRule, MAX_CLASSES, MAX_CUSTOMERS, MAX_LIST_BYTES, MAX_PLANS, Plan, Plans,
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -2,6 +2,7 @@
 
 use super::refusal::Refusal;
 use compact_str::CompactString;
+use credentials::Presented;
 use std::time::Duration;
 use wire::{
     AttemptId, ClassId, CustomerId, Fingerprint, Load, Refuse, RequestId, Restriction, ServiceId,
@@ -15,6 +16,9 @@
     pub id: RequestId,
     /// Customer whose plan applies.
     pub customer: CustomerId,
+    /// What the caller presented as its credential. Where the route decides, the customer
+    /// is identified by it.
+    pub credential: Presented,
     /// Requested service.
     pub service: ServiceId,
     /// Request class, if the caller stated one.
@@ -91,6 +95,8 @@
     pub retry_budget: u32,
     /// Requested service.
     pub service: ServiceId,
+    /// Where the configuration needs credentials, what replaces the credential.
+    pub sender: Option<Box<Sender>>,
     /// Slowness that the entry assumed for the upstream, in percent of the
     /// normal service time; 0 if the entry states none.
     pub believed_slow_percent: u32,
@@ -110,6 +116,16 @@
     pub known_restriction: Option<Restriction>,
 }
 
+/// What replaces the credential of a request, which is not forwarded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sender {
+    /// Customer that the upstream is told; empty if there is none.
+    pub customer: CustomerId,
+    /// Time since the VM booted until which the attempt may be sent, if it is limited
+    /// beyond the deadline.
+    pub send_until: Option<Duration>,
+}
+
 /// An action for a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -1,5 +1,6 @@
 //! Requests in flight, and the checks before any work is done for them.
 
+use super::identity::Identity;
 use super::message::{Attempt, Request};
 use super::refusal::{Reason, RefusalCause};
 use super::route;
@@ -148,6 +149,8 @@
     pub(super) class: Class,
     pub(super) class_name: ClassId,
     pub(super) deadline: Duration,
+    /// How its customer was identified, where the configuration needs credentials.
+    pub(super) identity: Option<Identity>,
     pub(super) claim: ClaimState,
     pub(super) attempts: Vec<SentAttempt>,
     /// Retries left to this entry and the call tree below.
@@ -260,6 +263,7 @@
             deadline: self.deadline.saturating_sub(now),
             retry_budget: delegated,
             service: self.request.service.clone(),
+            sender: None,
             class: self.class_name.clone(),
             objective: self.until_late(now),
             weight: self.class.weight,
@@ -321,6 +325,7 @@
         class,
         max_reached_upstreams,
         objective,
+        identity,
     } = rules;
     let keyless = request.key.as_ref().is_none_or(|key| key.is_empty());
     if keyless && !class.idempotent && class.key == KeyRule::Required {
@@ -353,6 +358,7 @@
         request,
         class,
         class_name,
+        identity,
         claim,
         attempts: Vec::new(),
         retry_budget,
@@ -372,6 +378,7 @@
     pub(super) class: Class,
     pub(super) max_reached_upstreams: usize,
     pub(super) objective: Option<Duration>,
+    pub(super) identity: Option<Identity>,
 }
 
 fn class_rules(request: &Request, cx: &Cx<'_>) -> Result<RequestRules, RefusalCause> {
@@ -381,6 +388,7 @@
         class,
         max_reached_upstreams: usize::MAX,
         objective: None,
+        identity: None,
     })
 }
 
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -5,6 +5,7 @@
 use super::body::BodyRx;
 use super::record::RequestRecord;
 use super::upload::Upload;
+use crate::clock;
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx, TaskTx, UploadError};
 use bytes::Bytes;
@@ -200,6 +201,12 @@
             self.report(entry::Event::Broken(self.id, attempt.attempt, None));
             return;
         }
+        // The process may have been suspended since the reducer decided.
+        let send_until = attempt.sender.as_ref().and_then(|sender| sender.send_until);
+        if send_until.is_some_and(|until| clock::now() >= until) {
+            self.report(entry::Event::NotSent(self.id, attempt.attempt));
+            return;
+        }
         self.record.log_attempt(attempt);
         let upload = self.upload.as_ref();
         let started = Attempt::start(&self.daemon, &self.tx, &self.outgoing, upload, attempt);
@@ -208,6 +215,9 @@
         self.record.upstream = attempt.upstream.clone();
         self.record.class = attempt.class.clone();
         self.record.service = attempt.service.clone();
+        if let Some(sender) = &attempt.sender {
+            self.record.customer = sender.customer.clone();
+        }
     }
 
     fn on_stream_event(&mut self, id: AttemptId, event: StreamEvent) {
