Enforce the limits that the routing states over the whole fleet

Cause: the routing states limits of customers, but only plans were enforced, and an entry without a block admitted an unreserved request. The home grants only while control confirms it within the lease. Tokens of requests that no upstream ran return to the home.

--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -1,7 +1,7 @@
 //! Routing table: looks up the route of a request and validates a routing.
 
 use compact_str::CompactString;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use wire::{CallerLimits, CustomerRules, Route, RouteKind, Routing, ServiceRules};
 
@@ -18,6 +18,8 @@
     content: Arc<Routing>,
     /// Indices of each host's routes, longest prefix first.
     routes_by_host: Arc<BTreeMap<CompactString, Vec<usize>>>,
+    /// Index of each customer by name.
+    customers_by_name: Arc<HashMap<CompactString, usize>>,
 }
 
 impl PartialEq for RouteTable {
@@ -29,7 +31,7 @@
 impl Eq for RouteTable {}
 
 impl RouteTable {
-    /// Creates the table and indexes the routes by host.
+    /// Creates the table and indexes the routes by host and the customers by name.
     #[must_use]
     pub fn new(content: Routing) -> Self {
         let mut routes_by_host: BTreeMap<CompactString, Vec<usize>> = BTreeMap::new();
@@ -42,8 +44,11 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|i| std::cmp::Reverse(content.routes[*i].prefix.len()));
         }
+        let names = content.customers.iter().map(|c| c.name.as_str().into());
+        let customers_by_name = names.zip(0..).collect();
         Self {
             content: Arc::new(content),
+            customers_by_name: Arc::new(customers_by_name),
             routes_by_host: Arc::new(routes_by_host),
         }
     }
@@ -74,7 +79,8 @@
     /// Returns the rules of a customer.
     #[must_use]
     pub fn customer(&self, name: &str) -> Option<&CustomerRules> {
-        self.content.customers.iter().find(|c| c.name == name)
+        let index = self.customers_by_name.get(name)?;
+        self.content.customers.get(*index)
     }
 
     /// Returns the services that are destinations of routes.
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -155,6 +155,12 @@
         self.config.version > 0 && (fresh || self.serve_stale && confirmed)
     }
 
+    /// Returns whether the control leader confirmed a heartbeat within the lease.
+    #[must_use]
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        self.confirmation.is_fresh(now)
+    }
+
     /// Returns the age of the last confirmation by the control leader, counted
     /// from when the confirmed heartbeat was sent.
     #[must_use]
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod forward;
 mod hedge;
+mod limit;
 mod message;
 mod outcome;
 mod reachability;
@@ -211,8 +212,11 @@
                 let budgets = self.budgets(&active.request.service);
                 budgets.retries.record_request();
                 budgets.hedges.record_request();
+                let held = active.is_held();
                 self.active.insert(id, active);
-                self.forward(id, cx);
+                if !held {
+                    self.forward(id, cx);
+                }
             }
             Err(cause) => {
                 let refusal = cause.into_refusal(RunState::NotRun, self.retry_after, cx.rng);
@@ -234,10 +238,12 @@
         if self.is_convicted(request.fingerprint, cx) {
             return Err(Reason::Convicted.into());
         }
-        let active = request::prepare(request, &mut self.wait_estimator, cx)?;
+        let mut active = request::prepare(request, &mut self.wait_estimator, cx)?;
         if active.request.route_key.is_none() {
             cx.allowances
                 .admit(cx.now, &active.request.customer, cx.agent, cx.tx)?;
+        } else if !active.request.customer.is_empty() {
+            limit::admit(&mut active, cx)?;
         }
         Ok(active)
     }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -3,7 +3,7 @@
 use super::claim::settle_claim;
 use super::message::Effect;
 use super::refusal::{Reason, RefusalCause, RunState};
-use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose};
+use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose, TokenState};
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
@@ -227,8 +227,15 @@
     }
 }
 
-/// Stops counting a request against the limits of its customer.
+/// Stops counting a request against the limits of its customer. A request that no
+/// upstream ran returns its token.
 pub(super) fn release_allowance(active: &ActiveRequest, cx: &mut Cx<'_>) {
+    if let TokenState::TakenAt(at) = active.token
+        && active.is_not_run()
+    {
+        cx.allowances
+            .give_back(cx.now, &active.request.customer, at);
+    }
     if active.request.route_key.is_none() {
         cx.allowances.finished(cx.now, &active.request.customer);
     }
--- a/crates/node/src/entry/refusal.rs
+++ b/crates/node/src/entry/refusal.rs
@@ -88,6 +88,8 @@
     pub(super) reason: Reason,
     /// Shortest useful retry delay; zero if unknown.
     pub(super) earliest: Duration,
+    /// Whether `earliest` is the delay to state, without a minimum and without jitter.
+    pub(super) exact: bool,
     /// HTTP status of the first response, for [`Reason::AlreadyRan`].
     pub(super) status: Option<u16>,
 }
@@ -97,6 +99,7 @@
         Self {
             reason,
             earliest: Duration::ZERO,
+            exact: false,
             status: None,
         }
     }
@@ -106,12 +109,13 @@
     fn from(denial: Denial) -> Self {
         let (reason, earliest) = match denial {
             Denial::UnknownCustomer => (Reason::UnknownCustomer, Duration::ZERO),
-            Denial::Rate(after) => (Reason::PlanRate, after),
+            Denial::Rate(after) | Denial::Limit(after) => (Reason::PlanRate, after),
             Denial::InFlight(after) => (Reason::PlanInFlight, after),
         };
         Self {
             reason,
             earliest,
+            exact: matches!(denial, Denial::Limit(_)),
             status: None,
         }
     }
@@ -132,10 +136,14 @@
             _ => run,
         };
         let base = base_retry_after(self.reason, retry_after).map(|base| base.max(self.earliest));
+        let retry_after = match self.exact {
+            true => Some(self.earliest),
+            false => base.map(|base| with_jitter(base, rng)),
+        };
         Refusal {
             reason: self.reason,
             run,
-            retry_after: base.map(|base| with_jitter(base, rng)),
+            retry_after,
             status: self.status,
         }
     }
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -87,6 +87,17 @@
     Granted(u64),
 }
 
+/// Whether a request holds a token of the limit that the routing states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TokenState {
+    /// No such limit applies.
+    Unneeded,
+    /// It waits for the decision of its customer's home.
+    Awaited,
+    /// It took one at this time.
+    TakenAt(Duration),
+}
+
 /// What a request needs from an upstream.
 #[derive(Debug)]
 pub(super) struct Demand {
@@ -151,9 +162,15 @@
     /// The only upstream that may run it.
     pub(super) only_at: Option<UpstreamId>,
     pub(super) suspected: bool,
+    pub(super) token: TokenState,
 }
 
 impl ActiveRequest {
+    /// Returns whether it waits for the decision of its customer's home.
+    pub(super) fn is_held(&self) -> bool {
+        self.token == TokenState::Awaited
+    }
+
     pub(super) fn in_flight_attempt(&mut self, number: AttemptId) -> Option<&mut SentAttempt> {
         let in_flight =
             |t: &&mut SentAttempt| t.number == number && t.state == AttemptState::InFlight;
@@ -342,6 +359,7 @@
         relayed: None,
         only_at: None,
         suspected: false,
+        token: TokenState::Unneeded,
     })
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -115,6 +115,17 @@
             node.entry.stop();
         }
     }
+    deliver_decisions(node, now, tx);
+}
+
+/// Passes the decisions on requests that were held for their customer's limit to the
+/// entry.
+fn deliver_decisions(node: &mut Node, now: Duration, tx: &mut Vec<Effect>) {
+    for decision in node.allowances.take_decisions() {
+        with_entry(node, now, tx, |entry, cx| {
+            entry.on_limit_decided(&decision, cx)
+        });
+    }
 }
 
 fn tick(node: &mut Node, now: Duration, unix_ms: u64, tx: &mut Vec<Effect>) {
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -436,6 +436,7 @@
                     retry_after_ms: 0,
                     entries: 1,
                     unreserved_after_ms: 0,
+                    ..Allowance::default()
                 };
                 self.receive(name, "home", Body::Allowance(allowance));
             }
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -21,6 +21,7 @@
     links: IntGaugeVec,
     measuring: IntGaugeVec,
     attempts: IntGaugeVec,
+    limited_requests: IntGaugeVec,
     stated_rate: Gauge,
     stated_leaving: IntGauge,
     statements: IntGaugeVec,
@@ -90,6 +91,12 @@
                 "Attempts at gates since the start.",
                 "why",
             )?,
+            limited_requests: customer_gauge_vec(
+                registry,
+                "limited_requests",
+                "Requests of customers with a limit in the routing since the start; those \
+                 of customers beyond a number are counted as other.",
+            )?,
             stated_rate: gauge(
                 registry,
                 "stated_rate",
@@ -169,6 +176,23 @@
             ("repick", attempts.repicks),
         ];
         set(&self.attempts, &attempts);
+        self.update_limited(daemon);
+    }
+
+    fn update_limited(&self, daemon: &Daemon) {
+        for (customer, counts) in daemon.read(|node| node.allowances.rate_counts().clone()) {
+            let outcomes = [
+                ("admitted", counts.admitted),
+                ("refused", counts.refused),
+                ("held", counts.held),
+                ("unanswered", counts.unanswered),
+            ];
+            for (outcome, count) in outcomes {
+                let labels = &[customer.as_str(), outcome];
+                let gauge = self.limited_requests.with_label_values(labels);
+                gauge.set(to_i64(count));
+            }
+        }
     }
 }
 
@@ -189,6 +213,17 @@
     Ok(metric)
 }
 
+fn customer_gauge_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> prometheus::Result<IntGaugeVec> {
+    let opts = Opts::new(format!("plumhitch_{name}"), help);
+    let metric = IntGaugeVec::new(opts, &["customer", "outcome"])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 /// Converts thousandths of a request a second to requests a second.
 #[expect(clippy::cast_precision_loss, reason = "only displayed")]
 fn rate(milli: u64) -> f64 {
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -180,6 +180,7 @@
             },
             retry_after_ms: millis(wait),
             entries: u32::try_from(self.entries.len()).unwrap_or(u32::MAX),
+            ..Allowance::default()
         }
     }
 
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -91,6 +91,21 @@
         Duration::from_micros(missing.div_ceil(self.rate.max(1)))
     }
 
+    /// Returns the time until the level is no longer negative.
+    pub fn debt_time(&mut self, now: Duration) -> Duration {
+        self.fill(now);
+        let missing = u64::try_from(-self.units).unwrap_or(0);
+        Duration::from_micros(missing.div_ceil(self.rate.max(1)))
+    }
+
+    /// Raises a negative level to one that the refill makes up for within `max`.
+    pub fn limit_debt(&mut self, now: Duration, max: Duration) {
+        self.fill(now);
+        let micros = u64::try_from(max.as_micros()).unwrap_or(u64::MAX);
+        let debt = i64::try_from(self.rate.saturating_mul(micros)).unwrap_or(i64::MAX);
+        self.units = self.units.max(-debt);
+    }
+
     fn max_units(&self) -> i64 {
         i64::from(self.capacity.max(1)) * UNITS
     }
--- a/crates/quota/src/leases.rs
+++ b/crates/quota/src/leases.rs
@@ -227,6 +227,7 @@
             unreserved: request.unreserved,
             demand: request.demand,
             arrivals: request.arrivals,
+            ..AllowanceRequest::default()
         }
     }
 }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -112,5 +112,6 @@
         retry_after_ms,
         entries: 0,
         unreserved_after_ms: retry_after_ms,
+        ..Allowance::default()
     }
 }
--- a/crates/wire/src/quota.rs
+++ b/crates/wire/src/quota.rs
@@ -34,9 +34,20 @@
     /// Requests that callers try to start at the entry, per 1,000 seconds.
     #[prost(uint32, tag = "9")]
     pub demand: u32,
-    /// Requests that callers tried to start since the last request.
+    /// Requests that callers tried to start since the last request; under a limit of
+    /// the routing, those that wait for the reply.
     #[prost(uint32, tag = "10")]
     pub arrivals: u32,
+    /// The customer's limit at the entry if the routing states it, in requests per
+    /// 1,000 seconds; 0 if a plan states it.
+    #[prost(uint64, tag = "11")]
+    pub rate_milli: u64,
+    /// Requests that may exceed `rate_milli` at once.
+    #[prost(uint32, tag = "12")]
+    pub burst: u32,
+    /// Random number of the entry's start; its request numbers begin anew with each.
+    #[prost(uint64, tag = "13")]
+    pub incarnation: u64,
 }
 
 /// A block granted by a customer's home daemon.
@@ -69,4 +80,14 @@
     /// milliseconds.
     #[prost(uint32, tag = "8")]
     pub unreserved_after_ms: u32,
+    /// Whether it replies to a request that states a `rate_milli`.
+    #[prost(bool, tag = "9")]
+    pub from_routing: bool,
+    /// Time from when the home decided until the block may be used, in microseconds.
+    #[prost(uint64, tag = "10")]
+    pub usable_after_us: u64,
+    /// Time until the entry may ask again after a reply that grants nothing, in
+    /// milliseconds.
+    #[prost(uint32, tag = "11")]
+    pub ask_after_ms: u32,
 }
