--- a/crates/quota/src/rate_ledger.rs
+++ b/crates/quota/src/rate_ledger.rs
@@ -86,6 +86,8 @@
 struct RateAccount {
     limit: RateLimit,
     bucket: Bucket,
+    /// Time from which this daemon may grant the tokens that arrive.
+    since: Duration,
     entries: HashMap<DaemonId, EntryRecord>,
     last_sweep: Duration,
     last_used: Duration,
@@ -96,12 +98,23 @@
         Self {
             limit,
             bucket: Bucket::new(now, limit.rate_milli, capacity(limit), since),
+            since,
             entries: HashMap::new(),
             last_sweep: now,
             last_used: now,
         }
     }
 
+    /// Empties the bucket as of `since` if another daemon was home before that.
+    fn set_since(&mut self, now: Duration, since: Duration) {
+        if since > self.since {
+            self.since = since;
+            let mut newer = Bucket::new(now, self.limit.rate_milli, capacity(self.limit), since);
+            let excess = self.bucket.level(now).saturating_sub(newer.level(now));
+            self.bucket.debit(now, excess);
+        }
+    }
+
     fn set_limit(&mut self, now: Duration, limit: RateLimit) {
         if limit == self.limit {
             return;
@@ -256,6 +269,7 @@
         let account = self.accounts.entry(customer);
         let account = account.or_insert_with(|| RateAccount::new(now, limit, since));
         account.set_limit(now, limit);
+        account.set_since(now, since);
         account.handle_request(now, req)
     }
 
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -234,6 +234,20 @@
     );
 }
 
+/// Guards against a bucket that stays in debt with tokens reserved under a higher limit.
+#[test]
+fn lowered_limit_is_used_after_one_window() {
+    let mut fleet = settled(61, limit(1_000, 500));
+    let demand = spread(61, 3_000.0, true);
+    fleet.run(secs(5), &demand);
+    fleet.set_limit(limit(10, 5));
+    fleet.run(secs(5), &demand);
+    let admitted = fleet.admitted;
+    fleet.run(WINDOW, &demand);
+    let admitted = fleet.admitted - admitted;
+    assert!(admitted >= 47, "{admitted}");
+}
+
 /// Guards against refusals that entries remember from before a limit was raised.
 #[test]
 fn raised_limit_binds_with_its_version() {
