--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::customers;
 use compact_str::CompactString;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use wire::{CallerLimits, CustomerRules, Route, RouteKind, Routing, ServiceRules};
 
@@ -21,6 +21,8 @@
     routes_by_host: Arc<BTreeMap<CompactString, Vec<usize>>>,
     /// Positions of the customers by their keys.
     credentials: Arc<credentials::Index>,
+    /// Index of each customer by name.
+    customers_by_name: Arc<HashMap<CompactString, usize>>,
 }
 
 impl PartialEq for RouteTable {
@@ -32,7 +34,7 @@
 impl Eq for RouteTable {}
 
 impl RouteTable {
-    /// Creates the table and indexes the routes by host.
+    /// Creates the table and indexes the routes by host and the customers by name.
     #[must_use]
     pub fn new(content: Routing) -> Self {
         let mut routes_by_host: BTreeMap<CompactString, Vec<usize>> = BTreeMap::new();
@@ -45,9 +47,12 @@
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|i| std::cmp::Reverse(content.routes[*i].prefix.len()));
         }
+        let names = content.customers.iter().map(|c| c.name.as_str().into());
+        let customers_by_name = names.zip(0..).collect();
         Self {
             credentials: Arc::new(customers::index(&content)),
             content: Arc::new(content),
+            customers_by_name: Arc::new(customers_by_name),
             routes_by_host: Arc::new(routes_by_host),
         }
     }
@@ -90,7 +95,8 @@
     /// Returns the rules of a customer.
     #[must_use]
     pub fn customer(&self, name: &str) -> Option<&CustomerRules> {
-        self.content.customers.iter().find(|c| c.name == name)
+        let index = self.customers_by_name.get(name)?;
+        self.content.customers.get(*index)
     }
 
     /// Returns the services that are destinations of routes.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod hedge;
 mod identity;
+mod limit;
 mod message;
 mod outcome;
 mod reachability;
@@ -223,8 +224,11 @@
                 let budgets = self.budgets(&active.request.service);
                 budgets.retries.record_request();
                 budgets.hedges.record_request();
+                let held = active.is_held();
                 self.active.insert(id, active);
-                self.forward(id, cx);
+                if !held {
+                    self.forward(id, cx);
+                }
             }
             Err(cause) => {
                 let refusal = cause.into_refusal(RunState::NotRun, self.retry_after, cx.rng);
@@ -248,7 +252,7 @@
         }
         let credential = request.credential.clone();
         let prepared = request::prepare(request, &mut self.wait_estimator, cx);
-        let active = prepared.inspect_err(|cause| {
+        let mut active = prepared.inspect_err(|cause| {
             self.credentials.record_refused(&credential, cause.reason);
         })?;
         if active.identity.is_some() {
@@ -258,6 +262,8 @@
         if active.request.route_key.is_none() {
             cx.allowances
                 .admit(cx.now, &active.request.customer, cx.agent, cx.tx)?;
+        } else if !active.request.customer.is_empty() {
+            limit::admit(&mut active, cx)?;
         }
         Ok(active)
     }
