Use the share of a stated rate first, and let callers precede health requests

Cause: entries hardly asked the upstream that states a rate. Two reasons: - its estimate was 1.5 to 1.75 times that of the peer, because the reported slowness decays to the average of 1.75 within the pause, while the peer reports with each response; choices vary by 10 %; - a hedge there that was cancelled when the first attempt responded left the upstream counted as unresponsive for 2 s (34 to 134 choices).

Change: an entry sends to an upstream first whose stated rate leaves it a share, if that is expected in time and no farther than others. The pause begins with the request, so that the requests before its reply wait too. A cancelled attempt that began after the one that responded is no sign of an unresponsive upstream. While callers use up the rate, health requests have their longest interval, 3 s.

Tests: the new ones of node (routed) and gate (stated_limit) pass, and each failed with its rule switched off: preference for unused shares, pause from the request on, overtaken hedges, other data centres, late estimates, health requests after callers.

--- a/crates/gate/src/stated_limit.rs
+++ b/crates/gate/src/stated_limit.rs
@@ -208,15 +208,10 @@
 
     /// Returns whether a health request may be sent now, and records it.
     pub(crate) fn begin_probe(&mut self, now: Duration) -> bool {
-        if self.rate_milli.is_some() {
-            let due = self
-                .probed_at
-                .is_none_or(|at| now >= at + self.probe_interval());
-            if !due {
-                return false;
-            }
-        }
         self.refill(now);
+        if !self.is_probe_due(now) {
+            return false;
+        }
         if self
             .stated_rate()
             .is_some_and(|rate| rate >= MIN_PROBE_CHARGED_RATE)
@@ -291,6 +286,20 @@
         greatest.is_none_or(|greatest| preference >= greatest)
     }
 
+    /// Returns whether a health request is due. While callers use up the rate, their requests
+    /// go first: health requests have the longest interval then, as responses to callers
+    /// report the load too.
+    fn is_probe_due(&self, now: Duration) -> bool {
+        let (Some(rate), Some(probed_at)) = (self.rate(now), self.probed_at) else {
+            return true;
+        };
+        let interval = match rate >= MIN_PROBE_CHARGED_RATE && self.tokens < 1.0 {
+            true => MAX_PROBE_INTERVAL,
+            false => self.probe_interval(),
+        };
+        now >= probed_at + interval
+    }
+
     fn probe_interval(&self) -> Duration {
         let rate = self.stated_rate().unwrap_or(f64::INFINITY);
         let interval = Duration::try_from_secs_f64((PROBE_RATIO * rate).recip());
--- a/crates/gate/tests/stated_limit.rs
+++ b/crates/gate/tests/stated_limit.rs
@@ -315,3 +315,24 @@
     let delays: Vec<Duration> = (0..4).map(|_| gate.retry_after_limited(ms(200))).collect();
     assert_eq!(delays, [200, 400, 600, 800].map(ms));
 }
+
+/// Guards against health requests that take the rate which callers want, and against an
+/// upstream that is asked for its health more seldom although callers leave room.
+#[test_case(true, 5; "callers want more")]
+#[test_case(false, 8; "callers leave room")]
+fn health_requests_come_after_callers(callers: bool, expected: usize) {
+    let mut gate = new_gate(ms(0), "b1");
+    respond(&mut gate, ms(1_000), 0, rate(4_900));
+    let mut probes = 0;
+    for n in 1..=1_500_u64 {
+        let now = ms(1_000 + n * 10);
+        if callers && send(&mut gate, now, n) {
+            receive(&mut gate, now, n, rate(4_900));
+        }
+        probes += usize::from(gate.begin_probe(now));
+    }
+    assert!(
+        (expected - 1..=expected + 1).contains(&probes),
+        "{probes} health requests"
+    );
+}
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -380,10 +380,16 @@
         for sent in losers {
             sent.state = AttemptState::MayHaveRun;
             push(cx.tx, Effect::Cancel(id, sent.number));
-            upstreams.push(sent.upstream.clone());
+            upstreams.push((sent.upstream.clone(), sent.sent_at, sent.number > winner));
         }
-        if let Some(picker) = picker {
-            upstreams.iter().for_each(|name| picker.record_end(name));
+        let Some(picker) = picker else {
+            return;
+        };
+        for (name, sent_at, is_later) in upstreams {
+            match is_later {
+                true => picker.record_overtaken(&name, sent_at),
+                false => picker.record_end(&name),
+            }
         }
     }
 }
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -693,3 +693,87 @@
     );
     assert!(forwarded(&arrive(&mut node, 3_063, 3, "/read/x")).is_some());
 }
+
+/// Completes a request that an upstream may have stated a rate for, with the pause that its
+/// gate would state. Returns the upstream.
+fn serve_limited(node: &mut Node, at_ms: u64, id: u64, pause_ms: u32) -> String {
+    let sent = forwarded(&arrive(node, at_ms, id, "/read/x")).unwrap();
+    if sent.upstream == "u1" {
+        restrict(node, at_ms + 40, (id, sent.attempt), limited(pause_ms));
+    }
+    let load = Some(Load {
+        in_flight: 1,
+        limit: 6,
+        slow_percent: 100,
+        ..Load::default()
+    });
+    for event in [
+        entry::Event::ResponseStarted(id, sent.attempt, 200, load),
+        entry::Event::Ended(id, sent.attempt, 100, load),
+    ] {
+        run(node, at_ms + 40, Event::Entry(event));
+    }
+    sent.upstream.to_string()
+}
+
+/// Guards against an upstream that states a rate and is hardly used, because the entry
+/// hears from it seldom and takes the age of its report for slowness.
+#[test]
+fn stated_rate_is_used_beside_upstream_with_fresher_reports() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    let used = (0..240_u64)
+        .filter(|n| serve_limited(&mut node, 3_010 + n * 50, n + 1, 600) == "u1")
+        .count();
+    // Twelve seconds at one request in 640 ms, of which the first may take longer.
+    assert!((15..=20).contains(&used), "{used} requests of 18");
+}
+
+/// Guards against several requests that are sent at once to an upstream whose share allows
+/// one, before the reply to the first states the next pause.
+#[test]
+fn stated_rate_gets_one_request_until_its_reply() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    (0..20_u64).for_each(|n| drop(serve_limited(&mut node, 3_010 + n * 50, n + 1, 600)));
+    let sent = (0..20_u64).map(|n| forwarded(&arrive(&mut node, 5_000 + n, 100 + n, "/read/x")));
+    let used = sent.filter(|sent| sent.as_ref().unwrap().upstream == "u1");
+    assert_eq!(used.count(), 1);
+}
+
+/// Guards against a far upstream that is preferred for its unused share, and against one
+/// that is expected to be late.
+#[test_case("fra", 150; "in another data centre")]
+#[test_case("ams", 1_000; "too slow")]
+fn stated_rate_is_not_preferred(data_centre: &'static str, slow_percent: u32) {
+    let mut node = prepared_node(7, &[("u1", data_centre), ("u2", "ams")]);
+    (0..20_u64).for_each(|n| drop(serve_limited(&mut node, 3_010 + n * 50, n + 1, 600)));
+    send_load_update(&mut node, 4_600, "u1", slow_percent);
+    let sent = forwarded(&arrive(&mut node, 4_700, 100, "/read/x")).unwrap();
+    assert_eq!(sent.upstream, "u2");
+}
+
+/// Guards against an upstream that counts as unresponsive because a hedge there was
+/// cancelled when the first attempt responded.
+#[test]
+fn hedge_that_was_overtaken_does_not_make_its_upstream_unresponsive() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 60));
+    let first = forwarded(&arrive(&mut node, 3_500, 1, "/read/x")).unwrap();
+    let hedge = (1..60_u64).find_map(|n| {
+        let effects = run(&mut node, 3_500 + n * 10, Event::Tick { unix_ms: 0 });
+        forwarded(&effects).map(|attempt| (3_500 + n * 10, attempt))
+    });
+    let (at_ms, hedge) = hedge.unwrap();
+    assert_ne!(first.upstream, hedge.upstream);
+    let started = entry::Event::ResponseStarted(1, first.attempt, 200, None);
+    let effects = run(&mut node, at_ms + 1, Event::Entry(started));
+    assert!(effects.iter().any(|effect| matches!(
+        effect,
+        Effect::Entry(entry::Effect::Cancel(1, number)) if *number == hedge.attempt
+    )));
+    let ended = entry::Event::Ended(1, first.attempt, 100, None);
+    run(&mut node, at_ms + 1, Event::Entry(ended));
+    send_load_update(&mut node, at_ms + 200, &first.upstream, 700);
+    send_load_update(&mut node, at_ms + 200, &hedge.upstream, 100);
+    let next = forwarded(&arrive(&mut node, at_ms + 300, 2, "/read/x")).unwrap();
+    assert_eq!(next.upstream, hedge.upstream);
+}
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -219,6 +219,7 @@
         let mut candidates = self.score_untried(now, &peers, request);
         let rank = self.rank(now, request.preference);
         candidates.retain(|c| !self.is_paused(now, c.index, request.preference, rank));
+        self.prefer_due(&mut candidates, request);
         let index = (self.settings.policy.choose)(rng, &candidates, choices_made)?;
         let chosen = candidates.iter().find(|c| c.index == index)?;
         self.estimate_for(now, &peers, chosen)
@@ -411,6 +412,19 @@
         Some(self.promised_until.saturating_sub(now))
     }
 
+    /// Records that an attempt that began at `sent_at` was cancelled because an earlier one
+    /// responded first. Its upstream had less time than the other, so the missing response
+    /// does not show that it is unresponsive.
+    pub fn record_overtaken(&mut self, upstream: &str, sent_at: Duration) {
+        self.record_end(upstream);
+        if let Some(stats) = self.all_stats.get_mut(upstream)
+            && stats.own_in_flight == 0
+            && stats.unanswered_since == Some(sent_at)
+        {
+            stats.unanswered_since = None;
+        }
+    }
+
     /// Records that an attempt has ended.
     pub fn record_end(&mut self, upstream: &str) {
         if let Some(stats) = self.all_stats.get_mut(upstream) {
@@ -537,6 +551,32 @@
         now < pause.until + reserved
     }
 
+    /// Leaves only the upstreams of which this entry's share of a stated rate is unused, if
+    /// there are any that are expected to respond in time and no farther away than others.
+    /// The entry hears of such an upstream only as often as it sends there, so that its
+    /// estimate is older and hence higher than those of the others, and comparing the two
+    /// would leave the share unused.
+    fn prefer_due(&self, candidates: &mut Vec<ScoredCandidate>, request: PickRequest<'_>) {
+        let any_local = candidates.iter().any(|c| c.local && !c.avoid);
+        let is_due = |c: &ScoredCandidate| {
+            let in_time = request
+                .objective
+                .is_none_or(|objective| c.finish <= objective.as_secs_f64());
+            let usable = !c.avoid && c.ramp_share >= 1.0 && (c.local || !any_local);
+            usable && in_time && self.states_rate(c.index)
+        };
+        if candidates.iter().any(is_due) {
+            candidates.retain(is_due);
+        }
+    }
+
+    /// Returns whether an upstream states a rate that limits this entry.
+    fn states_rate(&self, index: usize) -> bool {
+        let candidate = self.candidates.get(index);
+        let stats = candidate.and_then(|c| self.all_stats.get(&c.upstream));
+        stats.is_some_and(|stats| !stats.pause.interval.is_zero())
+    }
+
     /// Returns the service time of the request at normal speed, in seconds.
     fn service_time(&self, request: PickRequest<'_>) -> f64 {
         let measured = self.service_times.get(request.class).copied();
--- a/crates/pick/src/stats.rs
+++ b/crates/pick/src/stats.rs
@@ -66,6 +66,8 @@
     pub(crate) fn record_sent(&mut self, now: Duration) {
         self.own_in_flight += 1;
         self.last_sent = now;
+        // Requests that arrive before the reply states the next pause must wait too.
+        self.pause.until = now + self.pause.interval;
         self.unanswered_since = self.unanswered_since.or(Some(now));
     }
 
