Limit hedges by service over the fleet, and switch them off under overload

Cause: operators could limit hedges only in general; each entry had hedges in advance, which add up over 960 entries; hedges went on under overload; the percentile was that of all classes of a service; bytes to another data centre did not count; nothing showed what became of hedges.

Change: section [hedge-ratio] with a line for each service; a limit that each entry earns with the requests that it sends, with two saved at most and none in advance; off while a tenth of recent attempts are refused for lack of a slot or all upstreams are late; percentile by class; another data centre only if worth the bytes; gauge plumhitch_hedges by service. docs/design/hedging.md has what was weighed. The model has an experiment and shows p99.9 and the share in time.

The scenario "hedges" had a limit with the advance of five, 27 hedges of 106 requests at a fifth; hedge_limit replaces that part and is stricter, and the rest of it has ratio 1, since its hedges came from the advance.

The workspace tests were not run as a whole, nor those of plumhitchd and model after the change.

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -15,12 +15,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "daemon",
     "listen",
     "upstream",
     "gate",
     "routing",
+    "hedge-ratio",
     "quota",
     "control",
     "operators",
@@ -94,6 +95,7 @@
         let upstream = read_upstream(&reader, control_only);
         let gate = read_gate(&reader);
         let routing = read_routing(&reader);
+        let hedge_ratios = reader.section("hedge-ratio").named_values("service", ratio);
         let quota = read_quota(&reader);
         let control = read_control(&reader, listen.as_ref());
         let operators = read_operators(&reader, listen.as_ref());
@@ -107,6 +109,7 @@
             upstream,
             gate,
             routing,
+            hedge_ratios,
             quota,
             control,
             operators,
--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -6,6 +6,7 @@
 use crate::value::{self, Parsed};
 use compact_str::CompactString;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::ops::Range;
 
 /// Maximum number of valid names listed in a finding.
@@ -208,6 +209,26 @@
         }
     }
 
+    /// Returns the parsed values of a section whose keys are names; `noun` says in findings
+    /// what they name.
+    pub(crate) fn named_values<T>(
+        &self,
+        noun: &str,
+        parse: impl Fn(&str) -> Parsed<T>,
+    ) -> BTreeMap<CompactString, T> {
+        let entries = self.section.iter().flat_map(|s| &s.entries);
+        let named = entries.filter_map(|entry| {
+            let name = self.reader.name(noun, entry.key, entry.key);
+            let value = parse(entry.value.text).map_err(|valid| {
+                let problem = format!("'{}' is no valid {}", entry.value.text, self.name);
+                self.reader
+                    .add_finding(self.span(entry.key.text), problem, valid);
+            });
+            name.zip(value.ok())
+        });
+        named.collect()
+    }
+
     /// Adds a finding for each key of the section that was not read.
     pub(crate) fn report_unknown_keys(&self) {
         let entries = self.section.iter().flat_map(|s| &s.entries);
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of a daemon and their defaults. Each field of [`Settings`] is a section
 //! of the settings file.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
-use wire::{DaemonId, DataCentreId};
+use wire::{DaemonId, DataCentreId, ServiceId};
 
 /// All settings of a daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +20,9 @@
     pub gate: GateSettings,
     /// `[routing]`
     pub routing: RoutingSettings,
+    /// `[hedge-ratio]`: hedges allowed per request, 0 to 1, of the services that have a
+    /// limit of their own instead of the general one.
+    pub hedge_ratios: BTreeMap<ServiceId, f64>,
     /// `[quota]`
     pub quota: QuotaSettings,
     /// `[control]`
@@ -102,7 +106,7 @@
     pub probe_messages: u32,
     /// Retries allowed per request, 0 to 1.
     pub retry_ratio: f64,
-    /// Hedges allowed per request, 0 to 1.
+    /// Hedges allowed per request, 0 to 1, of services without a limit of their own.
     pub hedge_ratio: f64,
     /// Maximum fraction of a service's upstreams that may be ejected, 0 to 1.
     pub eject_ratio: f64,
@@ -236,6 +240,7 @@
             upstream: Some(UpstreamSettings::new(upstream)),
             gate: GateSettings::default(),
             routing: RoutingSettings::default(),
+            hedge_ratios: BTreeMap::new(),
             quota: QuotaSettings::default(),
             control: ControlSettings::default(),
             operators: OperatorSettings::default(),
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -22,6 +22,7 @@
 #[test_case("lacking.ini")]
 #[test_case("unknown.ini")]
 #[test_case("values.ini")]
+#[test_case("hedge_ratio.ini")]
 #[test_case("together.ini")]
 #[test_case("syntax.ini")]
 fn invalid_settings(file: &str) {
@@ -50,6 +51,8 @@
     let cfg = load("valid/settings", "everything.ini").unwrap();
     assert_eq!(cfg.gate.idle_timeout, Duration::from_secs(300));
     assert_eq!(cfg.gate.stuck_timeout, Duration::from_secs(90));
+    let hedge_ratios: Vec<(&str, f64)> = cfg.hedge_ratios.iter().map(|(s, r)| (&**s, *r)).collect();
+    assert_eq!(hedge_ratios, [("booking", 0.05), ("club.reports", 0.0)]);
     assert_eq!(cfg.quota.block_lifetime, Duration::from_millis(500));
     assert_eq!(cfg.control.replicas.len(), 3);
     assert_eq!(
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -22,6 +22,7 @@
 /// Quantiles of the latency that the table and the plots show.
 const MEDIAN: f64 = 0.5;
 const P99: f64 = 0.99;
+const P999: f64 = 0.999;
 
 /// Result of one run.
 #[derive(Clone, Debug)]
@@ -76,13 +77,15 @@
 pub(crate) fn print(experiment: &Experiment, rows: &[Row]) {
     println!("{}", experiment.name);
     println!(
-        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7} {:>6}",
+        "{:<22} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>7} {:>7} {:>6}",
         "variant",
         "load_%",
         "worth_%",
         "answ_%",
+        "intime_%",
         "p50_ms",
         "p99_ms",
+        "p999_ms",
         "far_kb/s",
         "runs/rq",
         "again_%",
@@ -91,13 +94,15 @@
     for point in points(rows) {
         let asked = |t: &Tally| t.classes.iter().map(|c| c.asked).sum::<u64>() as f64;
         println!(
-            "{:<22} {:>6.0} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>9.1} {:>7.2} {:>7.2} {:>6.1}",
+            "{:<22} {:>6.0} {:>8.2} {:>8.2} {:>8.2} {:>8.1} {:>8.1} {:>8.1} {:>9.1} {:>7.2} {:>7.2} {:>6.1}",
             point.variant,
             point.load * PERCENT,
             point.earned() * PERCENT,
             point.mean(Tally::answered) * PERCENT,
+            point.mean(Tally::in_time) * PERCENT,
             point.quantile_ms(MEDIAN),
             point.quantile_ms(P99),
+            point.quantile_ms(P999),
             point.mean(|t| t.far_bytes as f64) / 1_024.0 / experiment.durations().0.as_secs_f64(),
             point.mean(|t| t.runs as f64 / asked(t).max(1.0)),
             point.mean(|t| t.repeats as f64 / (t.runs - t.repeats).max(1) as f64) * PERCENT,
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -124,6 +124,14 @@
         answered as f64 / asked.max(1) as f64
     }
 
+    /// Returns the fraction of the requests that got a response within their objective.
+    #[must_use]
+    pub fn in_time(&self) -> f64 {
+        let in_time: u64 = self.classes.iter().map(|c| c.in_time).sum();
+        let asked: u64 = self.classes.iter().map(|c| c.asked).sum();
+        in_time as f64 / asked.max(1) as f64
+    }
+
     /// Returns a quantile of the latencies of all responses.
     #[must_use]
     pub fn quantile(&self, quantile: f64) -> Duration {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod forward;
 mod hedge;
+mod hedge_limit;
 mod message;
 mod outcome;
 mod reachability;
@@ -16,11 +17,13 @@
 mod route;
 mod wait_estimate;
 
+pub use hedge_limit::HedgeCount;
 pub use message::{Attempt, Effect, Event, Request, RouteKey};
 pub use refusal::{Reason, Refusal, RunState};
 
 use crate::context::Cx;
 use conf::Settings;
+use hedge_limit::HedgeLimit;
 use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits, Reachability};
 use refusal::RefusalCause;
 use request::{ActiveRequest, Purpose};
@@ -52,7 +55,7 @@
 #[derive(Debug)]
 struct Budgets {
     retries: RatioBudget,
-    hedges: RatioBudget,
+    hedges: HedgeLimit,
 }
 
 /// The entry of this daemon.
@@ -68,7 +71,10 @@
     restrictions: Restrictions,
     budgets: BTreeMap<ServiceId, Budgets>,
     retry_limits: RatioLimits,
-    hedge_limits: RatioLimits,
+    /// Hedges allowed per request: in general, and of services with their own limit.
+    hedge_ratio: f64,
+    hedge_ratios: BTreeMap<ServiceId, f64>,
+    max_saved_hedges: Option<f64>,
     active: BTreeMap<RequestId, ActiveRequest>,
     awaiting_view: BTreeSet<RequestId>,
     convicted: BTreeMap<Fingerprint, Duration>,
@@ -107,7 +113,9 @@
             restrictions: Restrictions::default(),
             budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
-            hedge_limits: limits(routing.hedge_ratio),
+            hedge_ratio: routing.hedge_ratio,
+            hedge_ratios: settings.hedge_ratios.clone(),
+            max_saved_hedges: routing.shared_retries,
             active: BTreeMap::new(),
             awaiting_view: BTreeSet::new(),
             convicted: BTreeMap::new(),
@@ -129,6 +137,12 @@
         self.attempts
     }
 
+    /// Returns the number of hedges so far, by service.
+    pub fn hedges(&self) -> impl Iterator<Item = (&ServiceId, HedgeCount)> {
+        let budgets = self.budgets.iter();
+        budgets.map(|(service, budgets)| (service, budgets.hedges.count))
+    }
+
     /// Begins a graceful stop: new requests are refused.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -185,11 +199,12 @@
     }
 
     fn budgets(&mut self, service: &ServiceId) -> &mut Budgets {
-        let (retries, hedges) = (self.retry_limits, self.hedge_limits);
+        let own_ratio = self.hedge_ratios.get(service).copied();
+        let hedge_ratio = own_ratio.unwrap_or(self.hedge_ratio);
         let budgets = self.budgets.entry(service.clone());
         budgets.or_insert_with(|| Budgets {
-            retries: RatioBudget::new(retries),
-            hedges: RatioBudget::new(hedges),
+            retries: RatioBudget::new(self.retry_limits),
+            hedges: HedgeLimit::new(hedge_ratio, self.max_saved_hedges),
         })
     }
 
@@ -210,7 +225,6 @@
             Ok(active) => {
                 let budgets = self.budgets(&active.request.service);
                 budgets.retries.record_request();
-                budgets.hedges.record_request();
                 self.active.insert(id, active);
                 self.forward(id, cx);
             }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -3,7 +3,7 @@
 use super::claim::settle_claim;
 use super::message::Effect;
 use super::refusal::{Reason, RefusalCause, RunState};
-use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose};
+use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose, SentAttempt};
 use super::{Entry, push};
 use crate::context::Cx;
 use fleet::ServiceView;
@@ -113,7 +113,10 @@
         let service = active.request.service.clone();
         let tried = active.tried_upstreams();
         let only_at = active.only_at.clone();
-        let demand = active.demand(cx.now);
+        let mut demand = active.demand(cx.now);
+        if purpose == Purpose::Hedge {
+            demand.max_transfer = active.hedge_saves;
+        }
         let data_centre = cx.agent.data_centre.clone();
         let own_upstream = cx.agent.name.clone();
         let now = cx.now;
@@ -134,7 +137,7 @@
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
             Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
-            Purpose::Hedge => chosen.is_some() && self.budgets(&service).hedges.spend(now),
+            Purpose::Hedge => chosen.is_some() && self.pay_hedge(id, &service, now),
         };
         chosen.filter(|_| paid)
     }
@@ -164,6 +167,14 @@
             }
             picker.record_sent(cx.now, upstream);
         }
+        let service = active.request.service.clone();
+        let hedges = &mut self.budgets(&service).hedges;
+        hedges.record_attempt(cx.now);
+        match purpose {
+            Purpose::First => hedges.record_request(),
+            Purpose::Hedge => hedges.count.sent += 1,
+            Purpose::Retry | Purpose::Repick | Purpose::Redirect => {}
+        }
         push(cx.tx, Effect::Forward(attempt));
         self.count_attempt(purpose);
     }
@@ -210,6 +221,9 @@
         let active = self.active.remove(&id)?;
         self.awaiting_view.remove(&id);
         release_allowance(&active, cx);
+        let in_flight = |t: &&SentAttempt| t.is_hedge && t.state == AttemptState::InFlight;
+        let hedges = active.attempts.iter().filter(in_flight).count();
+        self.record_hedges_cancelled(&active.request.service, hedges);
         for sent in active
             .attempts
             .iter()
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -57,6 +57,9 @@
         if let Some(active) = self.active.get(&id) {
             let service = active.request.service.clone();
             let preference = active.preference();
+            if reason == RefuseReason::NoSlot {
+                self.budgets(&service).hedges.record_no_slot(cx.now);
+            }
             self.record_reachable(&service, &upstream, cx);
             if let Some(picker) = self
                 .pickers
@@ -117,6 +120,7 @@
             return;
         };
         let latency = cx.now.saturating_sub(sent.sent_at);
+        let is_hedge = sent.is_hedge;
         let upstream = sent.upstream.clone();
         active.relayed = Some((attempt, status));
         push(cx.tx, Effect::Relay(id, attempt));
@@ -134,6 +138,9 @@
                 picker.record_service_time(cx.now, &upstream, &class, latency);
             }
         }
+        if is_hedge {
+            self.budgets(&service).hedges.count.won += 1;
+        }
         self.cancel_others(id, attempt, cx);
     }
 
@@ -371,25 +378,28 @@
         let Some(active) = self.active.get_mut(&id) else {
             return;
         };
-        let picker = self.pickers.get_mut(&active.request.service);
+        let service = active.request.service.clone();
+        let picker = self.pickers.get_mut(&service);
         let losers = active
             .attempts
             .iter_mut()
             .filter(|t| t.state == AttemptState::InFlight && t.number != winner);
         let mut upstreams = Vec::new();
+        let mut hedges = 0;
         for sent in losers {
             sent.state = AttemptState::MayHaveRun;
+            hedges += usize::from(sent.is_hedge);
             push(cx.tx, Effect::Cancel(id, sent.number));
             upstreams.push((sent.upstream.clone(), sent.sent_at, sent.number > winner));
         }
-        let Some(picker) = picker else {
-            return;
-        };
-        for (name, sent_at, is_later) in upstreams {
-            match is_later {
-                true => picker.record_overtaken(&name, sent_at),
-                false => picker.record_end(&name),
+        if let Some(picker) = picker {
+            for (name, sent_at, is_later) in upstreams {
+                match is_later {
+                    true => picker.record_overtaken(&name, sent_at),
+                    false => picker.record_end(&name),
+                }
             }
         }
+        self.record_hedges_cancelled(&service, hedges);
     }
 }
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -72,6 +72,8 @@
     /// Whether the upstream may be chosen again, because it was only slower
     /// than assumed.
     pub(super) reselectable: bool,
+    /// Whether it was sent beside another one in flight.
+    pub(super) is_hedge: bool,
 }
 
 /// State of a request's claim.
@@ -98,6 +100,8 @@
     objective: Option<Duration>,
     /// Rank among requests for upstreams that state a rate.
     preference: u32,
+    /// Largest cost of transfer to another data centre, if it is limited.
+    pub(super) max_transfer: Option<Duration>,
 }
 
 /// Where the entry is, and what it can reach.
@@ -125,6 +129,7 @@
             bytes: self.bytes,
             objective: self.objective,
             preference: self.preference,
+            max_transfer: self.max_transfer,
         }
     }
 }
@@ -151,6 +156,10 @@
     /// The only upstream that may run it.
     pub(super) only_at: Option<UpstreamId>,
     pub(super) suspected: bool,
+    /// Response time that a hedge which is due may save.
+    pub(super) hedge_saves: Option<Duration>,
+    /// Whether a hedge was denied, which is counted once.
+    pub(super) hedge_denied: bool,
 }
 
 impl ActiveRequest {
@@ -193,6 +202,7 @@
             bytes: self.request.body_bytes,
             objective: self.until_late(now),
             preference: self.preference(),
+            max_transfer: None,
         }
     }
 
@@ -230,6 +240,7 @@
             delegated_retries: delegated,
             state: AttemptState::InFlight,
             reselectable: false,
+            is_hedge: purpose == Purpose::Hedge,
         });
         Attempt {
             request: self.request.id,
@@ -342,6 +353,8 @@
         relayed: None,
         only_at: None,
         suspected: false,
+        hedge_saves: None,
+        hedge_denied: false,
     })
 }
 
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -464,6 +464,7 @@
 #[test_case("retries")]
 #[test_case("responses")]
 #[test_case("hedges")]
+#[test_case("hedge_limit")]
 #[test_case("deadlines")]
 #[test_case("claims")]
 #[test_case("claim_outcomes")]
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -93,6 +93,9 @@
     pub objective: Option<Duration>,
     /// Rank among requests for upstreams that state a rate, the greatest first.
     pub preference: u32,
+    /// Largest cost of transfer to another data centre, as the response time that it is
+    /// worth; `None` for no limit.
+    pub max_transfer: Option<Duration>,
 }
 
 /// Reply to an attempt at an upstream.
@@ -129,7 +132,8 @@
     settings: PickSettings,
     candidates: Vec<Candidate>,
     all_stats: BTreeMap<UpstreamId, UpstreamStats>,
-    latencies: LatencyQuantiles,
+    /// Recent latencies of each class.
+    latencies: BTreeMap<ClassId, LatencyQuantiles>,
     /// Average service time of each class at normal speed, in seconds.
     service_times: BTreeMap<ClassId, f64>,
     /// Average response size of each class, in bytes.
@@ -150,7 +154,7 @@
             settings,
             candidates: Vec::new(),
             all_stats: BTreeMap::new(),
-            latencies: LatencyQuantiles::default(),
+            latencies: BTreeMap::new(),
             service_times: BTreeMap::new(),
             response_bytes: BTreeMap::new(),
             choices_made: 0,
@@ -241,9 +245,6 @@
         reply: Reply,
         load: Option<Load>,
     ) {
-        if let Reply::Success(latency) = reply {
-            self.latencies.record(latency);
-        }
         let Some(stats) = self.all_stats.get_mut(upstream) else {
             return;
         };
@@ -259,7 +260,7 @@
         }
     }
 
-    /// Records the service time of a request of a class.
+    /// Records the time to the response to a request of a class.
     pub fn record_service_time(
         &mut self,
         now: Duration,
@@ -267,6 +268,12 @@
         class: &str,
         latency: Duration,
     ) {
+        if self.latencies.contains_key(class) || self.latencies.len() < MAX_CLASSES {
+            self.latencies
+                .entry(class.into())
+                .or_default()
+                .record(latency);
+        }
         let Some(stats) = self.all_stats.get(upstream) else {
             return;
         };
@@ -440,10 +447,11 @@
         }
     }
 
-    /// Returns a percentile of the recent latencies of the service.
+    /// Returns a percentile of the recent latencies of a class; `None` while too few are
+    /// known.
     #[must_use]
-    pub fn latency_quantile(&self, percent: usize) -> Option<Duration> {
-        self.latencies.quantile(percent)
+    pub fn latency_quantile(&self, class: &str, percent: usize) -> Option<Duration> {
+        self.latencies.get(class)?.quantile(percent)
     }
 
     /// Returns all candidates that were not tried yet, with their scores.
@@ -465,6 +473,7 @@
         let all = self.candidates.iter().enumerate();
         let untried = all.filter(|(_, c)| !request.tried.contains(&c.upstream));
         untried
+            .filter(|(_, c)| self.transfer_is_worth(c, request))
             .filter_map(|(index, _)| self.score_candidate(now, peers, index, request))
             .collect()
     }
@@ -589,6 +598,15 @@
         self.settings.far_per_kb.as_secs_f64() * self.transferred_bytes(request) / KILOBYTE
     }
 
+    /// Returns whether the bytes of a request may be sent to a candidate.
+    fn transfer_is_worth(&self, candidate: &Candidate, request: PickRequest<'_>) -> bool {
+        let Some(max_transfer) = request.max_transfer else {
+            return true;
+        };
+        candidate.data_centre == request.data_centre
+            || self.transfer_cost(request) <= max_transfer.as_secs_f64()
+    }
+
     /// Returns how long the request and response take on a network link, in seconds.
     #[expect(clippy::cast_precision_loss, reason = "links are slow enough")]
     fn transfer_time(&self, request: PickRequest<'_>) -> f64 {
--- a/crates/pick/src/quantile.rs
+++ b/crates/pick/src/quantile.rs
@@ -8,7 +8,7 @@
 /// Minimum number of latencies for a percentile.
 const MIN_SAMPLES: usize = 32;
 
-/// The most recent latencies of a service.
+/// The most recent latencies of a class of requests.
 #[derive(Clone, Debug, Default)]
 pub struct LatencyQuantiles {
     recent: VecDeque<Duration>,
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -65,6 +65,7 @@
         bytes,
         objective: None,
         preference: 1,
+        max_transfer: None,
     }
 }
 
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -19,6 +19,9 @@
 
 static ALL_REACHABLE: Reachability = Reachability::new();
 
+/// Class whose times to the response are recorded; no request that is placed has it.
+const CLASS: &str = "measured";
+
 struct Runner {
     picker: Picker,
     names: Vec<UpstreamId>,
@@ -96,6 +99,7 @@
             bytes: 0,
             objective: None,
             preference: 1,
+            max_transfer: None,
         };
         let mut out = String::new();
         for candidate in self.picker.scored_candidates(self.now, request) {
@@ -125,6 +129,7 @@
                 bytes: 0,
                 objective: None,
                 preference: 1,
+                max_transfer: None,
             };
             let estimate = self.picker.choose(self.now, &mut self.rng, request);
             let name = estimate.map_or("none".into(), |estimate| estimate.upstream);
@@ -195,6 +200,10 @@
                 for name in args.rest_pos() {
                     for _ in 0..count {
                         self.reply(&name.value, reply, load);
+                        if let Reply::Success(took) = reply {
+                            let picker = &mut self.picker;
+                            picker.record_service_time(self.now, &name.value, CLASS, took);
+                        }
                     }
                 }
             }
@@ -221,7 +230,7 @@
             }
             "quantile" => {
                 let percent = args.next_pos().ok_or("percentile missing")?.parse()?;
-                writeln!(out, "{:?}", self.picker.latency_quantile(percent))?;
+                writeln!(out, "{:?}", self.picker.latency_quantile(CLASS, percent))?;
             }
             "measuring" => {
                 let bytes = args.lookup_parse("bytes")?.unwrap_or(0);
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -2,8 +2,10 @@
 
 use crate::clock;
 use crate::runtime::{Daemon, lock};
+use node::entry::HedgeCount;
 use prometheus::{Gauge, IntGauge, IntGaugeVec, Opts, Registry};
 use std::time::Duration;
+use wire::ServiceId;
 
 /// Thousandths in a unit.
 const MILLI_PER_UNIT: f64 = 1_000.0;
@@ -21,6 +23,7 @@
     links: IntGaugeVec,
     measuring: IntGaugeVec,
     attempts: IntGaugeVec,
+    hedges: IntGaugeVec,
     stated_rate: Gauge,
     stated_leaving: IntGauge,
     statements: IntGaugeVec,
@@ -90,6 +93,7 @@
                 "Attempts at gates since the start.",
                 "why",
             )?,
+            hedges: hedges_gauge(registry)?,
             stated_rate: gauge(
                 registry,
                 "stated_rate",
@@ -169,6 +173,28 @@
             ("repick", attempts.repicks),
         ];
         set(&self.attempts, &attempts);
+        self.update_hedges(daemon);
+    }
+
+    fn update_hedges(&self, daemon: &Daemon) {
+        let all: Vec<(ServiceId, HedgeCount)> = daemon.read(|node| {
+            let hedges = node.entry.hedges();
+            hedges
+                .map(|(service, count)| (service.clone(), count))
+                .collect()
+        });
+        for (service, count) in all {
+            let outcomes = [
+                ("sent", count.sent),
+                ("won", count.won),
+                ("cancelled", count.cancelled),
+                ("denied", count.denied),
+            ];
+            for (outcome, value) in outcomes {
+                let gauge = self.hedges.with_label_values(&[service.as_str(), outcome]);
+                gauge.set(to_i64(value));
+            }
+        }
     }
 }
 
@@ -178,6 +204,17 @@
     }
 }
 
+fn hedges_gauge(registry: &Registry) -> prometheus::Result<IntGaugeVec> {
+    let opts = Opts::new(
+        "plumhitch_hedges",
+        "Hedges by service since the start: sent, responded first, cancelled; and requests \
+         that were not hedged because of the limit or an overload.",
+    );
+    let metric = IntGaugeVec::new(opts, &["service", "outcome"])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn int_gauge_vec(
     registry: &Registry,
     name: &str,
