--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -79,6 +79,8 @@
     /// Whether the upstream may be chosen again, because it was only slower
     /// than assumed.
     pub(super) reselectable: bool,
+    /// Whether it was sent beside another one in flight.
+    pub(super) is_hedge: bool,
 }
 
 /// State of a request's claim.
@@ -120,6 +122,8 @@
     preference: u32,
     /// Factor on the cost of a late response.
     late_factor: f64,
+    /// Largest cost of transfer to another data centre, if it is limited.
+    pub(super) max_transfer: Option<Duration>,
 }
 
 /// Where the entry is, and what it can reach.
@@ -149,6 +153,7 @@
             deadline: self.deadline,
             preference: self.preference,
             late_factor: self.late_factor,
+            max_transfer: self.max_transfer,
         }
     }
 }
@@ -178,6 +183,10 @@
     pub(super) only_at: Option<UpstreamId>,
     pub(super) suspected: bool,
     pub(super) token: TokenState,
+    /// Response time that a hedge which is due may save.
+    pub(super) hedge_saves: Option<Duration>,
+    /// Whether a hedge was denied, which is counted once.
+    pub(super) hedge_denied: bool,
 }
 
 impl ActiveRequest {
@@ -227,6 +236,7 @@
             deadline: self.deadline.saturating_sub(now),
             preference: self.preference(),
             late_factor: self.late_factor(),
+            max_transfer: None,
         }
     }
 
@@ -270,6 +280,7 @@
             delegated_retries: delegated,
             state: AttemptState::InFlight,
             reselectable: false,
+            is_hedge: purpose == Purpose::Hedge,
         });
         Attempt {
             request: self.request.id,
@@ -386,6 +397,8 @@
         only_at: None,
         suspected: false,
         token: TokenState::Unneeded,
+        hedge_saves: None,
+        hedge_denied: false,
     })
 }
 
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -100,6 +100,9 @@
     /// Factor on the cost of a late response, which is higher for more important
     /// requests.
     pub late_factor: f64,
+    /// Largest cost of transfer to another data centre, as the response time that it is
+    /// worth; `None` for no limit.
+    pub max_transfer: Option<Duration>,
 }
 
 /// Reply to an attempt at an upstream.
@@ -136,7 +139,8 @@
     settings: PickSettings,
     candidates: Vec<Candidate>,
     all_stats: BTreeMap<UpstreamId, UpstreamStats>,
-    latencies: LatencyQuantiles,
+    /// Recent latencies of each class.
+    latencies: BTreeMap<ClassId, LatencyQuantiles>,
     /// Average service time of each class at normal speed, in seconds.
     service_times: BTreeMap<ClassId, f64>,
     /// Average response size of each class, in bytes.
@@ -157,7 +161,7 @@
             settings,
             candidates: Vec::new(),
             all_stats: BTreeMap::new(),
-            latencies: LatencyQuantiles::default(),
+            latencies: BTreeMap::new(),
             service_times: BTreeMap::new(),
             response_bytes: BTreeMap::new(),
             choices_made: 0,
@@ -226,6 +230,7 @@
         let mut candidates = self.score_untried(now, &peers, request);
         let rank = self.rank(now, request.preference);
         candidates.retain(|c| !self.is_paused(now, c.index, request.preference, rank));
+        self.prefer_due(&mut candidates, request);
         let index = (self.settings.policy.choose)(rng, &candidates, choices_made)?;
         let chosen = candidates.iter().find(|c| c.index == index)?;
         self.estimate_for(now, &peers, chosen)
@@ -247,9 +252,6 @@
         reply: Reply,
         load: Option<Load>,
     ) {
-        if let Reply::Success(latency) = reply {
-            self.latencies.record(latency);
-        }
         let Some(stats) = self.all_stats.get_mut(upstream) else {
             return;
         };
@@ -265,7 +267,7 @@
         }
     }
 
-    /// Records the service time of a request of a class.
+    /// Records the time to the response to a request of a class.
     pub fn record_service_time(
         &mut self,
         now: Duration,
@@ -273,6 +275,12 @@
         class: &str,
         latency: Duration,
     ) {
+        if self.latencies.contains_key(class) || self.latencies.len() < MAX_CLASSES {
+            self.latencies
+                .entry(class.into())
+                .or_default()
+                .record(latency);
+        }
         let Some(stats) = self.all_stats.get(upstream) else {
             return;
         };
@@ -418,6 +426,19 @@
         Some(self.promised_until.saturating_sub(now))
     }
 
+    /// Records that an attempt that began at `sent_at` was cancelled because an earlier one
+    /// responded first. Its upstream had less time than the other, so the missing response
+    /// does not show that it is unresponsive.
+    pub fn record_overtaken(&mut self, upstream: &str, sent_at: Duration) {
+        self.record_end(upstream);
+        if let Some(stats) = self.all_stats.get_mut(upstream)
+            && stats.own_in_flight == 0
+            && stats.unanswered_since == Some(sent_at)
+        {
+            stats.unanswered_since = None;
+        }
+    }
+
     /// Records that an attempt has ended.
     pub fn record_end(&mut self, upstream: &str) {
         if let Some(stats) = self.all_stats.get_mut(upstream) {
@@ -433,10 +454,11 @@
         }
     }
 
-    /// Returns a percentile of the recent latencies of the service.
+    /// Returns a percentile of the recent latencies of a class; `None` while too few are
+    /// known.
     #[must_use]
-    pub fn latency_quantile(&self, percent: usize) -> Option<Duration> {
-        self.latencies.quantile(percent)
+    pub fn latency_quantile(&self, class: &str, percent: usize) -> Option<Duration> {
+        self.latencies.get(class)?.quantile(percent)
     }
 
     /// Returns all candidates that were not tried yet, with their scores.
@@ -458,6 +480,7 @@
         let all = self.candidates.iter().enumerate();
         let untried = all.filter(|(_, c)| !request.tried.contains(&c.upstream));
         untried
+            .filter(|(_, c)| self.transfer_is_worth(c, request))
             .filter_map(|(index, _)| self.score_candidate(now, peers, index, request))
             .collect()
     }
@@ -545,6 +568,32 @@
         now < pause.until + reserved
     }
 
+    /// Leaves only the upstreams of which this entry's share of a stated rate is unused, if
+    /// there are any that are expected to respond in time and no farther away than others.
+    /// The entry hears of such an upstream only as often as it sends there, so that its
+    /// estimate is older and hence higher than those of the others, and comparing the two
+    /// would leave the share unused.
+    fn prefer_due(&self, candidates: &mut Vec<ScoredCandidate>, request: PickRequest<'_>) {
+        let any_local = candidates.iter().any(|c| c.local && !c.avoid);
+        let is_due = |c: &ScoredCandidate| {
+            let in_time = request
+                .objective
+                .is_none_or(|objective| c.finish <= objective.as_secs_f64());
+            let usable = !c.avoid && c.ramp_share >= 1.0 && (c.local || !any_local);
+            usable && in_time && self.states_rate(c.index)
+        };
+        if candidates.iter().any(is_due) {
+            candidates.retain(is_due);
+        }
+    }
+
+    /// Returns whether an upstream states a rate that limits this entry.
+    fn states_rate(&self, index: usize) -> bool {
+        let candidate = self.candidates.get(index);
+        let stats = candidate.and_then(|c| self.all_stats.get(&c.upstream));
+        stats.is_some_and(|stats| !stats.pause.interval.is_zero())
+    }
+
     /// Returns the service time of the request at normal speed, in seconds.
     fn service_time(&self, request: PickRequest<'_>) -> f64 {
         let measured = self.service_times.get(request.class).copied();
@@ -560,6 +609,15 @@
         limit.map_or(cost, |limit| cost.min(limit))
     }
 
+    /// Returns whether the bytes of a request may be sent to a candidate.
+    fn transfer_is_worth(&self, candidate: &Candidate, request: PickRequest<'_>) -> bool {
+        let Some(max_transfer) = request.max_transfer else {
+            return true;
+        };
+        candidate.data_centre == request.data_centre
+            || self.transfer_cost(request) <= max_transfer.as_secs_f64()
+    }
+
     /// Returns how long the request and response take on a network link, in seconds.
     #[expect(clippy::cast_precision_loss, reason = "links are slow enough")]
     fn transfer_time(&self, request: PickRequest<'_>) -> f64 {
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -80,6 +80,7 @@
         preference: 1,
         late_factor: 1.0,
         deadline: Duration::from_secs(10),
+        max_transfer: None,
     }
 }
 
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -2,8 +2,10 @@
 
 use crate::clock;
 use crate::runtime::{Daemon, lock};
+use node::entry::HedgeCount;
 use prometheus::{Gauge, IntGauge, IntGaugeVec, Opts, Registry};
 use std::time::Duration;
+use wire::ServiceId;
 
 /// Thousandths in a unit.
 const MILLI_PER_UNIT: f64 = 1_000.0;
@@ -22,6 +24,7 @@
     measuring: IntGaugeVec,
     attempts: IntGaugeVec,
     limited_requests: IntGaugeVec,
+    hedges: IntGaugeVec,
     stated_rate: Gauge,
     stated_leaving: IntGauge,
     statements: IntGaugeVec,
@@ -117,6 +120,7 @@
                 "Requests of customers with a limit in the routing since the start; those \
                  of customers beyond a number are counted as other.",
             )?,
+            hedges: hedges_gauge(registry)?,
             stated_rate: gauge(
                 registry,
                 "stated_rate",
@@ -220,6 +224,7 @@
         ];
         set(&self.attempts, &attempts);
         self.update_limited(daemon);
+        self.update_hedges(daemon);
     }
 
     fn update_limited(&self, daemon: &Daemon) {
@@ -237,6 +242,27 @@
             }
         }
     }
+
+    fn update_hedges(&self, daemon: &Daemon) {
+        let all: Vec<(ServiceId, HedgeCount)> = daemon.read(|node| {
+            let hedges = node.entry.hedges();
+            hedges
+                .map(|(service, count)| (service.clone(), count))
+                .collect()
+        });
+        for (service, count) in all {
+            let outcomes = [
+                ("sent", count.sent),
+                ("won", count.won),
+                ("cancelled", count.cancelled),
+                ("denied", count.denied),
+            ];
+            for (outcome, value) in outcomes {
+                let gauge = self.hedges.with_label_values(&[service.as_str(), outcome]);
+                gauge.set(to_i64(value));
+            }
+        }
+    }
 }
 
 fn set(metric: &IntGaugeVec, values: &[(&str, u64)]) {
@@ -245,6 +271,17 @@
     }
 }
 
+fn hedges_gauge(registry: &Registry) -> prometheus::Result<IntGaugeVec> {
+    let opts = Opts::new(
+        "plumhitch_hedges",
+        "Hedges by service since the start: sent, responded first, cancelled; and requests \
+         that were not hedged because of the limit or an overload.",
+    );
+    let metric = IntGaugeVec::new(opts, &["service", "outcome"])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn int_gauge_vec(
     registry: &Registry,
     name: &str,
