Add the decision on steps of rollouts

Cause: rollouts need a verdict on the new version and a schedule (docs/design/plan.md, section 1). Change: crate rollout, without I/O: evidence by interval, upstream, route and data centre; a stratified comparison whose variance is increased by the correlation within an upstream; the schedule. Failures are also tested alone, with a lower assumed correlation. Seen to fail with their rule switched off: stratification by time, assumed correlation, doubt about few cells, verdict, single routes, slow responses, recent and whole window, minimum difference, single upstream, share within slots, fleet known, old empty, entries switched, no upstream, length of a step of the ramp. A version that is bad only at a share of 1.0 or after the switch gets no verdict, since the old one has no responses then.

--- /dev/null
+++ b/crates/rollout/src/schedule.rs
@@ -0,0 +1,138 @@
+//! Schedule of a rollout without a verdict.
+//!
+//! The canary stage takes all of the duration except for a reserve, in which the share
+//! is raised, the traffic is switched and the old upstreams become empty. Each step of
+//! the ramp lasts for the same time from when it was made, so that a ramp that was
+//! delayed does not skip a step.
+
+use crate::{ALL_PPM, Bounds, Decision, Ppm, RollBackReason, RolloutView};
+use wire::{Rollout, RolloutStage};
+
+/// Fraction of the permitted share that is used. The rest covers retries and the
+/// requests that are sent before a roll-back is in force.
+const USED_SHARE: f64 = 0.8;
+/// Fraction of the duration that is reserved for the ramp and the switch.
+const RESERVE_RATIO: f64 = 0.4;
+/// Minimum reserve, if it is at most [`MAX_RESERVE_RATIO`] of the duration.
+const MIN_RESERVE_MS: u64 = 4_000;
+/// Maximum fraction of the duration that the minimum reserve may take.
+const MAX_RESERVE_RATIO: f64 = 0.5;
+/// Fraction of the reserve that the ramp takes; old upstreams become empty in the rest.
+const RAMP_RATIO: f64 = 0.5;
+/// Shares of the ramp.
+const RAMP: [Ppm; 3] = [250_000, 500_000, ALL_PPM];
+/// Fraction of the duration after which the versions reported by entries are no longer
+/// waited for.
+const LATE_RATIO: f64 = 0.9;
+
+/// State of the fleet, as far as it determines the schedule.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// Whether every daemon that is up has had the time to report to this leader.
+    pub is_known: bool,
+    /// Number of registered upstreams of the new version.
+    pub new_upstreams: usize,
+    /// Slots of the upstreams of the new version that are neither cold nor leaving.
+    pub new_slots: u32,
+    /// Slots of the registered upstreams of other versions.
+    pub old_slots: u32,
+    /// Whether each registered upstream of another version has no request in progress
+    /// and reports a configuration that excludes it.
+    pub old_empty: bool,
+    /// Whether each registered daemon reports a configuration that excludes the old
+    /// versions.
+    pub entries_switched: bool,
+}
+
+/// Returns the share of the new version during the canary stage.
+#[must_use]
+pub fn canary_share(bounds: Bounds) -> Ppm {
+    ppm(bounds.canary_share * USED_SHARE)
+}
+
+/// Returns the next step of a rollout whose new version is not known to be bad.
+pub(crate) fn next_step(view: &RolloutView<'_>) -> Decision {
+    let (rollout, fleet) = (view.rollout, view.fleet);
+    let elapsed_ms = view.time_ms.saturating_sub(rollout.ordered_ms);
+    if !fleet.is_known {
+        return Decision::Hold;
+    }
+    if rollout.stage() == RolloutStage::Switched {
+        return completion(rollout, fleet, elapsed_ms);
+    }
+    if fleet.new_upstreams == 0 {
+        return match elapsed_ms >= rollout.duration_ms {
+            true => Decision::RollBack(RollBackReason::NoUpstream),
+            false => Decision::Hold,
+        };
+    }
+    if elapsed_ms < canary_ms(rollout.duration_ms) {
+        return Decision::Hold;
+    }
+    ramp(view)
+}
+
+fn completion(rollout: &Rollout, fleet: Fleet, elapsed_ms: u64) -> Decision {
+    let is_late = elapsed_ms >= scale(rollout.duration_ms, LATE_RATIO);
+    match fleet.old_empty && (fleet.entries_switched || is_late) {
+        true => Decision::Complete,
+        false => Decision::Hold,
+    }
+}
+
+/// Returns the next step of the ramp. The share never exceeds what the new upstreams
+/// have slots for; the traffic is nevertheless switched in time, as long as one of
+/// them is not cold.
+fn ramp(view: &RolloutView<'_>) -> Decision {
+    let rollout = view.rollout;
+    let step_ms = scale(reserve_ms(rollout.duration_ms), RAMP_RATIO) / RAMP.len() as u64;
+    let switch_ms = canary_ms(rollout.duration_ms) + step_ms * RAMP.len() as u64;
+    let elapsed_ms = view.time_ms.saturating_sub(rollout.ordered_ms);
+    let since_step_ms = view.time_ms.saturating_sub(rollout.stepped_ms);
+    let is_ramp = rollout.stage() == RolloutStage::Ramp;
+    if is_ramp && since_step_ms < step_ms {
+        return Decision::Hold;
+    }
+    let room = room(view.fleet);
+    let next = RAMP.into_iter().find(|share| *share > rollout.share_ppm);
+    match next.map(|share| share.min(room)) {
+        Some(share) if share > rollout.share_ppm => Decision::SetShare(share),
+        None => Decision::Switch,
+        Some(_) if elapsed_ms >= switch_ms && room > 0 => Decision::Switch,
+        Some(_) => Decision::Hold,
+    }
+}
+
+/// Returns the share of the load that the new upstreams have slots for.
+fn room(fleet: Fleet) -> Ppm {
+    let room = f64::from(fleet.new_slots) / f64::from(fleet.old_slots.max(1));
+    ppm(room.min(1.0))
+}
+
+fn canary_ms(duration_ms: u64) -> u64 {
+    duration_ms - reserve_ms(duration_ms)
+}
+
+fn reserve_ms(duration_ms: u64) -> u64 {
+    let minimum = MIN_RESERVE_MS.min(scale(duration_ms, MAX_RESERVE_RATIO));
+    scale(duration_ms, RESERVE_RATIO).max(minimum)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "durations are far below the limits"
+)]
+fn scale(ms: u64, ratio: f64) -> u64 {
+    (ms as f64 * ratio) as u64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "shares are at most 1"
+)]
+fn ppm(share: f64) -> Ppm {
+    (share.clamp(0.0, 1.0) * f64::from(ALL_PPM)) as Ppm
+}
