Keep rollouts in the replicated configuration

Cause: orders and steps of rollouts must survive the loss of a leader, of disks and of power. New field: `Rollout.step_version` (tag 12), the configuration version of the newest step. Measured: `cargo test -p conf`, `-p wire` and `-p platform` pass.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -23,9 +23,10 @@
 pub use routes::{MAX_ROUTES, RouteTable};
 pub use settings::{
     ControlSettings, DaemonSettings, GateSettings, LimitSettings, ListenSettings, LogSettings,
-    OperatorSettings, QuotaSettings, RoutingSettings, Settings, StopSettings, UpstreamSettings,
+    OperatorSettings, QuotaSettings, RolloutSettings, RoutingSettings, Settings, StopSettings,
+    UpstreamSettings,
 };
 pub use state::{
     ChangeCommand, ConfigSnapshot, ConfigState, Configuration, MAX_HISTORY, MAX_PAGE_BYTES,
-    MAX_REMEMBERED_CHANGES, PageOutcome, TransferReceiver, Transfers, prepare_change,
+    MAX_REMEMBERED_CHANGES, PageOutcome, RolloutStep, TransferReceiver, Transfers, prepare_change,
 };
--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -4,7 +4,8 @@
 use crate::reader::Reader;
 use crate::settings::{
     ControlSettings, DaemonSettings, GateSettings, LimitSettings, ListenSettings, LogSettings,
-    OperatorSettings, QuotaSettings, RoutingSettings, Settings, StopSettings, UpstreamSettings,
+    OperatorSettings, QuotaSettings, RolloutSettings, RoutingSettings, Settings, StopSettings,
+    UpstreamSettings,
 };
 use crate::value::{
     address, addresses, count, format_time, http_path, name, path, ratio, size, time, yes_no,
@@ -15,7 +16,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
     "daemon",
     "listen",
     "upstream",
@@ -23,6 +24,7 @@
     "routing",
     "quota",
     "control",
+    "rollout",
     "operators",
     "limits",
     "stop",
@@ -35,6 +37,7 @@
 const MAX_PER_SECOND: u32 = 10_000_000;
 const MAX_CLAIMS: u64 = 100_000_000;
 const MAX_SNAPSHOT_ENTRIES: u64 = 10_000_000;
+const MAX_CANARY_SLACK: u32 = 1_000_000;
 const MAX_CONNECTIONS: usize = 1_000_000;
 
 const HEADER_BYTES: RangeInclusive<u64> = 1 << 10..=1 << 20;
@@ -47,6 +50,7 @@
 const LEASE: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const ELECTION: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const CLAIM_RETENTION: RangeInclusive<Duration> = ms(1_000)..=DAYS_30;
+const ROLLBACK: RangeInclusive<Duration> = ms(1_000)..=MINUTE;
 const BLOCK: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const TEN_MS_TO_A_DAY: RangeInclusive<Duration> = ms(10)..=DAY;
 const UP_TO_A_DAY: RangeInclusive<Duration> = Duration::ZERO..=DAY;
@@ -96,6 +100,7 @@
         let routing = read_routing(&reader);
         let quota = read_quota(&reader);
         let control = read_control(&reader, listen.as_ref());
+        let rollout = read_rollout(&reader);
         let operators = read_operators(&reader, listen.as_ref());
         let limits = read_limits(&reader);
         let stop = read_stop(&reader);
@@ -109,6 +114,7 @@
             routing,
             quota,
             control,
+            rollout,
             operators,
             limits,
             stop,
@@ -297,6 +303,18 @@
     Some(format!("replica {address} is listed twice"))
 }
 
+fn read_rollout(reader: &Reader<'_>) -> RolloutSettings {
+    let mut keys = reader.section("rollout");
+    let mut cfg = RolloutSettings::default();
+    keys.set("canary-share", &mut cfg.canary_share, ratio);
+    keys.set("canary-slack", &mut cfg.canary_slack, |t| {
+        count(t, 0..=MAX_CANARY_SLACK)
+    });
+    keys.set("rollback", &mut cfg.rollback, |t| time(t, ROLLBACK));
+    keys.report_unknown_keys();
+    cfg
+}
+
 fn read_operators(reader: &Reader<'_>, listen: Option<&ListenSettings>) -> OperatorSettings {
     let mut keys = reader.section("operators");
     let token_file = keys.get("token-file", path);
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -23,6 +23,8 @@
     pub quota: QuotaSettings,
     /// `[control]`
     pub control: ControlSettings,
+    /// `[rollout]`
+    pub rollout: RolloutSettings,
     /// `[operators]`
     pub operators: OperatorSettings,
     /// `[limits]`
@@ -168,6 +170,17 @@
     pub snapshot_entries: u64,
 }
 
+/// Limits on what a bad version may receive during a rollout.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutSettings {
+    /// Maximum share of the service's requests, 0 to 1.
+    pub canary_share: f64,
+    /// Number of requests beyond that share.
+    pub canary_slack: u32,
+    /// Time after which a bad version must not get any more requests.
+    pub rollback: Duration,
+}
+
 /// Access to the operators' endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OperatorSettings {
@@ -224,6 +237,7 @@
 const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 const DEFAULT_LEASE: Duration = Duration::from_secs(4);
 const DEFAULT_ELECTION_TIMEOUT: Duration = Duration::from_millis(800);
+const DEFAULT_ROLLBACK: Duration = Duration::from_secs(5);
 const DEFAULT_CLAIM_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
 impl Settings {
@@ -238,6 +252,7 @@
             routing: RoutingSettings::default(),
             quota: QuotaSettings::default(),
             control: ControlSettings::default(),
+            rollout: RolloutSettings::default(),
             operators: OperatorSettings::default(),
             limits: LimitSettings::default(),
             stop: StopSettings::default(),
@@ -320,6 +335,16 @@
     }
 }
 
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        Self {
+            canary_share: 0.1,
+            canary_slack: 50,
+            rollback: DEFAULT_ROLLBACK,
+        }
+    }
+}
+
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
--- a/crates/conf/src/state.rs
+++ b/crates/conf/src/state.rs
@@ -9,6 +9,7 @@
 mod receiver;
 mod recent_changes;
 mod remembered;
+mod rollouts;
 mod routing;
 mod snapshot;
 mod transfer;
@@ -17,6 +18,7 @@
 pub use configuration::Configuration;
 pub use receiver::{PageOutcome, TransferReceiver};
 pub use remembered::MAX_REMEMBERED_CHANGES;
+pub use rollouts::RolloutStep;
 pub use snapshot::ConfigSnapshot;
 pub use transfer::{MAX_PAGE_BYTES, Transfers};
 
--- a/crates/conf/src/state/configuration.rs
+++ b/crates/conf/src/state/configuration.rs
@@ -72,3 +72,11 @@
         }
     }
 }
+
+/// Returns rollouts by the name of their service.
+pub(super) fn rollouts_by_service(rollouts: &[Rollout]) -> BTreeMap<ServiceId, Rollout> {
+    let rollouts = rollouts.iter();
+    rollouts
+        .map(|rollout| (rollout.service.as_str().into(), rollout.clone()))
+        .collect()
+}
--- a/crates/conf/src/state/receiver.rs
+++ b/crates/conf/src/state/receiver.rs
@@ -1,7 +1,7 @@
 //! Receiving side of a configuration transfer, at a daemon.
 
 use super::Configuration;
-use super::configuration::apply_customer_changes;
+use super::configuration::{apply_customer_changes, rollouts_by_service};
 use super::routing::apply_change;
 use crate::finding::Findings;
 use crate::lists::{Customers, parse_plans};
@@ -113,10 +113,7 @@
     config.set_plans(plans, parsed);
     config.out_data_centres = last.out_data_centres.iter().map(Into::into).collect();
     config.out_upstreams = last.out_upstreams.iter().map(Into::into).collect();
-    let rollouts = last.rollouts.iter();
-    config.rollouts = rollouts
-        .map(|rollout| (rollout.service.as_str().into(), rollout.clone()))
-        .collect();
+    config.rollouts = rollouts_by_service(&last.rollouts);
     if let Some(routing) = &last.routing {
         config.routing = RouteTable::new(routing.clone());
     }
--- a/crates/conf/src/state/routing.rs
+++ b/crates/conf/src/state/routing.rs
@@ -78,7 +78,8 @@
         self.routing_outcome(ChangeResult::Accepted, Vec::new())
     }
 
-    fn advance(&mut self, routing: RoutingDelta) {
+    /// Increments the version, for a change without changes to customers and plans.
+    pub(super) fn advance(&mut self, routing: RoutingDelta) {
         self.current.version += 1;
         self.recent_changes.push(RecentChange {
             version: self.current.version,
--- a/crates/conf/src/state/snapshot.rs
+++ b/crates/conf/src/state/snapshot.rs
@@ -1,14 +1,14 @@
 //! Saves the configuration state in a snapshot and restores it.
 
 use super::ConfigState;
-use super::configuration::apply_customer_changes;
+use super::configuration::{apply_customer_changes, rollouts_by_service};
 use super::recent_changes::{RecentChange, RecentChanges, RoutingDelta};
 use super::remembered::RememberedChanges;
 use super::routing::AcceptedRoutingChange;
 use crate::finding::Findings;
 use crate::lists::parse_plans;
 use crate::routes::RouteTable;
-use wire::{ChangeOutcome, CustomerPlan, HistoryEntry};
+use wire::{ChangeOutcome, CustomerPlan, HistoryEntry, Rollout};
 
 /// The configuration state as stored in a snapshot.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -35,6 +35,8 @@
     routing: Option<wire::Routing>,
     #[prost(message, repeated, tag = "11")]
     routing_changes: Vec<AcceptedRoutingChange>,
+    #[prost(message, repeated, tag = "12")]
+    rollouts: Vec<Rollout>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -88,6 +90,7 @@
             recent_changes: recent_change_records(&self.recent_changes),
             routing: Some(current.routing.content().clone()),
             routing_changes: self.routing_changes.iter().copied().collect(),
+            rollouts: current.rollouts.values().cloned().collect(),
         }
     }
 
@@ -128,6 +131,7 @@
         }
         state.current.routing = RouteTable::new(snapshot.routing.unwrap_or_default());
         state.routing_changes = snapshot.routing_changes.into();
+        state.current.rollouts = rollouts_by_service(&snapshot.rollouts);
         Ok(state)
     }
 }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -56,6 +56,9 @@
         cfg.control.claim_retention,
         Duration::from_secs(7 * 24 * 3600)
     );
+    assert_eq!(cfg.rollout.canary_share, 0.2);
+    assert_eq!(cfg.rollout.canary_slack, 30);
+    assert_eq!(cfg.rollout.rollback, Duration::from_secs(4));
     assert_eq!(cfg.limits.header_bytes, 16 * 1024);
     assert_eq!(cfg.limits.body_bytes, 2 * 1024 * 1024 * 1024);
     let upstream = cfg.upstream.clone().unwrap();
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -70,6 +70,9 @@
     /// Why it was rolled back, in one line, or empty.
     #[prost(string, tag = "11")]
     pub reason: String,
+    /// Configuration version that the newest step made.
+    #[prost(uint64, tag = "12")]
+    pub step_version: u64,
 }
 
 /// Reads the newest roll-out of a service.
