Drive rollouts by the control leader

Cause: nothing carried out the orders of rollouts. Change: the leader collects evidence from heartbeats, decides every 100 ms and proposes steps through the log; requests StartRollout and ReadRollout; the registry keeps requests in progress and the start of upstreams. During a rollout the leader records the log time every 500 ms, since the schedule would otherwise start again with each new leader.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use freshness::Freshness;
 pub use homes::{MAX_HOMES, homes_hash};
-pub use registry::Registry;
+pub use registry::{RegisteredUpstream, Registry};
 pub use view::{FleetView, SUBSCRIPTION_IDLE, ServiceView, Upstream};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -31,6 +31,24 @@
     info: UpstreamInfo,
     /// Newest announcement of the upstream that was reported.
     newest: Option<ReportedStart>,
+    /// When the upstream started, as far as known: when the daemon did, or when another
+    /// start of the upstream was first reported.
+    upstream_started: Duration,
+    in_progress: u32,
+}
+
+/// An upstream of a service, with what its daemon reports about it.
+#[derive(Clone, Copy, Debug)]
+pub struct RegisteredUpstream<'a> {
+    /// The upstream.
+    pub info: &'a UpstreamInfo,
+    /// Configuration version of its daemon.
+    pub config_version: ConfigVersion,
+    /// Requests in progress at the upstream.
+    pub in_progress: u32,
+    /// When it started, as far as known: when the daemon did, or when another start of
+    /// the upstream was first reported.
+    pub started: Duration,
 }
 
 /// An announcement of an upstream, as far as later ones are compared with it.
@@ -203,7 +221,22 @@
         self.daemons.values().map(|r| r.config_version).min()
     }
 
-    fn is_warming_up(&self, now: Duration) -> bool {
+    /// Returns the registered upstreams of a service.
+    pub fn upstreams(&self, service: &str) -> impl Iterator<Item = RegisteredUpstream<'_>> {
+        let daemons = self.daemons.values();
+        let members = daemons.filter(move |r| r.service.as_deref() == Some(service));
+        members.map(|r| RegisteredUpstream {
+            info: &r.info,
+            config_version: r.config_version,
+            in_progress: r.in_progress,
+            started: r.upstream_started,
+        })
+    }
+
+    /// Returns whether the election was less than one lease ago, so that some of the
+    /// daemons may not have sent a heartbeat to this leader.
+    #[must_use]
+    pub fn is_warming_up(&self, now: Duration) -> bool {
         now.saturating_sub(self.created) < self.lease
     }
 
@@ -321,9 +354,20 @@
     };
     let same_start = old.filter(|o| o.incarnation == heartbeat.incarnation);
     let age = Duration::from_millis(heartbeat.age_ms);
+    let started = same_start.map_or(now.saturating_sub(age), |o| o.started);
+    let boot = |r: &Registration| r.newest.as_ref().map(|n| n.boot.clone());
+    let upstream_started = match (same_start, upstream) {
+        (Some(old), Some(upstream)) if boot(old).as_ref() == Some(&upstream.boot) => {
+            old.upstream_started
+        }
+        (Some(_), Some(_)) => now,
+        _ => started,
+    };
     Some(Registration {
         last_heartbeat: now,
-        started: same_start.map_or(now.saturating_sub(age), |o| o.started),
+        started,
+        upstream_started,
+        in_progress: heartbeat.in_progress,
         incarnation: heartbeat.incarnation,
         superseded,
         sequence: heartbeat.sequence,
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -326,3 +326,32 @@
     registry.handle_heartbeat(secs(7), &announced(3, 1, "b2", 1, false));
     assert!(!is_leaving(&registry), "another start counts");
 }
+
+/// Guards against an upstream that counts as cold again with each heartbeat, or not at all
+/// after it has started anew beside a running daemon.
+#[test]
+fn upstreams_have_the_time_of_their_start() {
+    let mut registry = Registry::new(1, secs(4), secs(100));
+    let started = |registry: &Registry| {
+        let mut upstreams = registry.upstreams("booking");
+        upstreams.next().expect("registered").started
+    };
+    let mut first = heartbeat("a", 1, 1, 6);
+    first.age_ms = 30_000;
+    first.in_progress = 3;
+    registry.handle_heartbeat(secs(100), &first);
+    assert_eq!(started(&registry), secs(70));
+    let upstream = registry.upstreams("booking").next().expect("registered");
+    assert_eq!(upstream.in_progress, 3);
+    let mut next = heartbeat("a", 1, 2, 6);
+    next.age_ms = 31_000;
+    registry.handle_heartbeat(secs(101), &next);
+    assert_eq!(started(&registry), secs(70));
+    let mut restarted = heartbeat("a", 1, 3, 6);
+    if let Some(upstream) = &mut restarted.upstream {
+        upstream.boot = "another".to_owned();
+    }
+    registry.handle_heartbeat(secs(102), &restarted);
+    assert_eq!(started(&registry), secs(102));
+    assert_eq!(registry.upstreams("club").count(), 0);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -13,6 +13,7 @@
 mod log_lines;
 mod reads;
 mod replies;
+mod rollouts;
 mod state_machine;
 mod suspects;
 
@@ -28,6 +29,7 @@
 use leadership::Leadership;
 use reads::{PendingRead, Reads};
 use replica::{DiskDone, Input, Replica};
+use rollouts::Rollouts;
 use state_machine::StateMachine;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -51,6 +53,8 @@
     registry: Registry,
     transfers: Transfers,
     suspects: Suspects,
+    rollouts: Rollouts,
+    bounds: rollout::Bounds,
     reads: Reads,
     held: HeldHeartbeats,
     batch: Batch,
@@ -78,6 +82,8 @@
             registry,
             transfers: Transfers::default(),
             suspects: Suspects::default(),
+            rollouts: Rollouts::default(),
+            bounds: rollouts::bounds(&settings.rollout),
             reads: Reads::default(),
             held: HeldHeartbeats::default(),
             batch: Batch::default(),
@@ -134,6 +140,7 @@
         expired
             .iter()
             .for_each(|read| self.reply_not_leader(read, tx));
+        self.step_rollouts(now, tx);
         self.drive(now, Input::Tick, tx);
     }
 
@@ -172,7 +179,10 @@
         tx: &mut Vec<Effect>,
     ) {
         if self.is_ready() {
-            self.registry.handle_heartbeat(now, &heartbeat);
+            if self.registry.handle_heartbeat(now, &heartbeat) {
+                let config = self.state_machine.config.current();
+                self.rollouts.record(now, &heartbeat, config);
+            }
             self.enqueue_read(now, PendingRead::Heartbeat(link, heartbeat), tx);
             return;
         }
@@ -246,6 +256,10 @@
             control_request::Kind::DataCentre(order) => {
                 self.queue(waiter, Item::data_centre(order), tx);
             }
+            control_request::Kind::StartRollout(order) => {
+                let share_ppm = rollout::canary_share(self.bounds);
+                self.queue(waiter, Item::rollout_order(order, share_ppm), tx);
+            }
             control_request::Kind::Suspect(suspect) => {
                 for (fingerprint, crashes) in self.suspects.update(now, &suspect) {
                     tx.push(log_lines::convicted(fingerprint, crashes));
--- a/crates/node/src/control/batch.rs
+++ b/crates/node/src/control/batch.rs
@@ -33,6 +33,8 @@
 pub(super) struct Batch {
     queue: VecDeque<(Option<Waiter>, Item)>,
     proposed: BTreeMap<u64, Vec<Option<Waiter>>>,
+    /// Whether an entry is proposed even without an item.
+    records_time: bool,
 }
 
 impl Batch {
@@ -50,6 +52,11 @@
         self.queue.push_back((None, item));
     }
 
+    /// Requests an entry that records the log time, even if no item is queued.
+    pub(super) fn record_time(&mut self) {
+        self.records_time = true;
+    }
+
     /// Returns whether no item is queued and no entry proposed.
     pub(super) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.proposed.is_empty()
@@ -57,7 +64,8 @@
 
     /// Returns whether an entry can be proposed now.
     pub(super) fn is_due(&self) -> bool {
-        !self.queue.is_empty() && self.proposed.len() < MAX_PROPOSED
+        let has_content = self.records_time || !self.queue.is_empty();
+        has_content && self.proposed.len() < MAX_PROPOSED
     }
 
     /// Builds an entry from the queued items, up to the limits on its size.
@@ -68,6 +76,7 @@
             max_claims: limits.max_claims,
             items: Vec::new(),
         };
+        self.records_time = false;
         let mut waiters = Vec::new();
         let mut bytes = 0;
         while let Some((waiter, item)) = self.queue.pop_front() {
@@ -92,6 +101,7 @@
     /// Removes everything; returns the waiters of queued items, and those of
     /// proposed entries.
     pub(super) fn drain(&mut self) -> (Vec<Waiter>, Vec<Waiter>) {
+        self.records_time = false;
         let queued = self.queue.drain(..).filter_map(|(waiter, _)| waiter);
         let queued = queued.collect();
         let proposed = std::mem::take(&mut self.proposed);
--- a/crates/node/src/control/command.rs
+++ b/crates/node/src/control/command.rs
@@ -1,7 +1,7 @@
 //! The commands of the replicated state machine, as stored in the log.
 
-use conf::ChangeCommand;
-use wire::{ClaimRequest, ClaimSettle, DataCentreOrder, RoutingChange};
+use conf::{ChangeCommand, RolloutStep};
+use wire::{ClaimRequest, ClaimSettle, DataCentreOrder, RolloutOrder, RoutingChange};
 
 /// A log entry: the items of one batch.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -24,7 +24,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct Item {
     /// The operation; absent if a newer version wrote one that is unknown here.
-    #[prost(oneof = "Operation", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Operation", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub(super) operation: Option<Operation>,
 }
 
@@ -36,6 +36,17 @@
     pub(super) claim_salt: u64,
 }
 
+/// Orders a rollout.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub(super) struct OrderRollout {
+    /// The order.
+    #[prost(message, required, tag = "1")]
+    pub(super) order: RolloutOrder,
+    /// Share of the first stage, in millionths.
+    #[prost(uint32, tag = "2")]
+    pub(super) share_ppm: u32,
+}
+
 /// The kinds of operation.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(super) enum Operation {
@@ -57,6 +68,12 @@
     /// Takes a data centre out of service, or returns it to service.
     #[prost(message, tag = "6")]
     DataCentre(DataCentreOrder),
+    /// Orders a rollout.
+    #[prost(message, tag = "7")]
+    RolloutOrder(OrderRollout),
+    /// Makes a step of a rollout.
+    #[prost(message, tag = "8")]
+    RolloutStep(RolloutStep),
 }
 
 impl Item {
@@ -84,6 +101,14 @@
         Self::new(Operation::DataCentre(order))
     }
 
+    pub(super) fn rollout_order(order: RolloutOrder, share_ppm: u32) -> Self {
+        Self::new(Operation::RolloutOrder(OrderRollout { order, share_ppm }))
+    }
+
+    pub(super) fn rollout_step(step: RolloutStep) -> Self {
+        Self::new(Operation::RolloutStep(step))
+    }
+
     fn new(operation: Operation) -> Self {
         Self {
             operation: Some(operation),
--- a/crates/node/src/control/drive.rs
+++ b/crates/node/src/control/drive.rs
@@ -1,6 +1,6 @@
 //! Drives the consensus replica: feeds inputs into it and handles its outputs.
 
-use super::{Control, log_lines, millis, replies};
+use super::{Control, log_lines, replies};
 use crate::effect::Effect;
 use replica::{Input, Output};
 use std::collections::VecDeque;
@@ -37,7 +37,7 @@
 
     /// Returns the read round or proposal that is due, if there is one.
     fn next_input(&mut self, now: Duration) -> Option<Input> {
-        let leadership = self.leadership?;
+        self.leadership?;
         if self.reads.is_due(now) {
             let token = self.next_token();
             self.reads.start(now, token);
@@ -46,7 +46,7 @@
         if !self.batch.is_due() {
             return None;
         }
-        let time_ms = leadership.log_time_ms + millis(now.saturating_sub(leadership.since));
+        let time_ms = self.log_time_ms(now);
         let token = self.next_token();
         let command = self.batch.take_command(token, time_ms, self.limits);
         Some(Input::Propose { token, command })
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -1,6 +1,7 @@
 //! The start and end of this replica's leadership.
 
 use super::command::Item;
+use super::rollouts::Rollouts;
 use super::suspects::Suspects;
 use super::{Control, replies};
 use crate::effect::Effect;
@@ -46,6 +47,7 @@
         });
         self.registry = Registry::new(term, self.lease, now);
         self.suspects = Suspects::default();
+        self.rollouts = Rollouts::default();
     }
 
     /// Ends leadership and replies to all waiting requests: for queued items
--- a/crates/node/src/control/log_lines.rs
+++ b/crates/node/src/control/log_lines.rs
@@ -1,9 +1,11 @@
 //! Builds the log lines of the control role.
 
+use super::rollouts::Figures;
 use crate::effect::{Effect, LogLine};
+use conf::RolloutStep;
 use log::Level;
 use replica::Role;
-use wire::{Fingerprint, Term};
+use wire::{Fingerprint, Rollout, RolloutStage, Term};
 
 pub(super) fn with_value(
     level: Level,
@@ -40,3 +42,34 @@
         ],
     })
 }
+
+/// Returns the line about a proposed step of a rollout, with the figures that decided it.
+pub(super) fn rollout_step(rollout: &Rollout, step: &RolloutStep, figures: &Figures) -> Effect {
+    let level = match step.stage() {
+        RolloutStage::RolledBack => Level::Warn,
+        _ => Level::Info,
+    };
+    let fleet = figures.fleet;
+    Effect::Log(LogLine {
+        level,
+        event: "rollout_step",
+        pairs: vec![
+            ("service", rollout.service.clone()),
+            ("version", rollout.version.clone()),
+            ("rollout", rollout.id.to_string()),
+            ("after", step.after.to_string()),
+            ("stage", format!("{:?}", step.stage())),
+            ("share_ppm", step.share_ppm.to_string()),
+            ("elapsed_ms", figures.elapsed_ms.to_string()),
+            ("new_responses", figures.new.0.to_string()),
+            ("new_failures", figures.new.1.to_string()),
+            ("old_responses", figures.old.0.to_string()),
+            ("old_failures", figures.old.1.to_string()),
+            ("new_upstreams", fleet.new_upstreams.to_string()),
+            ("new_slots", fleet.new_slots.to_string()),
+            ("old_slots", fleet.old_slots.to_string()),
+            ("replaced", step.replaced_versions.join(" ")),
+            ("reason", step.reason.clone()),
+        ],
+    })
+}
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -100,13 +100,15 @@
                     plans: self.config().plans_text.clone().into(),
                 })
             }
+            control_request::Kind::ReadRollout(query) => {
+                control_reply::Kind::Rollout(self.state_machine.config.rollout(&query.service))
+            }
             control_request::Kind::Claim(_)
             | control_request::Kind::Settle(_)
             | control_request::Kind::Suspect(_)
             | control_request::Kind::Routing(_)
             | control_request::Kind::DataCentre(_)
-            | control_request::Kind::StartRollout(_)
-            | control_request::Kind::ReadRollout(_) => return,
+            | control_request::Kind::StartRollout(_) => return,
         };
         reply(waiter, true, String::new(), Some(reply_kind), tx);
     }
@@ -183,6 +185,7 @@
             lowest_version: self.registry.lowest_version().unwrap_or_default(),
             claims: self.state_machine.claims.len() as u64,
             customers: config.customers.len() as u64,
+            rollouts: config.rollouts.values().cloned().collect(),
         }
     }
 }
--- a/crates/node/src/control/state_machine.rs
+++ b/crates/node/src/control/state_machine.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine, which holds the configuration and the claims.
 
-use super::command::{Command, Item, Operation};
+use super::command::{Command, Item, Operation, OrderRollout};
 use bytes::Bytes;
 use claims::{ClaimKey, Claims, ClaimsSnapshot, Decision, Limits, Settlement};
 use conf::{ConfigSnapshot, ConfigState};
@@ -118,6 +118,16 @@
                 let outcome = self.config.apply_data_centre(&order);
                 Some(control_reply::Kind::Change(outcome))
             }
+            Operation::RolloutOrder(OrderRollout { order, share_ppm }) => {
+                let time_ms = self.claims.time_ms();
+                let outcome = self.config.apply_rollout_order(&order, share_ppm, time_ms);
+                Some(control_reply::Kind::Rollout(outcome))
+            }
+            Operation::RolloutStep(step) => {
+                let time_ms = self.claims.time_ms();
+                self.config.apply_rollout_step(&step, time_ms);
+                None
+            }
         }
     }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -619,6 +619,9 @@
     /// Number of customers on the list.
     #[prost(uint64, tag = "11")]
     pub customers: u64,
+    /// The newest roll-out of each service.
+    #[prost(message, repeated, tag = "12")]
+    pub rollouts: Vec<crate::rollout::Rollout>,
 }
 
 /// Reads past changes.
