--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -4,7 +4,8 @@
 use crate::reader::Reader;
 use crate::settings::{
     ControlSettings, DaemonSettings, GateSettings, LimitSettings, ListenSettings, LogSettings,
-    OperatorSettings, QuotaSettings, RoutingSettings, Settings, StopSettings, UpstreamSettings,
+    OperatorSettings, QuotaSettings, RolloutSettings, RoutingSettings, Settings, StopSettings,
+    UpstreamSettings,
 };
 use crate::value::{
     address, addresses, count, format_time, http_path, name, path, ratio, size, time, yes_no,
@@ -24,6 +25,7 @@
     "hedge-ratio",
     "quota",
     "control",
+    "rollout",
     "operators",
     "limits",
     "stop",
@@ -36,6 +38,7 @@
 const MAX_PER_SECOND: u32 = 10_000_000;
 const MAX_CLAIMS: u64 = 100_000_000;
 const MAX_SNAPSHOT_ENTRIES: u64 = 10_000_000;
+const MAX_CANARY_SLACK: u32 = 1_000_000;
 const MAX_CONNECTIONS: usize = 1_000_000;
 
 const HEADER_BYTES: RangeInclusive<u64> = 1 << 10..=1 << 20;
@@ -48,6 +51,7 @@
 const LEASE: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const ELECTION: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const CLAIM_RETENTION: RangeInclusive<Duration> = ms(1_000)..=DAYS_30;
+const ROLLBACK: RangeInclusive<Duration> = ms(1_000)..=MINUTE;
 const BLOCK: RangeInclusive<Duration> = ms(50)..=MINUTE;
 const TEN_MS_TO_A_DAY: RangeInclusive<Duration> = ms(10)..=DAY;
 const UP_TO_A_DAY: RangeInclusive<Duration> = Duration::ZERO..=DAY;
@@ -98,6 +102,7 @@
         let hedge_ratios = reader.section("hedge-ratio").named_values("service", ratio);
         let quota = read_quota(&reader);
         let control = read_control(&reader, listen.as_ref());
+        let rollout = read_rollout(&reader);
         let operators = read_operators(&reader, listen.as_ref());
         let limits = read_limits(&reader);
         let stop = read_stop(&reader);
@@ -112,6 +117,7 @@
             hedge_ratios,
             quota,
             control,
+            rollout,
             operators,
             limits,
             stop,
@@ -316,6 +322,18 @@
     Some(format!("replica {address} is listed twice"))
 }
 
+fn read_rollout(reader: &Reader<'_>) -> RolloutSettings {
+    let mut keys = reader.section("rollout");
+    let mut cfg = RolloutSettings::default();
+    keys.set("canary-share", &mut cfg.canary_share, ratio);
+    keys.set("canary-slack", &mut cfg.canary_slack, |t| {
+        count(t, 0..=MAX_CANARY_SLACK)
+    });
+    keys.set("rollback", &mut cfg.rollback, |t| time(t, ROLLBACK));
+    keys.report_unknown_keys();
+    cfg
+}
+
 fn read_operators(reader: &Reader<'_>, listen: Option<&ListenSettings>) -> OperatorSettings {
     let mut keys = reader.section("operators");
     let token_file = keys.get("token-file", path);
