--- a/crates/api/src/announce.rs
+++ b/crates/api/src/announce.rs
@@ -16,6 +16,9 @@
     /// Whether the upstream is about to stop and must get no new requests.
     #[serde(default)]
     pub leaving: bool,
+    /// Version of its software, or empty if it states none.
+    #[serde(default)]
+    pub version: String,
 }
 
 impl From<AnnounceBody> for Announcement {
@@ -25,6 +28,7 @@
             slots: body.slots,
             boot: body.boot,
             leaving: body.leaving,
+            version: body.version,
             ..Self::default()
         }
     }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -4,11 +4,13 @@
 mod announce;
 mod change;
 mod paths;
+mod rollout;
 mod status;
 
 pub use announce::AnnounceBody;
 pub use change::{
     ChangeBody, ErrorBody, HistoryBody, HistoryItem, Operation, OutcomeBody, Verdict,
 };
-pub use paths::{ANNOUNCE, CHANGES, HEALTH, HISTORY, INITIALISE, METRICS, STATUS};
+pub use paths::{ANNOUNCE, CHANGES, HEALTH, HISTORY, INITIALISE, METRICS, ROLLOUTS, STATUS};
+pub use rollout::{RolloutBody, RolloutOrderBody, RolloutState};
 pub use status::{ServiceStatus, StatusBody, UpstreamStatus};
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,9 +9,11 @@
 mod freshness;
 mod homes;
 mod registry;
+mod rollout;
 mod view;
 
 pub use freshness::Freshness;
 pub use homes::{MAX_HOMES, homes_hash};
 pub use registry::Registry;
+pub use rollout::{ROLLOUT_CONFIRMATION, is_excluded, is_shared, is_unfinished};
 pub use view::{FleetView, SUBSCRIPTION_IDLE, ServiceView, Upstream};
--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -122,6 +122,11 @@
         self.may_have_restarted = true;
     }
 
+    /// Returns whether the upstream states that it is cold.
+    pub(crate) fn is_stated(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns whether the rate limit applies now.
     pub(crate) fn is_cold(&self, now: Duration) -> bool {
         self.limit.is_some() && (self.may_have_restarted || now < self.cold_until)
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -354,6 +354,12 @@
         self.cold_rate.suspect_restart();
     }
 
+    /// Returns whether the upstream states that it is cold.
+    #[must_use]
+    pub fn is_stated_cold(&self, now: Duration) -> bool {
+        self.cold_rate.is_stated(now)
+    }
+
     /// Gives a request a slot, or queues it for a short time.
     ///
     /// # Errors
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -10,13 +10,16 @@
 mod crash;
 mod crash_counts;
 mod dispatched;
+mod evidence;
 mod jobs;
 mod load;
 mod message;
 mod recent_entries;
+mod rollout;
 mod statements;
 mod suspects;
 
+pub use evidence::{Evidence, EvidenceRun, UpstreamState};
 pub use load::REPORT_READ_COST_BYTES;
 pub use message::{Arrival, Effect, Event};
 pub use statements::{ReadStatement, StatementCounts};
@@ -63,6 +66,7 @@
     breaks: Breaks,
     crash_counts: CrashCounts,
     completions: Completions,
+    evidence: Evidence,
     /// Term of the leader to which all crash counts were reported.
     counts_reported_in: Term,
     measuring: MeasuringBudget,
@@ -104,6 +108,7 @@
             breaks: Breaks::default(),
             crash_counts: CrashCounts::default(),
             completions: Completions::default(),
+            evidence: Evidence::default(),
             counts_reported_in: 0,
             measuring: MeasuringBudget::new(routing.probe_bytes, routing.probe_messages),
             recent_entries: RecentEntries::default(),
@@ -137,7 +142,10 @@
             }
             Event::Informed(restriction) => self.on_informed(&restriction, cx),
             Event::Cancelled(ticket) => self.cancel(ticket, Effect::Cancel(ticket), cx),
-            Event::ResponseStarted(ticket, read) => self.on_statement(ticket, read, cx),
+            Event::ResponseStarted(ticket, read) => {
+                self.record_run_response(ticket, cx.now);
+                self.on_statement(ticket, read, cx);
+            }
             Event::HealthResponse(read) => self.on_health_statement(read, cx),
             Event::Ended(ticket, outcome) => self.on_ended(ticket, outcome, cx),
             Event::Announced(announcement) => self.announce(announcement, cx),
@@ -165,6 +173,7 @@
             self.gate.set_longest_deadline(longest);
         }
         self.limit_cold(cx);
+        self.review_rollout(cx);
         self.expire(cx);
         self.jobs
             .end_hung_exclusivity(cx.now.saturating_sub(HUNG_TIMEOUT));
@@ -241,7 +250,10 @@
         match self.gate.announce(cx.now, announcement) {
             Some(lost) => {
                 let lost = lost.into_iter();
-                let lost = lost.filter_map(|ticket| self.jobs.remove(ticket)).collect();
+                let lost: Vec<Job> = lost.filter_map(|ticket| self.jobs.remove(ticket)).collect();
+                for job in &lost {
+                    self.record_run_end(job, Outcome::Broken, cx.now);
+                }
                 self.upstream_restarted(lost, cx);
             }
             None => self.record_sign_of_life(cx),
@@ -253,6 +265,7 @@
             cx.agent.service(&announced.service);
             cx.agent.announce(announced.clone());
         }
+        self.review_rollout(cx);
     }
 
     /// Schedules a request that has arrived, or one whose permit changed while
@@ -342,6 +355,7 @@
             self.dispatched.add(job.arrival.claim);
         }
         job.stage = Stage::Running;
+        job.run = Some(self.begin_run(cx.now));
         self.jobs.insert(job);
         push(cx, Effect::Run(ticket));
     }
@@ -414,6 +428,7 @@
         let Some(job) = self.jobs.remove(ticket) else {
             return;
         };
+        self.record_run_end(&job, outcome, cx.now);
         match outcome {
             Outcome::Whole(_) if job.exclusive => self.acquit(job.arrival.fingerprint, cx),
             Outcome::Whole(_) => self.record_completion(job.arrival.fingerprint, cx),
@@ -433,6 +448,7 @@
     /// Drops a request that was not dispatched, or asks the upstream to cancel
     /// a running one.
     fn cancel(&mut self, ticket: Ticket, effect: Effect, cx: &mut Cx<'_>) {
+        self.record_run_cancelled(ticket, cx.now);
         let Some(job) = self.jobs.get_mut(ticket) else {
             return;
         };
--- a/crates/node/src/admission/jobs.rs
+++ b/crates/node/src/admission/jobs.rs
@@ -1,5 +1,6 @@
 //! Requests that wait at this gate or run at its upstream.
 
+use super::evidence::EvidenceRun;
 use super::message::Arrival;
 use gate::Ticket;
 use std::collections::BTreeMap;
@@ -34,6 +35,8 @@
     /// Whether it runs, or has to run, exclusively.
     pub(super) exclusive: bool,
     pub(super) stuck: bool,
+    /// Its run at the upstream, once it was dispatched.
+    pub(super) run: Option<EvidenceRun>,
 }
 
 impl Job {
@@ -46,6 +49,7 @@
             stage: Stage::AwaitingExclusive,
             exclusive: false,
             stuck: false,
+            run: None,
         }
     }
 }
@@ -57,6 +61,11 @@
 }
 
 impl Jobs {
+    /// Returns the number of requests.
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
     pub(super) fn insert(&mut self, job: Job) {
         self.jobs.insert(job.arrival.ticket, job);
     }
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -4,10 +4,11 @@
 use crate::context::Cx;
 use crate::millis::millis;
 use crate::verdict::verdict_ttl;
+use fleet::{ServiceView, Upstream, is_excluded, is_shared};
 use pick::rendezvous;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{DataCentreId, Fingerprint, RefuseReason, SuspectState, UpstreamId, Verdict};
+use wire::{DataCentreId, Fingerprint, RefuseReason, Rollout, SuspectState, UpstreamId, Verdict};
 
 /// Maximum number of requests with a recorded verdict.
 const MAX_RECORDS: usize = 10_000;
@@ -127,17 +128,29 @@
 
 /// Returns the upstreams of a service that accept work.
 pub(super) fn eligible_upstreams(service: &str, cx: &mut Cx<'_>) -> Vec<UpstreamId> {
+    let rollout = cx.agent.rollout(service).cloned();
     let Some(view) = cx.agent.service(service) else {
         return Vec::new();
     };
     let accepting = view.upstreams.iter().filter(|(_, u)| !u.leaving);
-    let mut names: Vec<(UpstreamId, DataCentreId)> = accepting
+    let allowed = accepting.filter(|(_, u)| takes_suspects(rollout.as_ref(), u, view));
+    let mut names: Vec<(UpstreamId, DataCentreId)> = allowed
         .map(|(name, u)| (name.clone(), u.data_centre.clone()))
         .collect();
     names.retain(|(name, data_centre)| !cx.agent.is_out(name, data_centre));
     names.into_iter().map(|(name, _)| name).collect()
 }
 
+/// Returns whether the roll-out of the service allows an upstream to run suspected
+/// requests. The new version gets none while its share is limited, because a suspected
+/// request may go to one upstream only.
+fn takes_suspects(rollout: Option<&Rollout>, upstream: &Upstream, view: &ServiceView) -> bool {
+    rollout.is_none_or(|r| {
+        let is_new = is_shared(r) && upstream.version == r.version;
+        !is_new && !is_excluded(r, &upstream.version, Some(view))
+    })
+}
+
 /// Chooses the only upstream that may run a suspected request: another than the
 /// crashed one if there is one.
 pub(super) fn assign_upstream(
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -26,7 +26,8 @@
 use std::time::Duration;
 use wire::{
     Announcement, Body, ConfigVersion, ControlReply, DataCentreId, Fingerprint, Heartbeat,
-    HeartbeatReply, LinkKind, QuotaHome, Term, UpstreamId, control_reply, control_request,
+    HeartbeatReply, LinkKind, QuotaHome, Rollout, Term, UpstreamId, VersionEvidence, control_reply,
+    control_request,
 };
 
 pub use conf::Configuration;
@@ -93,6 +94,8 @@
     leader: Option<CompactString>,
     heartbeats: Heartbeats,
     upstream: Option<Announcement>,
+    in_progress: u32,
+    evidence: Option<VersionEvidence>,
     requests: Requests,
     rng: SmallRng,
 }
@@ -141,6 +144,8 @@
             leader: None,
             heartbeats: Heartbeats::new(control.heartbeat_interval, control.lease),
             upstream: None,
+            in_progress: 0,
+            evidence: None,
             requests: Requests::default(),
         }
     }
@@ -188,6 +193,40 @@
         self.view.service(service)
     }
 
+    /// Returns the upstreams of a service that the daemon subscribes to already.
+    pub(crate) fn known_service(&self, service: &str) -> Option<&ServiceView> {
+        self.view.service(service)
+    }
+
+    /// Returns the newest roll-out of a service.
+    pub(crate) fn rollout(&self, service: &str) -> Option<&Rollout> {
+        self.config.rollouts.get(service)
+    }
+
+    /// Returns whether a roll-out excludes the upstreams of a version.
+    #[must_use]
+    pub fn is_version_excluded(&self, service: &str, version: &str) -> bool {
+        let view = self.view.service(service);
+        let rollout = self.rollout(service);
+        rollout.is_some_and(|rollout| fleet::is_excluded(rollout, version, view))
+    }
+
+    /// Returns whether a heartbeat will be sent at the next tick, if that is now.
+    pub(crate) fn is_heartbeat_due(&self, now: Duration) -> bool {
+        self.heartbeats.is_due(now) || self.heartbeats.reply_overdue(now)
+    }
+
+    /// Sets what the next heartbeat reports about the upstream on this VM: the requests
+    /// in progress there, and its responses during a roll-out.
+    pub(crate) fn set_upstream_progress(
+        &mut self,
+        in_progress: u32,
+        evidence: Option<VersionEvidence>,
+    ) {
+        self.in_progress = in_progress;
+        self.evidence = evidence;
+    }
+
     /// Returns the daemons that keep the ledgers of the customers' limits.
     #[must_use]
     pub fn homes(&self) -> &[QuotaHome] {
@@ -401,8 +440,8 @@
             homes_hash: homes_hash(&self.homes),
             supports_routing_changes: true,
             age_ms: millis(age),
-            evidence: None,
-            in_progress: 0,
+            evidence: self.evidence.clone(),
+            in_progress: self.in_progress,
         };
         self.send(Body::Heartbeat(heartbeat), tx);
     }
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -7,10 +7,11 @@
 use crate::millis::millis;
 use conf::PageOutcome;
 use log::Level;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{
-    ConfigDelta, ConfigVersion, Fingerprint, HeartbeatReply, Suspect, SuspectState, Term, Verdict,
-    control_request,
+    ConfigDelta, ConfigVersion, Fingerprint, HeartbeatReply, Rollout, ServiceId, Suspect,
+    SuspectState, Term, Verdict, control_request,
 };
 
 /// Maximum number of convictions kept.
@@ -51,8 +52,10 @@
     }
 
     fn apply_config(&mut self, term: Term, delta: ConfigDelta, tx: &mut Vec<Effect>) {
+        let rollouts = self.config.rollouts.clone();
         match self.receiver.receive_page(&mut self.config, term, delta) {
             Ok(PageOutcome::Applied) => {
+                log_rollouts(&rollouts, &self.config.rollouts, tx);
                 self.subscribe_routed();
                 self.heartbeats.schedule_now();
                 tx.push(Effect::Log(LogLine {
@@ -153,6 +156,33 @@
     }
 }
 
+/// Reports the roll-outs that differ from those before.
+fn log_rollouts(
+    before: &BTreeMap<ServiceId, Rollout>,
+    now: &BTreeMap<ServiceId, Rollout>,
+    tx: &mut Vec<Effect>,
+) {
+    let changed = now
+        .iter()
+        .filter(|(service, r)| before.get(*service) != Some(r));
+    tx.extend(changed.map(|(service, rollout)| {
+        Effect::Log(LogLine {
+            level: Level::Info,
+            event: "rollout_state",
+            pairs: vec![
+                ("service", service.to_string()),
+                ("target_version", rollout.version.clone()),
+                ("rollout", rollout.id.to_string()),
+                ("step", rollout.step.to_string()),
+                ("stage", format!("{:?}", rollout.stage())),
+                ("share_ppm", rollout.share_ppm.to_string()),
+                ("replaced", rollout.replaced_versions.join(",")),
+                ("reason", rollout.reason.clone()),
+            ],
+        })
+    }));
+}
+
 /// Reports that the control plane has an older configuration than the one that
 /// this daemon reported: the cluster lost committed versions.
 fn version_lost(held: ConfigVersion, control: ConfigVersion) -> Effect {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,10 +14,12 @@
 mod request;
 mod restrictions;
 mod route;
+mod versions;
 mod wait_estimate;
 
 pub use message::{Attempt, Effect, Event, Request, RouteKey};
 pub use refusal::{Reason, Refusal, RunState};
+pub use versions::{VersionCount, VersionKey};
 
 use crate::context::Cx;
 use conf::Settings;
@@ -27,6 +29,7 @@
 use restrictions::Restrictions;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use versions::Versions;
 use wait_estimate::WaitEstimator;
 use wire::{Fingerprint, LoadUpdate, RequestId, ServiceId};
 
@@ -66,6 +69,7 @@
     pickers: BTreeMap<ServiceId, Picker>,
     reachability: Reachability,
     restrictions: Restrictions,
+    versions: Versions,
     budgets: BTreeMap<ServiceId, Budgets>,
     retry_limits: RatioLimits,
     hedge_limits: RatioLimits,
@@ -105,6 +109,7 @@
             pickers: BTreeMap::new(),
             reachability: Reachability::new(),
             restrictions: Restrictions::default(),
+            versions: Versions::default(),
             budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
             hedge_limits: limits(routing.hedge_ratio),
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -6,9 +6,9 @@
 use super::request::{ActiveRequest, AttemptState, ClaimState, EntryView, Purpose};
 use super::{Entry, push};
 use crate::context::Cx;
-use fleet::ServiceView;
+use fleet::{ServiceView, Upstream, is_excluded};
 use pick::{Candidate, Estimate, Picker};
-use wire::{RequestId, SettleKind};
+use wire::{RequestId, Rollout, SettleKind, UpstreamId};
 
 /// Maximum number of requests that wait for the view of their service.
 const MAX_AWAITING_VIEW: usize = 1_000;
@@ -81,7 +81,8 @@
         if !matches!(purpose, Purpose::First | Purpose::Repick) {
             return None;
         }
-        let tried = active.tried_upstreams();
+        let mut tried = active.tried_upstreams();
+        tried.extend(self.version_choices(active, cx).pop().unwrap_or_default());
         let picker = self.pickers.get_mut(&active.request.service)?;
         let preference = active.preference();
         if let Some(earliest) = picker.full_for(cx.now, &tried, preference) {
@@ -109,28 +110,22 @@
     /// only go to an unreachable data centre gets none, because it would wait there in
     /// vain.
     fn choose(&mut self, id: RequestId, purpose: Purpose, cx: &mut Cx<'_>) -> Option<Estimate> {
-        let active = self.active.get(&id)?;
-        let service = active.request.service.clone();
-        let tried = active.tried_upstreams();
-        let only_at = active.only_at.clone();
-        let demand = active.demand(cx.now);
-        let data_centre = cx.agent.data_centre.clone();
-        let own_upstream = cx.agent.name.clone();
-        let now = cx.now;
+        let service = self.active.get(&id)?.request.service.clone();
         self.refresh_picker(&service, cx)?;
-        let entry = EntryView {
-            data_centre: &data_centre,
-            own_upstream: &own_upstream,
-            reachability: &self.reachability,
-        };
-        let request = demand.pick_request(entry, &tried);
-        let picker = self.pickers.get_mut(&service)?;
-        let chosen = match only_at {
-            Some(only) if tried.contains(&only) => None,
-            Some(only) => picker.estimate(now, &only, request),
-            None => picker.choose(now, cx.rng, request),
-        };
-        let chosen = chosen.filter(|estimate| !estimate.unreachable);
+        let choices = self.version_choices(self.active.get(&id)?, cx);
+        let mut left = choices.len();
+        let mut chosen = None;
+        for skipped in choices {
+            left -= 1;
+            chosen = self.choose_except(id, skipped, cx);
+            if left > 0 {
+                chosen = chosen.filter(|estimate| self.has_room(id, estimate, cx));
+            }
+            if chosen.is_some() {
+                break;
+            }
+        }
+        let now = cx.now;
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
             Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
@@ -139,21 +134,60 @@
         chosen.filter(|_| paid)
     }
 
+    /// Chooses an upstream that was not tried and is not among the `skipped` ones.
+    fn choose_except(
+        &mut self,
+        id: RequestId,
+        skipped: Vec<UpstreamId>,
+        cx: &mut Cx<'_>,
+    ) -> Option<Estimate> {
+        let active = self.active.get(&id)?;
+        let mut tried = active.tried_upstreams();
+        tried.extend(skipped);
+        let demand = active.demand(cx.now);
+        let entry = EntryView {
+            data_centre: &cx.agent.data_centre,
+            own_upstream: &cx.agent.name,
+            reachability: &self.reachability,
+        };
+        let request = demand.pick_request(entry, &tried);
+        let picker = self.pickers.get_mut(&active.request.service)?;
+        let chosen = match &active.only_at {
+            Some(only) if tried.contains(only) => None,
+            Some(only) => picker.estimate(cx.now, only, request),
+            None => picker.choose(cx.now, cx.rng, request),
+        };
+        chosen.filter(|estimate| !estimate.unreachable)
+    }
+
+    /// Returns whether an upstream is expected to take the request, so that no other
+    /// version needs to be considered.
+    fn has_room(&self, id: RequestId, estimate: &Estimate, cx: &Cx<'_>) -> bool {
+        !estimate.unavailable && self.can_meet_deadline(id, estimate, cx)
+    }
+
     fn send(&mut self, id: RequestId, purpose: Purpose, estimate: &Estimate, cx: &mut Cx<'_>) {
-        let Some(active) = self.active.get_mut(&id) else {
+        let Some(active) = self.active.get(&id) else {
             return;
         };
+        let service = active.request.service.clone();
         let upstream = &estimate.upstream;
-        let view = cx.agent.service(&active.request.service);
+        let view = cx.agent.service(&service);
         let Some(known) = view.and_then(|view| view.upstreams.get(upstream)) else {
             return;
         };
         let address = known.address.clone();
+        let version = known.version.clone();
         self.reachability.record_sent(cx.now, &known.data_centre);
+        let version = self.record_version_sent(&service, &version, cx);
+        let Some(active) = self.active.get_mut(&id) else {
+            return;
+        };
         let is_last = active.count(AttemptState::NotRun) >= self.max_repicks;
         let mut attempt = active.start_attempt(purpose, upstream, address, cx.now);
+        active.set_version(attempt.attempt, version);
         attempt.known_restriction = self.restrictions.get(upstream);
-        if let Some(picker) = self.pickers.get_mut(&active.request.service) {
+        if let Some(picker) = self.pickers.get_mut(&service) {
             if self.by_expected_finish {
                 // The last free attempt states no slowness, so the gate cannot
                 // refuse it as slower than assumed: a slow gate is better than
@@ -171,8 +205,11 @@
     /// Updates the picker of a service from the agent's view; returns `None`
     /// while the agent has no view of the service.
     pub(super) fn refresh_picker(&mut self, service: &str, cx: &mut Cx<'_>) -> Option<&mut Picker> {
-        let mut candidates = candidates(cx.agent.service(service)?);
+        let rollout = cx.agent.rollout(service).cloned();
+        let view = cx.agent.service(service)?;
+        let mut candidates = candidates(view, rollout.as_ref());
         candidates.retain(|c| !cx.agent.is_out(&c.upstream, &c.data_centre));
+        self.update_versions(service, cx);
         let settings = self.pick;
         let picker = self
             .pickers
@@ -246,9 +283,12 @@
     Ok(())
 }
 
-fn candidates(view: &ServiceView) -> Vec<Candidate> {
+/// Returns the upstreams that accept requests and that the roll-out does not exclude.
+fn candidates(view: &ServiceView, rollout: Option<&Rollout>) -> Vec<Candidate> {
     let accepting = view.upstreams.iter().filter(|(_, u)| !u.leaving);
+    let excluded = |u: &Upstream| rollout.is_some_and(|r| is_excluded(r, &u.version, Some(view)));
     accepting
+        .filter(|(_, u)| !excluded(u))
         .map(|(name, upstream)| Candidate {
             upstream: name.clone(),
             data_centre: upstream.data_centre.clone(),
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -77,7 +77,10 @@
         sent: &SentAttempt,
         cx: &Cx<'_>,
     ) -> bool {
-        let upstreams = active.tried_upstreams();
+        let mut upstreams = active.tried_upstreams();
+        if let [skipped] = &mut self.version_choices(active, cx)[..] {
+            upstreams.append(skipped);
+        }
         let demand = active.demand(cx.now);
         let entry = EntryView {
             data_centre: &cx.agent.data_centre,
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -118,6 +118,7 @@
         };
         let latency = cx.now.saturating_sub(sent.sent_at);
         let upstream = sent.upstream.clone();
+        let version = sent.version.clone();
         active.relayed = Some((attempt, status));
         push(cx.tx, Effect::Relay(id, attempt));
         let reply = if status >= MIN_SERVER_ERROR {
@@ -128,6 +129,7 @@
         let class = active.class_name.clone();
         let service = active.request.service.clone();
         self.record_reachable(&service, &upstream, cx);
+        self.record_version_response(&service, &version, status >= MIN_SERVER_ERROR, cx);
         if let Some(picker) = self.pickers.get_mut(&service) {
             picker.record_reply(cx.now, &upstream, reply, load);
             if status < MIN_SERVER_ERROR {
@@ -232,8 +234,10 @@
         };
         let service = active.request.service.clone();
         let fingerprint = active.request.fingerprint;
+        let new = self.limited_upstreams(&service, cx);
         let only = self.refresh_picker(&service, cx).and_then(|picker| {
-            let names = picker.upstreams().filter(|name| *name != broken);
+            let names = picker.upstreams();
+            let names = names.filter(|name| *name != broken && !new.contains(name));
             rendezvous(fingerprint, names).cloned()
         });
         if let Some(active) = self.active.get_mut(&id) {
@@ -356,14 +360,19 @@
         let sent = active.in_flight_attempt(attempt)?;
         sent.state = state;
         let upstream = sent.upstream.clone();
+        let version = sent.version.clone();
         let refund = std::mem::take(&mut sent.delegated_retries);
         if state == AttemptState::NotRun {
             active.retry_budget += refund;
         }
-        if let Some(picker) = self.pickers.get_mut(&active.request.service) {
+        let service = active.request.service.clone();
+        if let Some(picker) = self.pickers.get_mut(&service) {
             picker.record_reply(cx.now, &upstream, reply, load);
             picker.record_end(&upstream);
         }
+        if state == AttemptState::NotRun {
+            self.record_version_not_run(&service, &version);
+        }
         Some(upstream)
     }
 
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -3,6 +3,7 @@
 use super::message::{Attempt, Request};
 use super::refusal::{Reason, RefusalCause};
 use super::route;
+use super::versions::AttemptVersion;
 use super::wait_estimate::WaitEstimator;
 use crate::context::Cx;
 use compact_str::CompactString;
@@ -69,6 +70,8 @@
     /// Retries delegated to the call tree below.
     pub(super) delegated_retries: u32,
     pub(super) state: AttemptState,
+    /// Version of the upstream, and the roll-out of its service.
+    pub(super) version: AttemptVersion,
     /// Whether the upstream may be chosen again, because it was only slower
     /// than assumed.
     pub(super) reselectable: bool,
@@ -229,6 +232,7 @@
             expected: Duration::ZERO,
             delegated_retries: delegated,
             state: AttemptState::InFlight,
+            version: AttemptVersion::default(),
             reselectable: false,
         });
         Attempt {
@@ -250,6 +254,13 @@
         }
     }
 
+    /// Records the version of the upstream of an attempt.
+    pub(super) fn set_version(&mut self, number: AttemptId, version: AttemptVersion) {
+        if let Some(sent) = self.in_flight_attempt(number) {
+            sent.version = version;
+        }
+    }
+
     /// Records the expected response time of an attempt.
     pub(super) fn set_expected(&mut self, number: AttemptId, expected: Duration) {
         if let Some(sent) = self.in_flight_attempt(number) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -121,6 +121,7 @@
     if let Some(control) = &mut node.control {
         control.tick(now, unix_ms, tx);
     }
+    report_progress(node, now);
     let results = node.agent.tick(now, tx);
     deliver(node, now, results, tx);
     node.allowances.tick(now, &node.agent, tx);
@@ -128,6 +129,16 @@
     with_admission(node, now, tx, Admission::tick);
 }
 
+/// Tells the agent what is in progress at the upstream, exactly at the time of the
+/// heartbeat: the leader takes an excluded version for idle by it.
+fn report_progress(node: &mut Node, now: Duration) {
+    if node.agent.is_heartbeat_due(now) {
+        let evidence = node.admission.evidence();
+        let in_progress = node.admission.in_progress();
+        node.agent.set_upstream_progress(in_progress, evidence);
+    }
+}
+
 fn handle_message(
     node: &mut Node,
     now: Duration,
@@ -141,6 +152,7 @@
             node.agent.heartbeat_reply(now, reply, tx);
             with_entry(node, now, tx, Entry::view_changed);
             with_admission(node, now, tx, Admission::review_crash_counts);
+            with_admission(node, now, tx, Admission::review_rollout);
         }
         Body::ControlReply(reply) => {
             let results = node.agent.control_reply(now, reply, tx);
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -13,6 +13,7 @@
 mod score;
 mod stats;
 mod straggler;
+mod version_share;
 
 pub use budget::{MeasuringBudget, MeasuringCount, RatioBudget, RatioLimits};
 pub use picker::{Candidate, Estimate, PickRequest, PickSettings, Picker, Reply};
@@ -20,3 +21,4 @@
 pub use quantile::LatencyQuantiles;
 pub use reachability::Reachability;
 pub use rendezvous::rendezvous;
+pub use version_share::VersionShare;
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -121,6 +121,9 @@
     pub believed_slow_percent: u32,
     /// Whether the entry cannot reach the data centre of the upstream.
     pub unreachable: bool,
+    /// Whether the upstream accepted no work lately, or does not respond while others
+    /// do.
+    pub unavailable: bool,
 }
 
 /// Load and candidates of one service.
@@ -315,6 +318,13 @@
             finish: Duration::try_from_secs_f64(chosen.finish).unwrap_or(Duration::MAX),
             believed_slow_percent: (slowness * finish::HUNDREDTHS).round() as u32,
             unreachable: chosen.unreachable,
+            unavailable: stats.unavailable_until > now
+                || straggler::is_unresponsive(
+                    stats,
+                    peers.median,
+                    peers.last_activity_except(&candidate.upstream),
+                    now,
+                ),
         })
     }
 
--- a/crates/plumhitch/src/args.rs
+++ b/crates/plumhitch/src/args.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use std::path::PathBuf;
+use std::time::Duration;
 
 const DEFAULT_TIMEOUT_S: u64 = 30;
 const DEFAULT_HISTORY_LIMIT: u32 = 20;
@@ -74,6 +75,7 @@
     History(History),
     DataCentre(DataCentre),
     Upstream(Upstream),
+    Rollout(Rollout),
     Initialise(Initialise),
 }
 
@@ -191,6 +193,64 @@
     pub(crate) name: String,
 }
 
+/// Moves the traffic of a service to upstreams of another version, or shows how far
+/// that is.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "rollout")]
+pub(crate) struct Rollout {
+    #[argh(subcommand)]
+    pub(crate) action: RolloutAction,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub(crate) enum RolloutAction {
+    Start(StartRollout),
+    Status(RolloutStatus),
+}
+
+/// Orders a roll-out: the new version gets a small share first, then all requests. It
+/// is rolled back if its responses are worse than those of the old version.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "start")]
+pub(crate) struct StartRollout {
+    /// name of the service
+    #[argh(positional)]
+    pub(crate) service: String,
+    /// version that the upstreams to move to announce
+    #[argh(positional)]
+    pub(crate) version: String,
+    /// time within which the roll-out is to be complete, such as 90s, 1500ms or 10m
+    #[argh(option, arg_name = "duration", from_str_fn(parse_duration))]
+    pub(crate) within: Duration,
+}
+
+/// Shows the newest roll-out of a service.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct RolloutStatus {
+    /// name of the service
+    #[argh(positional)]
+    pub(crate) service: String,
+}
+
+/// Parses a duration above 0: a whole number with the unit `ms`, `s`, `m` or `h`.
+fn parse_duration(text: &str) -> Result<Duration, String> {
+    let digits = text.trim_end_matches(|c: char| !c.is_ascii_digit());
+    let unit_ms = match text.get(digits.len()..) {
+        Some("ms") => 1,
+        Some("s") => 1_000,
+        Some("m") => 60_000,
+        Some("h") => 3_600_000,
+        _ => 0,
+    };
+    let number = digits.parse::<u64>().ok();
+    let ms = number.and_then(|n| n.checked_mul(unit_ms));
+    let ms = ms.filter(|ms| *ms > 0);
+    ms.map(Duration::from_millis)
+        .ok_or_else(|| format!("'{text}' is no duration above 0; valid: 90s, 1500ms, 10m"))
+}
+
 /// Makes the empty control replica of one daemon the first replica of a new
 /// fleet. Run it once, when the fleet is set up; the other replicas join
 /// automatically. Refused if that daemon finds an existing fleet, for which it
--- a/crates/plumhitch/src/client.rs
+++ b/crates/plumhitch/src/client.rs
@@ -3,7 +3,10 @@
 
 use crate::args::Args;
 use crate::failure::Failure;
-use api::{ChangeBody, ErrorBody, HistoryBody, OutcomeBody, StatusBody, Verdict};
+use api::{
+    ChangeBody, ErrorBody, HistoryBody, OutcomeBody, RolloutBody, RolloutOrderBody, StatusBody,
+    Verdict,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use reqwest::{Method, StatusCode, Url, redirect};
@@ -17,6 +20,9 @@
 const DAEMONS_VAR: &str = "PLUMHITCH_DAEMONS";
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time for sending an order for a roll-out again. The same order starts a new
+/// roll-out from 30 s after the one before was rolled back.
+const MAX_ORDER_TIME: Duration = Duration::from_secs(25);
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -107,6 +113,35 @@
         self.send_with_retries(&request, parse_outcome).await
     }
 
+    /// Sends an order for a roll-out until a daemon reports that it is committed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Unknown`] when the order may have been committed, and another
+    /// failure when it was certainly not.
+    pub(crate) async fn start_rollout(
+        &mut self,
+        order: &RolloutOrderBody,
+    ) -> Result<RolloutBody, Failure> {
+        self.deadline = self.deadline.min(Instant::now() + MAX_ORDER_TIME);
+        let body = serde_json::to_vec(order).map_err(|e| Failure::Failed(e.to_string()))?;
+        let request = Request {
+            method: Method::POST,
+            path: api::ROLLOUTS.to_owned(),
+            body: Some(body),
+        };
+        self.send_with_retries(&request, parse_rollout).await?
+    }
+
+    /// Requests the newest roll-out of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Failed`] when there is none, or no daemon responded in time.
+    pub(crate) async fn rollout(&mut self, service: &str) -> Result<RolloutBody, Failure> {
+        self.get(format!("{}/{service}", api::ROLLOUTS)).await
+    }
+
     /// Makes the empty control replica of the only daemon the first of a new
     /// fleet. The request is sent once, to one daemon, and only after that daemon
     /// has found no leader: two first replicas would create two fleets.
@@ -250,6 +285,22 @@
     }
 }
 
+/// Parses the response to an order for a roll-out; `None` if it says nothing about it.
+fn parse_rollout(status: StatusCode, body: &[u8]) -> Option<Result<RolloutBody, Failure>> {
+    match status {
+        StatusCode::OK => serde_json::from_slice(body).ok().map(Ok),
+        StatusCode::CONFLICT => {
+            let reason = error_message(status, body);
+            Some(Err(Failure::RolloutInProgress(reason)))
+        }
+        StatusCode::UNPROCESSABLE_ENTITY => {
+            let reason = error_message(status, body);
+            Some(Err(Failure::InvalidRollout(reason)))
+        }
+        _ => None,
+    }
+}
+
 /// Parses an outcome; `None` if its verdict does not match the HTTP status.
 fn parse_outcome(status: StatusCode, body: &[u8]) -> Option<OutcomeBody> {
     let outcome: OutcomeBody = serde_json::from_slice(body).ok()?;
--- a/crates/plumhitch/src/failure.rs
+++ b/crates/plumhitch/src/failure.rs
@@ -28,6 +28,10 @@
     Findings(Findings),
     /// The daemon rejected the lists with findings.
     Invalid(SentChange, Box<OutcomeBody>),
+    /// The order for a roll-out has findings.
+    InvalidRollout(String),
+    /// Another roll-out of the service is in progress.
+    RolloutInProgress(String),
     /// Another change was accepted on the same base first.
     Conflict(SentChange, Box<OutcomeBody>),
     /// The request was sent, but its outcome is not known.
@@ -38,8 +42,8 @@
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
             Self::Failed(_) => EXIT_FAILED,
-            Self::Findings(_) | Self::Invalid(..) => EXIT_FINDINGS,
-            Self::Conflict(..) => EXIT_CONFLICT,
+            Self::Findings(_) | Self::Invalid(..) | Self::InvalidRollout(_) => EXIT_FINDINGS,
+            Self::Conflict(..) | Self::RolloutInProgress(_) => EXIT_CONFLICT,
             Self::Unknown(..) => EXIT_UNKNOWN,
         }
     }
@@ -48,8 +52,8 @@
     pub(crate) fn outcome(&self) -> &'static str {
         match self {
             Self::Failed(_) => "failed",
-            Self::Findings(_) | Self::Invalid(..) => "invalid",
-            Self::Conflict(..) => "conflict",
+            Self::Findings(_) | Self::Invalid(..) | Self::InvalidRollout(_) => "invalid",
+            Self::Conflict(..) | Self::RolloutInProgress(_) => "conflict",
             Self::Unknown(..) => "unknown",
         }
     }
@@ -66,7 +70,9 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Failed(reason) => write!(f, "{reason}"),
+            Self::Failed(reason)
+            | Self::InvalidRollout(reason)
+            | Self::RolloutInProgress(reason) => write!(f, "{reason}"),
             Self::Findings(findings) => write!(f, "{findings}"),
             Self::Invalid(_, outcome) => write!(
                 f,
--- a/crates/plumhitch/src/main.rs
+++ b/crates/plumhitch/src/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod failure;
 mod output;
+mod rollout;
 mod saved_logs;
 mod time;
 mod times;
@@ -40,6 +41,7 @@
         Command::Times(times) => return times::times(times),
         Command::Status(_) => return status(args, output).await,
         Command::History(history) => return self::history(args, history.limit, output).await,
+        Command::Rollout(rollout) => return rollout::run(args, &rollout.action, output).await,
         Command::Initialise(_) => return initialise(args, output).await,
         Command::Apply(files) => check::read_lists(files)?,
         Command::DataCentre(data_centre) => data_centre_operation(&data_centre.state),
--- a/crates/plumhitch/src/output.rs
+++ b/crates/plumhitch/src/output.rs
@@ -2,10 +2,15 @@
 
 use crate::failure::{Failure, SentChange};
 use crate::time::format_utc;
-use api::{HistoryBody, HistoryItem, OutcomeBody, ServiceStatus, StatusBody};
+use api::{
+    HistoryBody, HistoryItem, OutcomeBody, RolloutBody, RolloutState, ServiceStatus, StatusBody,
+};
 use serde::Serialize;
 use serde_json::{Value, json};
 
+/// Millionths in a hundredth.
+const PPM_PER_PERCENT: f64 = 10_000.0;
+
 /// Prints results in the requested format.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Output {
@@ -41,6 +46,11 @@
         });
     }
 
+    /// Prints a roll-out.
+    pub(crate) fn rollout(&self, rollout: &RolloutBody) {
+        self.print(rollout, || println!("{}", rollout_line(rollout)));
+    }
+
     /// Prints the state of the fleet.
     pub(crate) fn status(&self, status: &StatusBody) {
         self.print(status, || print_status(status));
@@ -72,6 +82,23 @@
     }
 }
 
+fn rollout_line(rollout: &RolloutBody) -> String {
+    let state = match rollout.state {
+        RolloutState::Active => "active",
+        RolloutState::Complete => "complete",
+        RolloutState::RolledBack => "rolled back",
+    };
+    let share = f64::from(rollout.share_ppm) / PPM_PER_PERCENT;
+    let reason = match rollout.reason.as_str() {
+        "" => String::new(),
+        reason => format!(" ({reason})"),
+    };
+    format!(
+        "{} to {}: {state}, share at most {share} %{reason}",
+        rollout.service, rollout.version
+    )
+}
+
 fn outcome_json(verdict: &str, sent: &SentChange, outcome: &OutcomeBody) -> Value {
     json!({
         "outcome": verdict,
@@ -96,7 +123,10 @@
             "base": sent.base,
             "error": reason,
         }),
-        Failure::Failed(reason) | Failure::Unknown(None, reason) => {
+        Failure::Failed(reason)
+        | Failure::InvalidRollout(reason)
+        | Failure::RolloutInProgress(reason)
+        | Failure::Unknown(None, reason) => {
             json!({ "outcome": name, "error": reason })
         }
     }
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
 use wire::{
-    Announcement, ChangeOutcome, DataCentreOrder, Routing, RoutingChange, RoutingRequest,
-    control_reply, control_request,
+    Announcement, ChangeOutcome, DataCentreOrder, RolloutOrder, RolloutOutcome, RolloutQuery,
+    RolloutResult, Routing, RoutingChange, RoutingRequest, control_reply, control_request,
 };
 
 /// Handle to a running daemon.
@@ -88,6 +88,31 @@
         }
     }
 
+    /// Orders a roll-out; returns `None` if no control leader confirmed an outcome in
+    /// time. The same order may then be sent again.
+    pub async fn start_rollout(&self, order: RolloutOrder) -> Option<RolloutOutcome> {
+        self.rollout(control_request::Kind::StartRollout(order))
+            .await
+    }
+
+    /// Returns the newest roll-out of a service, or `None` if no control leader
+    /// confirmed it in time.
+    pub async fn read_rollout(&self, service: &str) -> Option<RolloutOutcome> {
+        let service = service.to_owned();
+        let query = RolloutQuery { service };
+        self.rollout(control_request::Kind::ReadRollout(query))
+            .await
+    }
+
+    async fn rollout(&self, kind: control_request::Kind) -> Option<RolloutOutcome> {
+        match self.request(kind).await? {
+            control_reply::Kind::Rollout(outcome) => {
+                Some(outcome).filter(|o| o.result() != RolloutResult::Unknown)
+            }
+            _ => None,
+        }
+    }
+
     /// Sends a request to the control leader; returns `None` if no reply arrives
     /// in time.
     pub(crate) async fn request(&self, kind: control_request::Kind) -> Option<control_reply::Kind> {
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -25,6 +25,7 @@
     stated_leaving: IntGauge,
     statements: IntGaugeVec,
     log_dropped: IntGauge,
+    versions: IntGaugeVec,
 }
 
 impl Gauges {
@@ -75,20 +76,27 @@
                 registry,
                 "links",
                 "Open connections to other daemons.",
-                "side",
+                &["side"],
             )?,
             measuring: int_gauge_vec(
                 registry,
                 "measuring",
                 "Spent on measuring load since the start, what the budget allows a second, \
                  and what was left out because it was used up.",
-                "what",
+                &["what"],
             )?,
             attempts: int_gauge_vec(
                 registry,
                 "attempts",
                 "Attempts at gates since the start.",
-                "why",
+                &["why"],
+            )?,
+            versions: int_gauge_vec(
+                registry,
+                "version_attempts",
+                "Attempts at upstreams since the start, by the service and version of the \
+                 upstream and what became of them, while the service has a roll-out.",
+                &["service", "version", "what"],
             )?,
             stated_rate: gauge(
                 registry,
@@ -105,7 +113,7 @@
                 "statements",
                 "Headers with unusable values, requests rejected because of a stated rate, \
                  and health requests left out because of it, since the start.",
-                "what",
+                &["what"],
             )?,
         })
     }
@@ -161,6 +169,7 @@
             ("messages_allowed_per_second", routing.probe_messages.into()),
         ];
         set(&self.measuring, &measuring);
+        self.update_versions(daemon);
         let attempts = [
             ("first", attempts.first),
             ("retry", attempts.retries),
@@ -172,6 +181,25 @@
     }
 }
 
+impl Gauges {
+    fn update_versions(&self, daemon: &Daemon) {
+        let counts = daemon.read(|node| node.entry.version_counts().clone());
+        for ((service, version), count) in counts {
+            let values = [
+                ("attempts", count.attempts),
+                ("not_run", count.not_run),
+                ("responses", count.responses),
+                ("errors", count.errors),
+            ];
+            for (what, value) in values {
+                self.versions
+                    .with_label_values(&[service.as_str(), version.as_str(), what])
+                    .set(to_i64(value));
+            }
+        }
+    }
+}
+
 fn set(metric: &IntGaugeVec, values: &[(&str, u64)]) {
     for (label, value) in values {
         metric.with_label_values(&[label]).set(to_i64(*value));
@@ -182,9 +210,9 @@
     registry: &Registry,
     name: &str,
     help: &str,
-    label: &str,
+    labels: &[&str],
 ) -> prometheus::Result<IntGaugeVec> {
-    let metric = IntGaugeVec::new(Opts::new(format!("plumhitch_{name}"), help), &[label])?;
+    let metric = IntGaugeVec::new(Opts::new(format!("plumhitch_{name}"), help), labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -1,6 +1,7 @@
 //! HTTP interface for operators, upstream announcements and metrics.
 
 mod convert;
+mod rollouts;
 mod token;
 
 pub(crate) use token::Token;
@@ -106,7 +107,12 @@
             (Method::GET, api::STATUS) => self.status().await,
             (Method::POST, api::INITIALISE) => self.initialise(),
             (Method::GET, api::METRICS) => self.metrics(),
-            _ => Err(error(StatusCode::NOT_FOUND, "no such endpoint")),
+            (Method::POST, api::ROLLOUTS) => self.start_rollout(req).await,
+            (Method::GET, path) => match rollout_service(path) {
+                Some(service) => self.rollout(service).await,
+                None => Err(no_endpoint()),
+            },
+            _ => Err(no_endpoint()),
         }
     }
 
@@ -243,6 +249,16 @@
     }
 }
 
+/// Returns the service whose roll-out is read by a request to a path.
+fn rollout_service(path: &str) -> Option<&str> {
+    let service = path.strip_prefix(api::ROLLOUTS)?.strip_prefix('/')?;
+    Some(service).filter(|service| !service.is_empty())
+}
+
+fn no_endpoint() -> HttpResponse {
+    error(StatusCode::NOT_FOUND, "no such endpoint")
+}
+
 fn no_outcome() -> HttpResponse {
     error(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -232,7 +232,8 @@
     Cold = 2,
     /// The upstream is leaving.
     Leaving = 3,
-    /// Operators have taken the data centre or the upstream out.
+    /// Operators have taken the data centre or the upstream out, or a roll-out excludes
+    /// the version of the upstream.
     Out = 4,
     /// The daemon's state from control is stale.
     Stale = 5,
