--- a/crates/node/tests/rollouts.rs
+++ b/crates/node/tests/rollouts.rs
@@ -597,6 +597,36 @@
     assert_eq!((count(OLD).attempts, count(OLD).errors), (14, 1));
 }
 
+/// Guards against metrics that grow with the versions that upstreams announce.
+#[test]
+fn entry_bounds_number_of_counted_versions() {
+    let named = |prefix: &str, n: usize| -> &'static str { format!("{prefix}{n}").leak() };
+    let upstreams: Vec<_> = (0..100).map(|n| (named("u", n), named("v", n))).collect();
+    let mut bench = Bench::new(&upstreams, Some(canary()));
+    bench.serve(1_000);
+    let counts = bench.node.entry.version_counts();
+    assert_eq!(counts.len(), 65);
+    assert_eq!(counts.values().map(|c| c.attempts).sum::<u64>(), 1_000);
+}
+
+/// Guards against a request that gets no second attempt, because the only upstream that
+/// may run it is one of the new version, whose share is used up.
+#[test]
+fn entry_isolates_suspected_requests_at_old_version() {
+    let mut settings = settings("entry-1");
+    settings.gate.isolate_suspects = true;
+    let mut bench = Bench::with_settings(&UPSTREAMS, Some(canary()), settings);
+    for n in 0..10 {
+        bench.serve(10);
+        let attempt = forwarded(&bench.arrive().1).unwrap();
+        let broken = entry::Event::Broken(attempt.request, attempt.attempt, None);
+        let second = forwarded(&bench.run(Event::Entry(broken)));
+        let second = second.unwrap_or_else(|| panic!("request {n} has no second attempt"));
+        assert_eq!(bench.version_of(&second.upstream), OLD);
+        bench.respond(&second, 200);
+    }
+}
+
 /// One line for each change, also if the configuration changes otherwise.
 #[test]
 fn each_change_of_rollout_is_logged_once() {
@@ -765,6 +795,37 @@
     }
 }
 
+#[test]
+fn gate_isolates_suspected_requests_at_old_version() {
+    let mut settings = settings("o1");
+    settings.gate.isolate_suspects = true;
+    let mut bench = Bench::with_settings(&UPSTREAMS, Some(canary()), settings);
+    announce(&mut bench, OLD, "b0", 1);
+    bench.pass(1_000);
+    let mut isolated = 0;
+    for n in 1..=20 {
+        start(&mut bench, n);
+        bench.pass(10);
+        announce(&mut bench, OLD, &format!("b{n}"), n + 1);
+        bench.pass(1_000);
+        let again = Arrival {
+            fingerprint: n,
+            ..arrival(1_000 + n)
+        };
+        for effect in admit(&mut bench, admission::Event::Arrived(again)) {
+            if let admission::Effect::Refuse {
+                only_at: Some(only_at),
+                ..
+            } = effect
+            {
+                assert_eq!(bench.version_of(&only_at), OLD);
+                isolated += 1;
+            }
+        }
+    }
+    assert!(isolated >= 10, "{isolated}");
+}
+
 #[test]
 fn heartbeat_reports_evidence_during_rollout() {
     let mut bench = gate(NEW, Some(canary()));
