Test each rule of roll-outs at entries and gates against its absence

Change: the tests that did not see an ejected or a gate-cold new version do now. Measured: 43 tests of node/tests/rollouts.rs, 30 of evidence.rs, 11 of pick/tests/version_share.rs and 15 of fleet/tests/rollout.rs pass. Each rule was switched off once in a scratch run, and its test failed: charging, the bound on what is saved, refund and earning by roll-out, share of zero, first sight of other versions, young daemon's view, confirmation within 1.5 s, fallback and its order, not-run attempts, room at the new version, ejection, exclusion at the entry, at the gate and of waiting requests, exclusion after completion with and without view, isolation of suspects at entry and gate, bounds on versions and routes, requests in progress, evidence reported and ended with the roll-out, cold, slowness, service time until the head, timeouts, rejected, server errors, reset by version and roll-out, buckets, restart, cancellation and its slack, one log line for each change.

--- a/crates/node/tests/rollouts.rs
+++ b/crates/node/tests/rollouts.rs
@@ -361,7 +361,9 @@
 /// old version: it ejects upstreams whose responses are errors.
 #[test]
 fn entry_sends_share_also_while_new_version_fails() {
-    let mut bench = Bench::new(&UPSTREAMS, Some(canary()));
+    let mut settings = settings("entry-1");
+    settings.routing.eject_ratio = 0.5;
+    let mut bench = Bench::with_settings(&UPSTREAMS[..4], Some(canary()), settings);
     let mut new = 0;
     for _ in 0..500 {
         let attempt = forwarded(&bench.arrive().1).unwrap();
@@ -654,7 +656,13 @@
 
 /// Returns the daemon beside an upstream with two slots and a queue.
 fn gate(version: &str, rollout: Option<Rollout>) -> Bench {
+    gate_with_cold_slots(version, rollout, 2)
+}
+
+/// Returns the same with this many slots as long as the gate takes the upstream for cold.
+fn gate_with_cold_slots(version: &str, rollout: Option<Rollout>, cold_slots: u32) -> Bench {
     let mut settings = settings("o1");
+    settings.gate.cold_slots = cold_slots;
     settings.control.heartbeat_interval = Duration::from_millis(100);
     let mut bench = Bench::with_settings(&UPSTREAMS, rollout, settings);
     announce(&mut bench, version, "b1", 1);
@@ -907,7 +915,7 @@
 /// Guards against a broken version that counts as cold after each failure.
 #[test]
 fn evidence_counts_every_broken_response() {
-    let mut bench = gate(NEW, Some(canary()));
+    let mut bench = gate_with_cold_slots(NEW, Some(canary()), 1);
     for ticket in 1..=10 {
         start(&mut bench, ticket);
         bench.pass(10);
