--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -16,7 +16,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-const SECTIONS: [&str; 12] = [
+const SECTIONS: [&str; 13] = [
     "daemon",
     "listen",
     "upstream",
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -18,12 +18,14 @@
 mod request;
 mod restrictions;
 mod route;
+mod versions;
 mod wait_estimate;
 
 pub use credential_counts::CredentialCounts;
 pub use hedge_limit::HedgeCount;
 pub use message::{Attempt, Effect, Event, Request, RouteKey, Sender};
 pub use refusal::{Reason, Refusal, RunState};
+pub use versions::{VersionCount, VersionKey};
 
 use crate::context::Cx;
 use conf::Settings;
@@ -34,6 +36,7 @@
 use restrictions::Restrictions;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use versions::Versions;
 use wait_estimate::WaitEstimator;
 use wire::{Fingerprint, LoadUpdate, RequestId, ServiceId};
 
@@ -73,6 +76,7 @@
     pickers: BTreeMap<ServiceId, Picker>,
     reachability: Reachability,
     restrictions: Restrictions,
+    versions: Versions,
     budgets: BTreeMap<ServiceId, Budgets>,
     retry_limits: RatioLimits,
     /// Hedges allowed per request: in general, and of services with their own limit.
@@ -117,6 +121,7 @@
             pickers: BTreeMap::new(),
             reachability: Reachability::new(),
             restrictions: Restrictions::default(),
+            versions: Versions::default(),
             budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
             hedge_ratio: routing.hedge_ratio,
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -142,7 +142,10 @@
         sent: &SentAttempt,
         cx: &Cx<'_>,
     ) -> Option<Duration> {
-        let upstreams = active.tried_upstreams();
+        let mut upstreams = active.tried_upstreams();
+        if let [skipped] = &mut self.version_choices(active, cx)[..] {
+            upstreams.append(skipped);
+        }
         let elapsed = cx.now.saturating_sub(sent.sent_at);
         if elapsed < MIN_HEDGE_DELAY {
             return None;
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -32,6 +32,7 @@
     credential_keys: IntGauge,
     credential_lease: Gauge,
     credentials: IntGaugeVec,
+    versions: IntGaugeVec,
 }
 
 impl Gauges {
@@ -57,7 +58,7 @@
                 registry,
                 "credentials",
                 "Requests since the start by how their customer was identified.",
-                "what",
+                &["what"],
             )?,
             log_dropped: int_gauge(
                 registry,
@@ -99,20 +100,27 @@
                 registry,
                 "links",
                 "Open connections to other daemons.",
-                "side",
+                &["side"],
             )?,
             measuring: int_gauge_vec(
                 registry,
                 "measuring",
                 "Spent on measuring load since the start, what the budget allows a second, \
                  and what was left out because it was used up.",
-                "what",
+                &["what"],
             )?,
             attempts: int_gauge_vec(
                 registry,
                 "attempts",
                 "Attempts at gates since the start.",
-                "why",
+                &["why"],
+            )?,
+            versions: int_gauge_vec(
+                registry,
+                "version_attempts",
+                "Attempts at upstreams since the start, by the service and version of the \
+                 upstream and what became of them, while the service has a roll-out.",
+                &["service", "version", "what"],
             )?,
             limited_requests: customer_gauge_vec(
                 registry,
@@ -136,7 +144,7 @@
                 "statements",
                 "Headers with unusable values, requests rejected because of a stated rate, \
                  and health requests left out because of it, since the start.",
-                "what",
+                &["what"],
             )?,
         })
     }
@@ -215,6 +223,7 @@
             ("messages_allowed_per_second", routing.probe_messages.into()),
         ];
         set(&self.measuring, &measuring);
+        self.update_versions(daemon);
         let attempts = [
             ("first", attempts.first),
             ("retry", attempts.retries),
@@ -265,6 +274,25 @@
     }
 }
 
+impl Gauges {
+    fn update_versions(&self, daemon: &Daemon) {
+        let counts = daemon.read(|node| node.entry.version_counts().clone());
+        for ((service, version), count) in counts {
+            let values = [
+                ("attempts", count.attempts),
+                ("not_run", count.not_run),
+                ("responses", count.responses),
+                ("errors", count.errors),
+            ];
+            for (what, value) in values {
+                self.versions
+                    .with_label_values(&[service.as_str(), version.as_str(), what])
+                    .set(to_i64(value));
+            }
+        }
+    }
+}
+
 fn set(metric: &IntGaugeVec, values: &[(&str, u64)]) {
     for (label, value) in values {
         metric.with_label_values(&[label]).set(to_i64(*value));
@@ -286,9 +314,9 @@
     registry: &Registry,
     name: &str,
     help: &str,
-    label: &str,
+    labels: &[&str],
 ) -> prometheus::Result<IntGaugeVec> {
-    let metric = IntGaugeVec::new(Opts::new(format!("plumhitch_{name}"), help), &[label])?;
+    let metric = IntGaugeVec::new(Opts::new(format!("plumhitch_{name}"), help), labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
