--- a/crates/model/src/experiment.rs
+++ b/crates/model/src/experiment.rs
@@ -34,6 +34,14 @@
     pub near_ms: f64,
     /// One-way latency between data centres, in milliseconds.
     pub far_ms: f64,
+    /// Time that a daemon takes to handle an event, in microseconds; events wait for those
+    /// before them.
+    #[serde(default)]
+    pub event_us: u64,
+    /// Whether a load of 1 counts the time for which a request holds its slot while it
+    /// waits for its call.
+    #[serde(default)]
+    pub counts_blocked_slots: bool,
     /// Settings of every daemon, in the format of its settings file, without
     /// its name and addresses.
     #[serde(default)]
@@ -42,6 +50,9 @@
     pub service: Vec<Service>,
     /// Classes of requests, including those of the calls that upstreams make.
     pub class: Vec<Class>,
+    /// Customers that the callers belong to; none if they are not told apart.
+    #[serde(default)]
+    pub customer: Vec<Customer>,
     /// Faults.
     #[serde(default)]
     pub fault: Vec<Fault>,
@@ -189,6 +200,19 @@
     pub together: bool,
 }
 
+/// A customer, whose callers send requests of all classes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Name.
+    pub name: String,
+    /// Share of the callers' requests, relative to the other customers.
+    pub part: f64,
+    /// Whether its callers retry immediately, as those of an impatient class.
+    #[serde(default)]
+    pub impatient: bool,
+}
+
 /// A fault.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -367,12 +391,15 @@
         let total: f64 = self.class.iter().map(|c| c.part).sum();
         let demand = |service: &str| -> f64 {
             let of_class = |c: &Class| {
-                let own = if c.service == service { c.work_ms } else { 0.0 };
                 let call = c.call.as_ref();
-                let called = call.and_then(|call| Some((call.share, self.class(&call.class)?)));
-                let called = called.map(|(share, n)| (share, &self.class[n]));
+                let called = call.and_then(|call| Some((call, self.class(&call.class)?)));
+                let called = called.map(|(call, n)| (call, &self.class[n]));
+                let blocked =
+                    called.filter(|(call, _)| self.counts_blocked_slots && !call.together);
+                let held = c.work_ms + blocked.map_or(0.0, |(call, c)| call.share * c.work_ms);
+                let own = if c.service == service { held } else { 0.0 };
                 let called = called.filter(|(_, c)| c.service == service);
-                own + called.map_or(0.0, |(share, c)| share * c.work_ms)
+                own + called.map_or(0.0, |(call, c)| call.share * c.work_ms)
             };
             let sum: f64 = self.class.iter().map(|c| c.part * of_class(c)).sum();
             sum / total / 1_000.0
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -14,7 +14,9 @@
 use node::{Effect, Event, Node, NodeOptions, admission, entry, step};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wire::{Announcement, AttemptId, Body, Load, Refuse, RefuseReason, RequestId, Routing};
+use wire::{
+    Announcement, AttemptId, Body, CustomerId, Load, Refuse, RefuseReason, RequestId, Routing,
+};
 
 const ROUTE_HOST: &str = "model";
 /// Time that an upstream takes to stop a cancelled request.
@@ -50,6 +52,7 @@
 pub(crate) struct Fleet {
     daemons: Vec<Daemon>,
     classes: Vec<Class>,
+    customers: Vec<CustomerId>,
     routing: Routing,
     near_latency: Duration,
     far_latency: Duration,
@@ -101,6 +104,11 @@
         Ok(Self {
             daemons,
             classes: experiment.class.clone(),
+            customers: experiment
+                .customer
+                .iter()
+                .map(|c| c.name.as_str().into())
+                .collect(),
             routing: routing(experiment),
             near_latency: Duration::from_secs_f64(experiment.near_ms / 1_000.0),
             far_latency: Duration::from_secs_f64(experiment.far_ms / 1_000.0),
@@ -135,7 +143,7 @@
         let class = &self.classes[arrival.class];
         let request = entry::Request {
             id: arrival.call,
-            customer: "".into(),
+            customer: self.customer(arrival),
             service: "".into(),
             class: None,
             safe_method: class.idempotent,
@@ -156,6 +164,11 @@
         self.handle_event(arrival.daemon, event, cx);
     }
 
+    fn customer(&self, arrival: Arrival) -> CustomerId {
+        let customer = arrival.customer.and_then(|index| self.customers.get(index));
+        customer.cloned().unwrap_or_default()
+    }
+
     pub(crate) fn caller_gone(&mut self, call: CallId, cx: &mut Cx<'_>) {
         if let Some(arrival) = self.arrivals.get(&call) {
             let event = Event::Entry(entry::Event::CallerGone(call));
@@ -375,7 +388,7 @@
             link: daemon as u64 + 1,
             believed_slow_percent: attempt.believed_slow_percent,
             service: attempt.service.clone(),
-            customer: "".into(),
+            customer: self.customer(arrival),
             class: attempt.class.clone(),
             deadline: attempt.deadline,
             fingerprint: attempt.request,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,4 +22,4 @@
 pub use experiment::{Experiment, Variant};
 pub use options::main;
 pub use simulation::simulate;
-pub use tally::{ClassTally, Tally};
+pub use tally::{ClassTally, CustomerTally, Tally};
--- a/crates/model/src/router.rs
+++ b/crates/model/src/router.rs
@@ -30,6 +30,8 @@
     pub(crate) deadline: Duration,
     /// Worth of the caller's request that it belongs to.
     pub(crate) worth: f64,
+    /// Index of its customer, if it is a caller's request and customers are told apart.
+    pub(crate) customer: Option<usize>,
     /// Depth in the chain of calls; 1 for a caller's request.
     pub(crate) depth: u32,
 }
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -8,7 +8,7 @@
 use crate::experiment::{Class, Experiment, Variant};
 use crate::fleet::{Fleet, cancel_done_at};
 use crate::router::{Arrival, CallId, Cx, Output, Router};
-use crate::tally::Tally;
+use crate::tally::{Attempt, Tally};
 use crate::upstream::{Run, Upstream};
 use gate::{Outcome, Ticket};
 use miette::Result;
@@ -54,8 +54,10 @@
     NextRequest(usize),
     /// A caller retries a request, with the number of remaining retries.
     Retry(CallerRequest, u32),
-    /// A daemon receives an event.
-    Daemon(usize, Box<Event>),
+    /// A daemon receives work.
+    Daemon(usize, DaemonWork),
+    /// A daemon has handled the work before, and handles this.
+    Handle(usize, DaemonWork),
     /// A run at an upstream completes. The event is outdated if the generation
     /// of the upstream's schedule has changed.
     Completion(usize, u64),
@@ -75,10 +77,22 @@
     FaultEnds(usize),
 }
 
+/// Work that waits at a daemon for its processor.
+#[derive(Debug)]
+enum DaemonWork {
+    /// A request arrived at its entry.
+    Arrived(Arrival),
+    /// It received an event.
+    Event(Box<Event>),
+    /// A run at its upstream ended.
+    RunEnded(Ticket, Outcome),
+}
+
 /// A caller's request, unchanged over its retries.
 #[derive(Clone, Copy, Debug)]
 struct CallerRequest {
     class: usize,
+    customer: Option<usize>,
     data_centre: usize,
     /// Seed of the random numbers for the request's work and its calls.
     seed: u64,
@@ -104,6 +118,21 @@
     /// Whether a run of the request counts as a repeat: an upstream has
     /// received it before, or it is a call made by a repeat.
     repeated: bool,
+    sent_at: Duration,
+    /// Whether an upstream has received it.
+    admitted: bool,
+}
+
+impl PendingCall {
+    fn attempt(&self) -> Attempt {
+        Attempt {
+            class: self.arrival.class,
+            is_call: matches!(self.origin, Origin::Run(..)),
+            admitted: self.admitted,
+            sent_at: self.sent_at,
+            objective: self.arrival.objective,
+        }
+    }
 }
 
 struct Simulation<'a> {
@@ -123,6 +152,8 @@
     /// whenever the schedule changes, which invalidates earlier completion
     /// events.
     generations: Vec<u64>,
+    /// Time at which each daemon has handled all work that it received.
+    busy_until: Vec<Duration>,
     /// Times at which cold upstreams received requests, by upstream.
     cold_runs: Vec<Vec<Duration>>,
     /// Times of the recent requests to each upstream.
@@ -198,6 +229,7 @@
             caller_rngs: seeded_rngs(seed, CALLER_STREAM, experiment.data_centres.len()),
             noise_rngs: seeded_rngs(seed, NOISE_STREAM, upstreams.len()),
             generations: vec![0; upstreams.len()],
+            busy_until: vec![Duration::ZERO; upstreams.len()],
             cold_runs: vec![Vec::new(); upstreams.len()],
             stated_runs: vec![Vec::new(); upstreams.len()],
             stated_since: vec![None; upstreams.len()],
@@ -206,7 +238,7 @@
             tx: Vec::new(),
             pending: BTreeMap::new(),
             next_call: 0,
-            tally: Tally::new(&experiment.class),
+            tally: Tally::new(experiment),
         })
     }
 
@@ -255,9 +287,8 @@
                 self.schedule_next_request(data_centre);
             }
             SimEvent::Retry(caller, retries) => self.send_request(caller, retries),
-            SimEvent::Daemon(daemon, event) => {
-                self.with_router(|router, cx| router.handle_event(daemon, *event, cx));
-            }
+            SimEvent::Daemon(daemon, work) => self.give_to_daemon(daemon, work),
+            SimEvent::Handle(daemon, work) => self.handle_work(daemon, work),
             SimEvent::Completion(upstream, generation)
                 if self.generations[upstream] == generation =>
             {
@@ -298,6 +329,26 @@
         }
     }
 
+    /// Gives a daemon work, which it handles after what it received before.
+    fn give_to_daemon(&mut self, daemon: usize, work: DaemonWork) {
+        let time = Duration::from_micros(self.experiment.event_us);
+        if time.is_zero() {
+            return self.handle_work(daemon, work);
+        }
+        let busy_until = &mut self.busy_until[daemon];
+        *busy_until = self.now.max(*busy_until) + time;
+        let at = *busy_until;
+        self.schedule(at, SimEvent::Handle(daemon, work));
+    }
+
+    fn handle_work(&mut self, daemon: usize, work: DaemonWork) {
+        self.with_router(|router, cx| match work {
+            DaemonWork::Arrived(arrival) => router.request_arrived(arrival, cx),
+            DaemonWork::Event(event) => router.handle_event(daemon, *event, cx),
+            DaemonWork::RunEnded(ticket, outcome) => router.run_ended(daemon, ticket, outcome, cx),
+        });
+    }
+
     /// Executes outputs until the scheduler requests no more.
     fn process_outputs(&mut self) {
         loop {
@@ -332,7 +383,7 @@
                 retry_after,
             } => self.respond(call, status, retry_after),
             Output::Deliver { at, daemon, event } => {
-                self.schedule(at, SimEvent::Daemon(daemon, event))
+                self.schedule(at, SimEvent::Daemon(daemon, DaemonWork::Event(event)));
             }
         }
     }
@@ -342,13 +393,14 @@
         let upstream = &mut self.upstreams[index];
         let pending = self.pending.get(&call).copied();
         if !upstream.up {
-            self.with_router(|router, cx| router.run_ended(index, ticket, Outcome::Refused, cx));
+            self.give_to_daemon(index, DaemonWork::RunEnded(ticket, Outcome::Refused));
             return;
         }
         self.tally.runs += 1;
         if let Some(pending) = self.pending.get_mut(&call) {
             self.tally.repeats += u64::from(pending.repeated);
             pending.repeated = true;
+            pending.admitted = true;
         }
         if self.now < upstream.cold_until {
             self.count_cold_excess(index);
@@ -464,7 +516,7 @@
         {
             self.with_router(|router, cx| router.caller_gone(call, cx));
         }
-        self.with_router(|router, cx| router.run_ended(index, ticket, outcome, cx));
+        self.give_to_daemon(index, DaemonWork::RunEnded(ticket, outcome));
         self.schedule_completion(index);
     }
 
--- a/crates/model/src/simulation/callers.rs
+++ b/crates/model/src/simulation/callers.rs
@@ -1,7 +1,7 @@
 //! Callers: arrival times, request classes and retries.
 
-use super::{CallerRequest, OK, Origin, PendingCall, SimEvent, Simulation, TIMED_OUT};
-use crate::experiment::Class;
+use super::{CallerRequest, DaemonWork, OK, Origin, PendingCall, SimEvent, Simulation, TIMED_OUT};
+use crate::experiment::{Class, Customer};
 use crate::faults;
 use crate::router::{Arrival, CallId};
 use rand::rngs::SmallRng;
@@ -11,6 +11,8 @@
 
 /// Shortest time that callers wait, as a fraction of the class's deadline.
 const MIN_WAIT_RATIO: f64 = 0.85;
+/// Offset that derives the seed for the draw of a request's customer.
+const CUSTOMER_STREAM: u64 = 0x6375_7374;
 
 impl Simulation<'_> {
     pub(super) fn schedule_next_request(&mut self, data_centre: usize) {
@@ -39,8 +41,10 @@
         let Some(class) = class else {
             return;
         };
+        let customer = draw_customer(&self.experiment.customer, seed);
         let caller = CallerRequest {
             class,
+            customer,
             data_centre,
             seed,
             first_sent_at: self.now,
@@ -55,8 +59,9 @@
         let near: Vec<usize> = (0..self.upstreams.len()).filter(near).collect();
         let class = &self.experiment.class[caller.class];
         if near.is_empty() {
+            let ended = (TIMED_OUT, Duration::MAX);
             self.tally
-                .record(caller.class, class, TIMED_OUT, Duration::MAX);
+                .record((caller.class, class), caller.customer, ended);
             return;
         }
         let mut rng = SmallRng::seed_from_u64(caller.seed.wrapping_add(u64::from(retries)));
@@ -89,6 +94,10 @@
             objective,
             deadline,
             worth,
+            customer: match origin {
+                Origin::Caller(caller, _) => caller.customer,
+                Origin::Run(..) => None,
+            },
             depth,
         };
         let repeated = match origin {
@@ -102,21 +111,26 @@
             arrival,
             origin,
             repeated,
+            sent_at: self.now,
+            admitted: false,
         };
         self.pending.insert(arrival.call, pending);
         self.schedule(deadline, SimEvent::Deadline(arrival.call));
-        self.with_router(|router, cx| router.request_arrived(arrival, cx));
+        self.give_to_daemon(daemon, DaemonWork::Arrived(arrival));
     }
 
     pub(super) fn respond(&mut self, call: CallId, status: u16, retry_after: Option<Duration>) {
         let Some(pending) = self.pending.remove(&call) else {
             return;
         };
+        self.tally
+            .record_attempt(&pending.attempt(), status, self.now);
         match pending.origin {
             Origin::Run(upstream, ticket) => self.call_responded(upstream, ticket, status),
             Origin::Caller(caller, retries) => {
                 let class = &self.experiment.class[caller.class];
-                let wait = match class.impatient {
+                let customer = caller.customer.map(|n| &self.experiment.customer[n]);
+                let wait = match class.impatient || customer.is_some_and(|c| c.impatient) {
                     true => Some(Duration::ZERO),
                     false => retry_after,
                 };
@@ -127,13 +141,26 @@
                     self.schedule(at, SimEvent::Retry(caller, retries - 1));
                 } else if caller.first_sent_at >= self.experiment.durations().1 {
                     let latency = self.now - caller.first_sent_at;
-                    self.tally.record(caller.class, class, status, latency);
+                    let ended = (status, latency);
+                    self.tally
+                        .record((caller.class, class), caller.customer, ended);
                 }
             }
         }
     }
 }
 
+/// Draws the customer of a request, if customers are told apart.
+fn draw_customer(customers: &[Customer], seed: u64) -> Option<usize> {
+    let mut rng = SmallRng::seed_from_u64(seed.wrapping_add(CUSTOMER_STREAM));
+    let total: f64 = customers.iter().map(|c| c.part).sum();
+    let mut drawn = rng.random::<f64>() * total;
+    customers.iter().position(|c| {
+        drawn -= c.part;
+        drawn < 0.0
+    })
+}
+
 /// Draws the work of a request, in seconds, from a log-normal distribution.
 fn draw_work(class: &Class, seed: u64) -> f64 {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -1,6 +1,6 @@
 //! Counts, worth and latencies of the requests of a run.
 
-use crate::experiment::Class;
+use crate::experiment::{Class, Experiment};
 use hdrhistogram::Histogram;
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
 const OK: u16 = 200;
 /// Status of a refused request that was not run.
 const UNAVAILABLE: u16 = 503;
+/// Status of a response whose call failed.
+const CALL_FAILED: u16 = 500;
 
 /// Outcomes of the requests of a class.
 #[derive(Clone, Debug)]
@@ -32,8 +34,40 @@
     pub earned: f64,
     /// Total worth if every request had a response within the objective.
     pub offered: f64,
+    /// Attempts of callers that an upstream received, and those of them whose response
+    /// arrived within the objective, arrived later, reported that the call had failed, and
+    /// did not arrive.
+    pub admitted: [u64; 5],
     /// Latencies of the responses, in microseconds.
     latencies: Histogram<u64>,
+    /// Times from an attempt of a caller to its rejection, in microseconds.
+    rejections: Histogram<u64>,
+}
+
+/// Outcomes of the requests of a customer.
+#[derive(Clone, Debug)]
+pub struct CustomerTally {
+    /// Name of the customer.
+    pub name: String,
+    /// Requests, each counted once regardless of retries.
+    pub asked: u64,
+    /// Responses within the objective.
+    pub in_time: u64,
+    /// Responses after the objective.
+    pub late: u64,
+}
+
+/// An attempt of a caller or a run, when it ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) class: usize,
+    /// Whether a run made it.
+    pub(crate) is_call: bool,
+    /// Whether an upstream received it.
+    pub(crate) admitted: bool,
+    pub(crate) sent_at: Duration,
+    /// Time until which a response is in time.
+    pub(crate) objective: Duration,
 }
 
 /// Results of a run.
@@ -41,6 +75,11 @@
 pub struct Tally {
     /// Outcomes by class; classes that only upstreams call have no requests.
     pub classes: Vec<ClassTally>,
+    /// Outcomes by customer.
+    pub customers: Vec<CustomerTally>,
+    /// Calls of runs that ended without a response, and those of them that no upstream
+    /// received.
+    pub failed_calls: [u64; 2],
     /// Requests that upstreams received.
     pub runs: u64,
     /// Runs that were repeats: a further run of the same request, or a call
@@ -61,8 +100,14 @@
 }
 
 impl Tally {
-    pub(crate) fn new(classes: &[Class]) -> Self {
-        let classes = classes.iter().map(|class| ClassTally {
+    pub(crate) fn new(experiment: &Experiment) -> Self {
+        let customers = experiment.customer.iter().map(|customer| CustomerTally {
+            name: customer.name.clone(),
+            asked: 0,
+            in_time: 0,
+            late: 0,
+        });
+        let classes = experiment.class.iter().map(|class| ClassTally {
             name: class.name.clone(),
             asked: 0,
             in_time: 0,
@@ -71,10 +116,14 @@
             failed: 0,
             earned: 0.0,
             offered: 0.0,
+            admitted: [0; 5],
             latencies: new_histogram(),
+            rejections: new_histogram(),
         });
         Self {
             classes: classes.collect(),
+            customers: customers.collect(),
+            failed_calls: [0; 2],
             runs: 0,
             repeats: 0,
             cold_excess: 0,
@@ -85,17 +134,52 @@
         }
     }
 
+    /// Records the end of an attempt.
+    pub(crate) fn record_attempt(&mut self, attempt: &Attempt, status: u16, now: Duration) {
+        if attempt.is_call {
+            self.failed_calls[0] += u64::from(status != OK);
+            self.failed_calls[1] += u64::from(status != OK && !attempt.admitted);
+            return;
+        }
+        let tally = &mut self.classes[attempt.class];
+        if status == UNAVAILABLE {
+            let time = now.saturating_sub(attempt.sent_at);
+            tally.rejections.saturating_record(micros(time));
+        }
+        if attempt.admitted {
+            let outcome = match status {
+                OK if now <= attempt.objective => 1,
+                OK => 2,
+                CALL_FAILED => 3,
+                _ => 4,
+            };
+            tally.admitted[0] += 1;
+            tally.admitted[outcome] += 1;
+        }
+    }
+
     /// Records the outcome of a request and the time since its caller first
     /// sent it.
-    pub(crate) fn record(&mut self, index: usize, class: &Class, status: u16, latency: Duration) {
+    pub(crate) fn record(
+        &mut self,
+        (index, class): (usize, &Class),
+        customer: Option<usize>,
+        (status, latency): (u16, Duration),
+    ) {
+        let in_time = latency <= Duration::from_millis(class.objective_ms);
+        if let Some(customer) = customer {
+            let customer = &mut self.customers[customer];
+            customer.asked += 1;
+            customer.in_time += u64::from(status == OK && in_time);
+            customer.late += u64::from(status == OK && !in_time);
+        }
         let tally = &mut self.classes[index];
         tally.asked += 1;
         tally.offered += class.worth;
         match status {
             OK => {
-                let us = u64::try_from(latency.as_micros()).unwrap_or(MAX_LATENCY_US);
-                tally.latencies.saturating_record(us);
-                if latency <= Duration::from_millis(class.objective_ms) {
+                tally.latencies.saturating_record(micros(latency));
+                if in_time {
                     tally.in_time += 1;
                     tally.earned += class.worth;
                 } else {
@@ -108,6 +192,26 @@
         }
     }
 
+    /// Returns the number of responses within the objective.
+    #[must_use]
+    pub fn in_time(&self) -> u64 {
+        self.classes.iter().map(|c| c.in_time).sum()
+    }
+
+    /// Returns the fraction of the callers' attempts that an upstream received whose
+    /// response arrived within the objective.
+    #[must_use]
+    pub fn admitted_in_time(&self) -> f64 {
+        let sum = |index: usize| -> u64 { self.classes.iter().map(|c| c.admitted[index]).sum() };
+        sum(1) as f64 / sum(0).max(1) as f64
+    }
+
+    /// Returns a quantile of the times to a rejection, over all classes.
+    #[must_use]
+    pub fn rejection_quantile(&self, quantile: f64) -> Duration {
+        self.merged(|c| &c.rejections, quantile)
+    }
+
     /// Returns the earned fraction of the offered worth.
     #[must_use]
     pub fn earned(&self) -> f64 {
@@ -127,9 +231,13 @@
     /// Returns a quantile of the latencies of all responses.
     #[must_use]
     pub fn quantile(&self, quantile: f64) -> Duration {
+        self.merged(|c| &c.latencies, quantile)
+    }
+
+    fn merged(&self, part: impl Fn(&ClassTally) -> &Histogram<u64>, quantile: f64) -> Duration {
         let mut all = new_histogram();
         for class in &self.classes {
-            if let Err(err) = all.add(&class.latencies) {
+            if let Err(err) = all.add(part(class)) {
                 log::error!("event=times_lost reason=\"{err}\"");
             }
         }
@@ -137,6 +245,18 @@
     }
 }
 
+impl ClassTally {
+    /// Returns a quantile of the times to a rejection.
+    #[must_use]
+    pub fn rejection_quantile(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.rejections.value_at_quantile(quantile))
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(MAX_LATENCY_US)
+}
+
 #[expect(clippy::expect_used, reason = "the bounds are constants that fit")]
 fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS).expect("bounds that fit")
