--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod message;
 mod outcome;
+mod overload;
 mod reachability;
 mod refusal;
 mod request;
@@ -28,6 +29,7 @@
 pub use versions::{VersionCount, VersionKey};
 
 use crate::context::Cx;
+use ::overload::AskBudget;
 use conf::Settings;
 use hedge_limit::HedgeLimit;
 use pick::{PickSettings, Picker, Policy, RatioBudget, RatioLimits, Reachability};
@@ -78,6 +80,7 @@
     restrictions: Restrictions,
     versions: Versions,
     budgets: BTreeMap<ServiceId, Budgets>,
+    ask_budgets: BTreeMap<ServiceId, AskBudget>,
     retry_limits: RatioLimits,
     /// Hedges allowed per request: in general, and of services with their own limit.
     hedge_ratio: f64,
@@ -123,6 +126,7 @@
             restrictions: Restrictions::default(),
             versions: Versions::default(),
             budgets: BTreeMap::new(),
+            ask_budgets: BTreeMap::new(),
             retry_limits: limits(routing.retry_ratio),
             hedge_ratio: routing.hedge_ratio,
             hedge_ratios: settings.hedge_ratios.clone(),
@@ -204,6 +208,9 @@
         self.restrictions.tick(cx.now);
         self.pickers
             .retain(|_, picker| cx.now.saturating_sub(picker.last_used()) < PICKER_IDLE_TIMEOUT);
+        let pickers = &self.pickers;
+        self.ask_budgets
+            .retain(|service, _| pickers.contains_key(service));
         self.view_changed(cx);
         self.hedge(cx);
     }
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -70,6 +70,7 @@
                 picker.record_full(cx.now, &upstream, pause, preference);
             }
         }
+        self.record_gate_refusal(id, reason, cx);
         if reason == RefuseReason::Slow {
             self.allow_reselection(id, attempt);
         }
@@ -132,6 +133,7 @@
         };
         let class = active.class_name.clone();
         let service = active.request.service.clone();
+        self.record_served(id, cx);
         self.record_reachable(&service, &upstream, cx);
         self.record_version_response(&service, &version, status >= MIN_SERVER_ERROR, cx);
         if let Some(picker) = self.pickers.get_mut(&service) {
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -7,8 +7,8 @@
 use node::{Effect, Event, Node};
 use routed_entry::{
     RETRY_RATIO, SAVED_RETRIES, arrive, arrive_with, end_link, fail_link, forwarded, node,
-    node_with_routing, prepared_node, ready_node, refusal, refuse, reply_to_heartbeats, run,
-    send_load_update, serve,
+    node_with_routing, prepared_node, ready_node, refusal, refuse, reply_to_heartbeats,
+    routed_request, run, send_load_update, serve,
 };
 use std::time::Duration;
 use test_case::test_case;
@@ -521,3 +521,47 @@
     let next = forwarded(&arrive(&mut node, at_ms + 300, 2, "/read/x")).unwrap();
     assert_eq!(next.upstream, hedge.upstream);
 }
+
+/// Sends requests of which every gate refuses each for lack of a slot, until the entry asks
+/// no gate any more. Returns the effects of the last.
+fn exhaust_room(node: &mut Node, at_ms: u64) -> Vec<Effect> {
+    for id in 100..200 {
+        let mut effects = arrive(node, at_ms, id, "/read/x");
+        if forwarded(&effects).is_none() {
+            return effects;
+        }
+        while let Some(attempt) = forwarded(&effects) {
+            let refuse = Refuse {
+                reason: RefuseReason::NoSlot.into(),
+                ..Refuse::default()
+            };
+            let event = entry::Event::Refused(id, attempt.attempt, refuse);
+            effects = run(node, at_ms, Event::Entry(event));
+        }
+    }
+    panic!("the entry asks gates in vain without end");
+}
+
+/// Guards against gates that are asked for each of many requests while all of them refuse.
+#[test]
+fn arrived_while_gates_refuse_all_is_rejected_without_asking_one() {
+    let mut node = ready_node();
+    let effects = exhaust_room(&mut node, 100);
+    let refusal = refusal(&effects).unwrap();
+    assert_eq!(refusal.reason, Reason::Overload);
+    assert_eq!(refusal.run, RunState::NotRun);
+    assert!(refusal.retry_after.unwrap() > Duration::ZERO);
+}
+
+/// Guards against a parent whose slot is held in vain.
+#[test]
+fn arrived_call_while_gates_refuse_all_is_sent() {
+    let mut node = ready_node();
+    exhaust_room(&mut node, 100);
+    let call = entry::Request {
+        depth: 2,
+        ..routed_request(1, "/read/x", 700)
+    };
+    let effects = run(&mut node, 100, Event::Entry(entry::Event::Arrived(call)));
+    assert!(forwarded(&effects).is_some());
+}
--- a/crates/node/tests/routed_entry/mod.rs
+++ b/crates/node/tests/routed_entry/mod.rs
@@ -199,7 +199,13 @@
     (id, path): (u64, &str),
     left_ms: u64,
 ) -> Vec<Effect> {
-    let request = entry::Request {
+    let request = routed_request(id, path, left_ms);
+    run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
+}
+
+/// Returns a request on a route, with this much time left until its deadline.
+pub fn routed_request(id: u64, path: &str, left_ms: u64) -> entry::Request {
+    entry::Request {
         id,
         customer: "".into(),
         service: "".into(),
@@ -217,8 +223,7 @@
         }),
         body_bytes: 0,
         body_buffered: true,
-    };
-    run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
+    }
 }
 
 pub fn refuse(node: &mut Node, at_ms: u64, attempt: u32, reason: RefuseReason) -> Vec<Effect> {
