--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -241,6 +241,10 @@
     let mut keys = reader.section("quota");
     let mut cfg = QuotaSettings::default();
     keys.set("block", &mut cfg.block_lifetime, |t| time(t, BLOCK));
+    keys.set("home-lease", &mut cfg.home_lease, |t| {
+        time(t, TEN_MS_TO_A_DAY).map(Some)
+    });
+    keys.set("homes-on-replicas", &mut cfg.homes_on_replicas, yes_no);
     keys.report_unknown_keys();
     cfg
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -144,6 +144,11 @@
 pub struct QuotaSettings {
     /// Time for which a block of allowance is valid.
     pub block_lifetime: Duration,
+    /// Time for which a customer's home may grant after control's confirmation; that of
+    /// control if `None`.
+    pub home_lease: Option<Duration>,
+    /// Whether customers' homes are daemons that run a control replica, if there are any.
+    pub homes_on_replicas: bool,
 }
 
 /// Control: replicated log, claims and heartbeats.
@@ -325,6 +330,8 @@
     fn default() -> Self {
         Self {
             block_lifetime: DEFAULT_BLOCK_LIFETIME,
+            home_lease: None,
+            homes_on_replicas: false,
         }
     }
 }
--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -33,6 +33,8 @@
     pub(crate) address: String,
     pub(crate) data_centre: DataCentreId,
     pub(crate) started: Duration,
+    /// Whether daemons that are not preferred are homes only if there is no such daemon.
+    pub(crate) preferred: bool,
 }
 
 /// The list of quota homes. A daemon stays a home as long as it is registered,
@@ -48,11 +50,14 @@
     /// Removes homes that are no longer registered, and fills the list with the
     /// daemons that have been up longest, each from the data centre that has the
     /// fewest homes.
-    pub(crate) fn update(&mut self, candidates: &[Candidate]) {
+    pub(crate) fn update(&mut self, mut candidates: Vec<Candidate>) {
+        if candidates.iter().any(|c| c.preferred) {
+            candidates.retain(|c| c.preferred);
+        }
         let by_name: BTreeMap<&DaemonId, &Candidate> =
             candidates.iter().map(|c| (&c.daemon, c)).collect();
         self.members.retain(|m| by_name.contains_key(m));
-        let mut spares = Spares::new(candidates, &self.members);
+        let mut spares = Spares::new(&candidates, &self.members);
         while self.members.len() < MAX_HOMES {
             let Some(next) = spares.pop() else {
                 break;
@@ -70,6 +75,11 @@
         self.hash = homes_hash(&self.list);
     }
 
+    /// Returns the daemons that are homes.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &DaemonId> {
+        self.members.iter()
+    }
+
     /// Returns the list unless its checksum is `known_hash`.
     pub(crate) fn if_changed(&self, known_hash: u64) -> Vec<QuotaHome> {
         if known_hash == self.hash {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use freshness::Freshness;
 pub use homes::{MAX_HOMES, homes_hash};
-pub use registry::{RegisteredUpstream, Registry};
+pub use registry::{HomeOptions, RegisteredUpstream, Registry};
 pub use rollout::{ROLLOUT_CONFIRMATION, is_excluded, is_shared, is_unfinished};
 pub use view::{FleetView, SUBSCRIPTION_IDLE, ServiceView, Upstream};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -27,6 +27,7 @@
     superseded: Vec<u64>,
     sequence: u64,
     config_version: ConfigVersion,
+    runs_replica: bool,
     service: Option<ServiceId>,
     info: UpstreamInfo,
     /// Newest announcement of the upstream that was reported.
@@ -88,6 +89,17 @@
     services: BTreeMap<ServiceId, ServiceLog>,
     homes: Homes,
     homes_outdated: bool,
+    home_options: HomeOptions,
+}
+
+/// How quota homes are selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HomeOptions {
+    /// Time for which a home may grant after control's confirmation. A silent daemon is no
+    /// home after this time, and a new leader lists none before.
+    pub lease: Duration,
+    /// Whether daemons with a control replica are preferred.
+    pub on_replicas: bool,
 }
 
 impl Registry {
@@ -104,9 +116,20 @@
             services: BTreeMap::new(),
             homes: Homes::default(),
             homes_outdated: false,
+            home_options: HomeOptions {
+                lease,
+                on_replicas: false,
+            },
         }
     }
 
+    /// Sets how quota homes are selected.
+    #[must_use]
+    pub fn with_home_options(mut self, options: HomeOptions) -> Self {
+        self.home_options = options;
+        self
+    }
+
     /// Registers the daemon or extends its lease; returns whether the heartbeat
     /// was accepted. A heartbeat is ignored when it arrives out of order, or comes
     /// from an earlier incarnation while the newer one still sends heartbeats.
@@ -121,6 +144,11 @@
                 && o.info == registration.info
                 && o.incarnation == registration.incarnation
         });
+        // A daemon that was silent may be a home again.
+        let home_lease = self.home_options.lease;
+        if old.is_some_and(|o| now.saturating_sub(o.last_heartbeat) >= home_lease) {
+            self.homes_outdated = true;
+        }
         if !unchanged {
             if old_service != registration.service {
                 self.record_change(old_service, &heartbeat.daemon);
@@ -144,6 +172,10 @@
                 .values_mut()
                 .for_each(|r| r.last_heartbeat += gap);
         }
+        self.homes_outdated |= self
+            .homes
+            .members()
+            .any(|home| self.daemons.get(home).is_none_or(|r| self.is_silent(r)));
         let lease = self.lease;
         let expired: Vec<DaemonId> = self
             .daemons
@@ -202,7 +234,7 @@
     /// (`known_hash`) or the election was less than one lease ago.
     #[must_use]
     pub fn homes(&mut self, now: Duration, known_hash: u64) -> Vec<QuotaHome> {
-        if self.is_warming_up(now) {
+        if now.saturating_sub(self.created) < self.home_options.lease {
             return Vec::new();
         }
         self.update_homes();
@@ -240,6 +272,15 @@
         now.saturating_sub(self.created) < self.lease
     }
 
+    /// Returns whether a daemon was silent for the lease of homes at the last check of the
+    /// leases.
+    fn is_silent(&self, registration: &Registration) -> bool {
+        let silence = self
+            .last_expiry_check
+            .saturating_sub(registration.last_heartbeat);
+        silence >= self.home_options.lease
+    }
+
     fn update_homes(&mut self) {
         if !self.homes_outdated {
             return;
@@ -248,14 +289,16 @@
         let candidates: Vec<Candidate> = self
             .daemons
             .iter()
+            .filter(|(_, r)| !self.is_silent(r))
             .map(|(daemon, r)| Candidate {
                 daemon: daemon.clone(),
                 address: r.info.address.clone(),
                 data_centre: r.info.data_centre.as_str().into(),
                 started: r.started,
+                preferred: self.home_options.on_replicas && r.runs_replica,
             })
             .collect();
-        self.homes.update(&candidates);
+        self.homes.update(candidates);
     }
 
     fn record_change(&mut self, service: Option<ServiceId>, daemon: &str) {
@@ -372,6 +415,7 @@
         superseded,
         sequence: heartbeat.sequence,
         config_version: heartbeat.config_version,
+        runs_replica: heartbeat.runs_replica,
         service: upstream.map(|u| u.service.as_str().into()),
         info: UpstreamInfo {
             upstream: heartbeat.daemon.clone(),
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use fleet::{FleetView, MAX_HOMES, Registry, SUBSCRIPTION_IDLE, homes_hash};
+use fleet::{FleetView, HomeOptions, MAX_HOMES, Registry, SUBSCRIPTION_IDLE, homes_hash};
 use std::time::Duration;
 use test_case::test_case;
 use wire::{Announcement, Heartbeat, ServiceDelta, Subscription};
@@ -202,6 +202,52 @@
     assert_eq!(services[0].service, "club");
 }
 
+/// Guards against homes that are lost with every daemon beside an upstream that restarts,
+/// where daemons with a control replica could be homes.
+#[test]
+fn homes_are_daemons_with_a_replica_if_there_are_any() {
+    let options = HomeOptions {
+        lease: secs(2),
+        on_replicas: true,
+    };
+    let mut registry = Registry::new(1, LEASE, secs(0)).with_home_options(options);
+    for daemon in ["d1", "d2"] {
+        registry.handle_heartbeat(secs(1), &heartbeat(daemon, 1, 1, 6));
+    }
+    assert_eq!(homes(&mut registry, 2), ["d1", "d2"]);
+    let replica = Heartbeat {
+        runs_replica: true,
+        ..heartbeat("c1", 1, 1, 0)
+    };
+    registry.handle_heartbeat(secs(2), &replica);
+    assert_eq!(homes(&mut registry, 2), ["c1"]);
+}
+
+/// Guards against a silent home that stays listed for the lease of its registration, and
+/// against one that is listed again only when another daemon changes.
+#[test]
+fn homes_exclude_daemon_while_it_is_silent_for_their_lease() {
+    let options = HomeOptions {
+        lease: secs(2),
+        on_replicas: false,
+    };
+    let mut registry = Registry::new(1, LEASE, secs(0)).with_home_options(options);
+    registry.handle_heartbeat(secs(1), &heartbeat("d2", 1, 1, 6));
+    for sequence in 1..=6 {
+        let now = Duration::from_millis(500 * sequence);
+        registry.handle_heartbeat(now, &heartbeat("d1", 1, sequence, 6));
+        registry.expire(now);
+    }
+    assert_eq!(homes(&mut registry, 3), ["d1"]);
+    registry.handle_heartbeat(secs(3), &heartbeat("d2", 1, 2, 6));
+    assert_eq!(homes(&mut registry, 3), ["d1", "d2"]);
+}
+
+fn homes(registry: &mut Registry, now: u64) -> Vec<String> {
+    let homes = registry.homes(secs(now), 0).into_iter();
+    homes.map(|home| home.daemon).collect()
+}
+
 #[test]
 fn homes_are_stable_bounded_and_spread_over_data_centres() {
     let mut registry = Registry::new(1, LEASE, secs(0));
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -79,6 +79,7 @@
     pub config: Configuration,
     address: CompactString,
     incarnation: u64,
+    runs_replica: bool,
     started: Option<Duration>,
     last_tick: Duration,
     term: Term,
@@ -132,6 +133,7 @@
             rng: SmallRng::seed_from_u64(seed(&settings.daemon.name, incarnation)),
             address,
             incarnation,
+            runs_replica: control.data_dir.is_some(),
             started: None,
             last_tick: Duration::ZERO,
             term: 0,
@@ -164,10 +166,11 @@
         self.config.version > 0 && (fresh || self.serve_stale && confirmed)
     }
 
-    /// Returns whether the control leader confirmed a heartbeat within the lease.
+    /// Returns whether the control leader confirmed a heartbeat within a lease.
     #[must_use]
-    pub fn is_confirmed(&self, now: Duration) -> bool {
-        self.confirmation.is_fresh(now)
+    pub fn is_confirmed(&self, now: Duration, lease: Duration) -> bool {
+        let age = self.confirmation.age(now);
+        age.is_some_and(|age| age < lease)
     }
 
     /// Returns the age of the last confirmation by the control leader, counted
@@ -469,6 +472,7 @@
             daemon: self.name.to_string(),
             incarnation: self.incarnation,
             sequence,
+            runs_replica: self.runs_replica,
             address: self.address.to_string(),
             data_centre: self.data_centre.to_string(),
             config_version: self.config.version,
--- a/crates/node/src/allowance.rs
+++ b/crates/node/src/allowance.rs
@@ -83,6 +83,7 @@
     rate_leases: RateLeases,
     rate_ledger: RateLedger,
     home_times: HomeTimes,
+    home_lease: Duration,
     /// Second of the last log lines, and their number.
     log_second: u64,
     log_lines: u32,
@@ -93,6 +94,7 @@
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
         let block = settings.quota.block_lifetime;
+        let home_lease = settings.quota.home_lease.unwrap_or(settings.control.lease);
         Self {
             leases: Leases::new(settings.daemon.name.clone(), block),
             ledger: Ledger::new(Duration::ZERO, block),
@@ -100,7 +102,8 @@
             sent: VecDeque::new(),
             rate_leases: RateLeases::new(settings.daemon.name.clone()),
             rate_ledger: RateLedger::new(),
-            home_times: HomeTimes::new(settings.control.lease),
+            home_times: HomeTimes::new(home_lease),
+            home_lease,
             log_second: 0,
             log_lines: 0,
         }
@@ -241,7 +244,7 @@
             });
         }
         self.home_times
-            .update(now, agent.homes(), agent.is_confirmed(now));
+            .update(now, agent.homes(), agent.is_confirmed(now, self.home_lease));
         while self
             .sent
             .front()
@@ -340,7 +343,7 @@
         req: &AllowanceRequest,
         agent: &Agent,
     ) -> Option<Allowance> {
-        if !agent.is_confirmed(now) {
+        if !agent.is_confirmed(now, self.home_lease) {
             return None;
         }
         let since = self.home_times.home_since(&req.customer, &agent.name)?;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -24,7 +24,7 @@
 use claims::Limits;
 use command::Item;
 use conf::{Settings, Transfers};
-use fleet::Registry;
+use fleet::{HomeOptions, Registry};
 use held_heartbeats::{HeldHeartbeat, HeldHeartbeats};
 use leadership::Leadership;
 use reads::{PendingRead, Reads};
@@ -43,6 +43,7 @@
     state_machine: StateMachine,
     halted: bool,
     lease: Duration,
+    home_options: HomeOptions,
     limits: Limits,
     /// Number of voters below which the leader handles no requests, so that a
     /// copy of every acknowledged write survives the tolerated losses.
@@ -66,12 +67,18 @@
     #[must_use]
     pub fn new(settings: &Settings, replica: Replica) -> Self {
         let control = &settings.control;
+        let quota = &settings.quota;
+        let home_options = HomeOptions {
+            lease: quota.home_lease.unwrap_or(control.lease),
+            on_replicas: quota.homes_on_replicas,
+        };
         let registry = Registry::new(replica.term(), control.lease, Duration::ZERO);
         Self {
             replica,
             state_machine: StateMachine::default(),
             halted: false,
             lease: control.lease,
+            home_options,
             limits: Limits {
                 retention_ms: millis(control.claim_retention),
                 max_claims: control.max_claims,
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -45,7 +45,7 @@
             since: now,
             log_time_ms: self.state_machine.claims.time_ms(),
         });
-        self.registry = Registry::new(term, self.lease, now);
+        self.registry = Registry::new(term, self.lease, now).with_home_options(self.home_options);
         self.suspects = Suspects::default();
         self.rollouts = Rollouts::default();
     }
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -48,6 +48,9 @@
     /// Requests that are in progress at the upstream.
     #[prost(uint32, tag = "14")]
     pub in_progress: u32,
+    /// Whether the daemon runs a control replica.
+    #[prost(bool, tag = "15")]
+    pub runs_replica: bool,
 }
 
 /// An upstream's announcement of itself to the daemon on its VM.
