--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -278,6 +278,16 @@
     }
 }
 
+impl Settings {
+    /// Returns the time for which a customer's home may grant after control's confirmation.
+    /// It is at most control's lease, after which control lists another home.
+    #[must_use]
+    pub fn home_lease(&self) -> Duration {
+        let lease = self.control.lease;
+        self.quota.home_lease.map_or(lease, |home| home.min(lease))
+    }
+}
+
 impl UpstreamSettings {
     /// Returns the default settings of an upstream at the given address.
     #[must_use]
--- a/crates/node/src/allowance.rs
+++ b/crates/node/src/allowance.rs
@@ -94,7 +94,7 @@
     #[must_use]
     pub fn new(settings: &Settings) -> Self {
         let block = settings.quota.block_lifetime;
-        let home_lease = settings.quota.home_lease.unwrap_or(settings.control.lease);
+        let home_lease = settings.home_lease();
         Self {
             leases: Leases::new(settings.daemon.name.clone(), block),
             ledger: Ledger::new(Duration::ZERO, block),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -69,7 +69,7 @@
         let control = &settings.control;
         let quota = &settings.quota;
         let home_options = HomeOptions {
-            lease: quota.home_lease.unwrap_or(control.lease),
+            lease: settings.home_lease(),
             on_replicas: quota.homes_on_replicas,
         };
         let registry = Registry::new(replica.term(), control.lease, Duration::ZERO);
--- a/crates/quota/src/rate_leases.rs
+++ b/crates/quota/src/rate_leases.rs
@@ -30,6 +30,9 @@
 /// Time until a reserved block becomes usable from which the limit counts as exceeded,
 /// in microseconds.
 const MIN_LIMITED_US: u64 = 25_000;
+/// Time for which a refusal of the home is remembered at most, since another daemon may
+/// have become the home.
+const MAX_REMEMBERED: Duration = Duration::from_secs(1);
 /// Time without a request after which unused tokens return to the home. Demand that
 /// has moved to another entry finds them there.
 const IDLE_RETURN: Duration = Duration::from_millis(100);
@@ -384,7 +387,8 @@
                 until: asked.at + after + BLOCK_LIFETIME,
             });
         } else if allowance.retry_after_ms > 0 {
-            state.ask_from = now + Duration::from_millis(allowance.ask_after_ms.into());
+            let ask_after = Duration::from_millis(allowance.ask_after_ms.into());
+            state.ask_from = now + ask_after.min(MAX_REMEMBERED);
             state.refused_until = now + Duration::from_millis(allowance.retry_after_ms.into());
         } else {
             state.ahead_from = now + Duration::from_millis(allowance.ask_after_ms.into());
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -11,14 +11,11 @@
 /// Fraction of the permitted share that is used. The rest covers retries and the
 /// requests that are sent before a roll-back is in force.
 const USED_SHARE: f64 = 0.8;
-/// Fraction of the duration that is reserved for the ramp and the switch.
-const RESERVE_RATIO: f64 = 0.4;
-/// Minimum reserve, if it is at most [`MAX_RESERVE_RATIO`] of the duration.
-const MIN_RESERVE_MS: u64 = 4_000;
-/// Maximum fraction of the duration that the minimum reserve may take.
-const MAX_RESERVE_RATIO: f64 = 0.5;
+/// Fraction of the duration that is reserved for the ramp and the switch. An operator
+/// counts from when the order was first sent, which may be seconds before its commit.
+const RESERVE_RATIO: f64 = 0.55;
 /// Fraction of the reserve that the ramp takes; old upstreams become empty in the rest.
-const RAMP_RATIO: f64 = 0.5;
+const RAMP_RATIO: f64 = 0.4;
 /// Shares of the ramp.
 const RAMP: [Ppm; 3] = [250_000, 500_000, ALL_PPM];
 /// Fraction of the duration after which the versions reported by entries are no longer
@@ -114,8 +111,7 @@
 }
 
 fn reserve_ms(duration_ms: u64) -> u64 {
-    let minimum = MIN_RESERVE_MS.min(scale(duration_ms, MAX_RESERVE_RATIO));
-    scale(duration_ms, RESERVE_RATIO).max(minimum)
+    scale(duration_ms, RESERVE_RATIO)
 }
 
 #[expect(
