--- a/crates/api/src/paths.rs
+++ b/crates/api/src/paths.rs
@@ -11,8 +11,8 @@
 /// `POST`: bootstraps a cluster with this daemon's empty control replica as its
 /// first member.
 pub const INITIALISE: &str = "/v1/initialise";
-/// `POST`: orders a roll-out. `GET` of this path, a slash and the name of a service: its
-/// newest roll-out.
+/// `POST`: orders a rollout. `GET` of this path, a slash and the name of a service: its
+/// newest rollout.
 pub const ROLLOUTS: &str = "/v1/rollouts";
 /// `GET`: 200 while the daemon accepts new requests, else 503.
 pub const HEALTH: &str = "/v1/health";
--- a/crates/api/src/rollout.rs
+++ b/crates/api/src/rollout.rs
@@ -1,4 +1,4 @@
-//! Roll-outs: orders, and the newest one of a service.
+//! Rollouts: orders, and the newest one of a service.
 
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -15,7 +15,7 @@
     pub service: String,
     /// Version that its traffic is moved to.
     pub version: String,
-    /// Time within which the roll-out is to be complete; milliseconds in JSON.
+    /// Time within which the rollout is to be complete; milliseconds in JSON.
     #[serde(rename = "within_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub within: Duration,
@@ -31,7 +31,7 @@
     }
 }
 
-/// State of a roll-out.
+/// State of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RolloutState {
@@ -56,13 +56,13 @@
     }
 }
 
-/// The newest roll-out of a service: response to `POST /v1/rollouts` and to
+/// The newest rollout of a service: response to `POST /v1/rollouts` and to
 /// `GET /v1/rollouts/SERVICE`. The HTTP status is 409 if another one is in progress, 422
 /// if the order has findings, and 404 if there was none.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutBody {
-    /// Number of the roll-out, higher for each.
+    /// Number of the rollout, higher for each.
     pub rollout: u64,
     /// Name of the service.
     pub service: String,
--- a/crates/conf/src/customers.rs
+++ b/crates/conf/src/customers.rs
@@ -115,7 +115,7 @@
     }
 }
 
-/// Returns the index from the digests of keys to the positions of the customers.
+/// Returns the index from the digests of keys to the indices of the customers.
 pub(crate) fn index(routing: &Routing) -> credentials::Index {
     let customers = routing.customers.iter().enumerate();
     let digests = customers.flat_map(|(i, c)| c.key_digests.iter().map(move |d| (i, d)));
--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -19,7 +19,7 @@
     content: Arc<Routing>,
     /// Indices of each host's routes, longest prefix first.
     routes_by_host: Arc<BTreeMap<CompactString, Vec<usize>>>,
-    /// Positions of the customers by their keys.
+    /// Index of each customer by key.
     credentials: Arc<credentials::Index>,
     /// Index of each customer by name.
     customers_by_name: Arc<HashMap<CompactString, usize>>,
--- a/crates/conf/src/state/configuration.rs
+++ b/crates/conf/src/state/configuration.rs
@@ -24,7 +24,7 @@
     pub out_upstreams: BTreeSet<UpstreamId>,
     /// Routes, services and limits.
     pub routing: RouteTable,
-    /// The newest roll-out of each service.
+    /// The newest rollout of each service.
     pub rollouts: BTreeMap<ServiceId, Rollout>,
 }
 
--- a/crates/gate/src/crowding.rs
+++ b/crates/gate/src/crowding.rs
@@ -5,7 +5,8 @@
 
 /// Refusals within a service time from which on a gate is crowded, for each slot.
 const CROWDED_REFUSALS_PER_SLOT: usize = 2;
-/// Slots for each refusal within a service time up to which a gate is overloaded.
+/// Maximum number of slots per refusal within a service time at which a gate counts as
+/// overloaded.
 const OVERLOAD_SLOTS_PER_REFUSAL: usize = 2;
 /// Fraction of the interval at which slots become free for each entry, after which it may
 /// ask again. Below 1, so that a free slot does not wait for an entry.
--- a/crates/node/src/admission/evidence.rs
+++ b/crates/node/src/admission/evidence.rs
@@ -1,4 +1,4 @@
-//! Responses of the upstream during a roll-out of its service, by route. The control
+//! Responses of the upstream during a rollout of its service, by route. The control
 //! leader compares those of the new version with those of the others.
 
 use gate::Outcome;
@@ -50,7 +50,7 @@
     Failure,
 }
 
-/// Counts of the responses of one version during one roll-out.
+/// Counts of the responses of one version during one rollout.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     rollout: u64,
@@ -107,7 +107,7 @@
 }
 
 impl Evidence {
-    /// Sets the roll-out and the version of the upstream. Counts of another roll-out or
+    /// Sets the rollout and the version of the upstream. Counts of another rollout or
     /// version are discarded.
     pub fn update(&mut self, rollout: Option<&Rollout>, version: &str) {
         let id = rollout.map_or(0, |rollout| rollout.id);
@@ -143,7 +143,7 @@
         }
     }
 
-    /// Returns the counts, while there is a roll-out.
+    /// Returns the counts, while there is a rollout.
     #[must_use]
     pub fn to_wire(&self) -> Option<VersionEvidence> {
         if self.rollout == 0 {
--- a/crates/node/src/admission/rollout.rs
+++ b/crates/node/src/admission/rollout.rs
@@ -1,4 +1,4 @@
-//! Roll-outs at the gate: refuses requests when the version of the upstream is excluded,
+//! Rollouts at the gate: refuses requests when the version of the upstream is excluded,
 //! and keeps the evidence about it.
 
 use super::jobs::{Job, Stage};
@@ -20,19 +20,19 @@
         u32::try_from(self.jobs.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the responses of the upstream during the current roll-out of its service.
+    /// Returns the responses of the upstream during the current rollout of its service.
     #[must_use]
     pub fn evidence(&self) -> Option<VersionEvidence> {
         self.evidence.to_wire()
     }
 
-    /// Returns whether a roll-out excludes the version of the upstream.
+    /// Returns whether a rollout excludes the version of the upstream.
     pub(super) fn is_version_excluded(&self, cx: &Cx<'_>) -> bool {
         let announced = self.gate.announced();
         announced.is_some_and(|a| cx.agent.is_version_excluded(&a.service, &a.version))
     }
 
-    /// Takes note of the roll-out of the upstream's service. If it excludes the version
+    /// Takes note of the rollout of the upstream's service. If it excludes the version
     /// of the upstream, the requests that wait are refused, so that their entries place
     /// them elsewhere.
     pub fn review_rollout(&mut self, cx: &mut Cx<'_>) {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -232,12 +232,12 @@
         self.view.service(service)
     }
 
-    /// Returns the newest roll-out of a service.
+    /// Returns the newest rollout of a service.
     pub(crate) fn rollout(&self, service: &str) -> Option<&Rollout> {
         self.config.rollouts.get(service)
     }
 
-    /// Returns whether a roll-out excludes the upstreams of a version.
+    /// Returns whether a rollout excludes the upstreams of a version.
     #[must_use]
     pub fn is_version_excluded(&self, service: &str, version: &str) -> bool {
         let view = self.view.service(service);
@@ -256,7 +256,7 @@
     }
 
     /// Sets what the next heartbeat reports about the upstream on this VM: the requests
-    /// in progress there, and its responses during a roll-out.
+    /// in progress there, and its responses during a rollout.
     pub(crate) fn set_upstream_progress(
         &mut self,
         in_progress: u32,
--- a/crates/node/src/entry/versions.rs
+++ b/crates/node/src/entry/versions.rs
@@ -1,4 +1,4 @@
-//! To which versions of a service an attempt may go during a roll-out.
+//! To which versions of a service an attempt may go during a rollout.
 
 use super::Entry;
 use super::request::{ActiveRequest, AttemptState, SentAttempt};
@@ -22,7 +22,7 @@
 pub type VersionKey = (ServiceId, CompactString);
 
 /// Attempts at the upstreams of a version since the start of the daemon, as far as their
-/// service had a roll-out.
+/// service had a rollout.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct VersionCount {
     /// Attempts, including those that were not run.
@@ -35,17 +35,17 @@
     pub errors: u64,
 }
 
-/// The shares of the services with a roll-out, and counts by version.
+/// The shares of the services with a rollout, and counts by version.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
     shares: BTreeMap<ServiceId, VersionShare>,
     counts: BTreeMap<VersionKey, VersionCount>,
 }
 
-/// The roll-out during which an attempt is made.
+/// The rollout during which an attempt is made.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptVersion {
-    /// Number of the roll-out, or 0.
+    /// Number of the rollout, or 0.
     rollout: u64,
     version: CompactString,
     /// Whether the attempt was counted against the share of the new version.
@@ -57,7 +57,7 @@
 pub(super) type Choices = Vec<Vec<UpstreamId>>;
 
 impl Versions {
-    /// Takes note of the roll-out of a service and of its upstreams.
+    /// Takes note of the rollout of a service and of its upstreams.
     pub(super) fn update(
         &mut self,
         service: &str,
@@ -113,7 +113,7 @@
     }
 
     /// Returns the choices of versions for the next attempt of a request. Without a
-    /// roll-out there is one, which leaves out nothing.
+    /// rollout there is one, which leaves out nothing.
     pub(super) fn version_choices(&self, active: &ActiveRequest, cx: &Cx<'_>) -> Choices {
         let service = &active.request.service;
         let any = vec![Vec::new()];
@@ -152,7 +152,7 @@
         }
     }
 
-    /// Takes note of the roll-out of a service, before its upstreams are chosen from.
+    /// Takes note of the rollout of a service, before its upstreams are chosen from.
     pub(super) fn update_versions(&mut self, service: &str, cx: &Cx<'_>) {
         let rollout = cx.agent.rollout(service);
         let view = cx.agent.known_service(service);
--- a/crates/overload/src/asking.rs
+++ b/crates/overload/src/asking.rs
@@ -1,4 +1,4 @@
-//! Bounds the requests that an entry sends to gates in vain.
+//! Limits the requests of an entry that gates refuse for lack of room.
 //!
 //! A refusal by a gate costs two daemons processor time, and the caller a round trip or
 //! the wait in a queue. Under many times the capacity these refusals take the daemons'
@@ -11,8 +11,8 @@
 
 /// Maximum credit, and maximum debt, in refusals.
 const MAX_CREDIT: f64 = 16.0;
-/// Refusals in vain that a response allows. Where upstreams are slow for a moment, gates
-/// know better than entries whether there is room, so most requests may still ask.
+/// Refusals that a response allows. Above 1, because gates know better than entries
+/// whether there is room when upstreams are slow for a moment.
 const REFUSALS_PER_RESPONSE: f64 = 2.0;
 /// Refusals per second that are allowed without any response, to find out whether there
 /// is room again.
@@ -23,11 +23,12 @@
 const MAX_HALVINGS: u32 = 10;
 /// Ranks between a weight and half of it: above the customer's share or not, new or not.
 const RANKS_PER_HALVING: u32 = 4;
+/// Ranks by which a request of a customer above its share is lower.
 const RANKS_ABOVE_SHARE: u32 = 2;
 /// Credit above which a request is sent whose response would be late: more than any other
 /// request needs, so that it only takes room that is left.
 const MIN_CREDIT_FOR_LATE: f64 = (MAX_HALVINGS + 1) as f64 * RANKS_PER_HALVING as f64 * RANK_STEP;
-/// Time for which a heavier request counts.
+/// Time for which the greatest weight is remembered.
 const HEAVIEST_TIME: Duration = Duration::from_secs(2);
 /// Time that rejected callers are told to wait at most.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
@@ -56,6 +57,7 @@
     updated_at: Duration,
     /// Greatest weight seen recently, and when.
     heaviest: (u32, Duration),
+    /// Responses by customer.
     shares: CustomerShares,
     /// Average interval between responses, in seconds, and the time of the last.
     response_interval: Option<f64>,
@@ -103,7 +105,7 @@
     }
 
     /// Records a response to a request of a customer, which `refusals` gates had refused
-    /// before. These were not in vain and are given back.
+    /// before. The credit that these took is given back.
     pub fn record_response(&mut self, now: Duration, customer: &str, refusals: u32) {
         self.advance(now);
         self.credit = (self.credit + f64::from(refusals) + REFUSALS_PER_RESPONSE).min(MAX_CREDIT);
--- a/crates/overload/src/shares.rs
+++ b/crates/overload/src/shares.rs
@@ -39,8 +39,8 @@
 }
 
 impl CustomerShares {
-    /// Records a request of a customer that got a slot. Where too many customers are
-    /// tracked, a new one is not.
+    /// Records a request of a customer that got a slot. A customer beyond the
+    /// maximum number is not tracked.
     pub fn record_served(&mut self, now: Duration, customer: &str, share: u32) {
         if now.saturating_sub(self.pruned_at) >= PRUNE_INTERVAL {
             self.prune(now);
--- a/crates/plumhitch/src/args.rs
+++ b/crates/plumhitch/src/args.rs
@@ -209,7 +209,7 @@
     Status(RolloutStatus),
 }
 
-/// Orders a roll-out: the new version gets a small share first, then all requests. It
+/// Orders a rollout: the new version gets a small share first, then all requests. It
 /// is rolled back if its responses are worse than those of the old version.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "start")]
@@ -220,12 +220,12 @@
     /// version that the upstreams to move to announce
     #[argh(positional)]
     pub(crate) version: String,
-    /// time within which the roll-out is to be complete, such as 90s, 1500ms or 10m
+    /// time within which the rollout is to be complete, such as 90s, 1500ms or 10m
     #[argh(option, arg_name = "duration", from_str_fn(parse_duration))]
     pub(crate) within: Duration,
 }
 
-/// Shows the newest roll-out of a service.
+/// Shows the newest rollout of a service.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "status")]
 pub(crate) struct RolloutStatus {
--- a/crates/plumhitch/src/client.rs
+++ b/crates/plumhitch/src/client.rs
@@ -20,8 +20,8 @@
 const DAEMONS_VAR: &str = "PLUMHITCH_DAEMONS";
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum time for sending an order for a roll-out again. The same order starts a new
-/// roll-out from 30 s after the one before was rolled back.
+/// Maximum time for sending an order for a rollout again. The same order starts a new
+/// rollout from 30 s after the one before was rolled back.
 const MAX_ORDER_TIME: Duration = Duration::from_secs(25);
 const INITIAL_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -113,7 +113,7 @@
         self.send_with_retries(&request, parse_outcome).await
     }
 
-    /// Sends an order for a roll-out until a daemon reports that it is committed.
+    /// Sends an order for a rollout until a daemon reports that it is committed.
     ///
     /// # Errors
     ///
@@ -133,7 +133,7 @@
         self.send_with_retries(&request, parse_rollout).await?
     }
 
-    /// Requests the newest roll-out of a service.
+    /// Requests the newest rollout of a service.
     ///
     /// # Errors
     ///
@@ -285,7 +285,7 @@
     }
 }
 
-/// Parses the response to an order for a roll-out; `None` if it says nothing about it.
+/// Parses the response to an order for a rollout; `None` if it says nothing about it.
 fn parse_rollout(status: StatusCode, body: &[u8]) -> Option<Result<RolloutBody, Failure>> {
     match status {
         StatusCode::OK => serde_json::from_slice(body).ok().map(Ok),
--- a/crates/plumhitch/src/failure.rs
+++ b/crates/plumhitch/src/failure.rs
@@ -28,9 +28,9 @@
     Findings(Findings),
     /// The daemon rejected the lists with findings.
     Invalid(SentChange, Box<OutcomeBody>),
-    /// The order for a roll-out has findings.
+    /// The order for a rollout has findings.
     InvalidRollout(String),
-    /// Another roll-out of the service is in progress.
+    /// Another rollout of the service is in progress.
     RolloutInProgress(String),
     /// Another change was accepted on the same base first.
     Conflict(SentChange, Box<OutcomeBody>),
--- a/crates/plumhitch/src/output.rs
+++ b/crates/plumhitch/src/output.rs
@@ -46,7 +46,7 @@
         });
     }
 
-    /// Prints a roll-out.
+    /// Prints a rollout.
     pub(crate) fn rollout(&self, rollout: &RolloutBody) {
         self.print(rollout, || println!("{}", rollout_line(rollout)));
     }
--- a/crates/plumhitch/src/rollout.rs
+++ b/crates/plumhitch/src/rollout.rs
@@ -1,4 +1,4 @@
-//! Orders roll-outs and shows them.
+//! Orders rollouts and shows them.
 
 use crate::args::{Args, RolloutAction};
 use crate::client::Client;
@@ -6,11 +6,11 @@
 use crate::output::Output;
 use api::RolloutOrderBody;
 
-/// Runs a command on roll-outs and prints its result.
+/// Runs a command on rollouts and prints its result.
 ///
 /// # Errors
 ///
-/// Returns why an order was not accepted, or that no roll-out was found.
+/// Returns why an order was not accepted, or that no rollout was found.
 pub(crate) async fn run(args: &Args, action: &RolloutAction, out: &Output) -> Result<(), Failure> {
     let mut client = Client::new(args)?;
     let rollout = match action {
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -98,14 +98,14 @@
         }
     }
 
-    /// Orders a roll-out; returns `None` if no control leader confirmed an outcome in
+    /// Orders a rollout; returns `None` if no control leader confirmed an outcome in
     /// time. The same order may then be sent again.
     pub async fn start_rollout(&self, order: RolloutOrder) -> Option<RolloutOutcome> {
         self.rollout(control_request::Kind::StartRollout(order))
             .await
     }
 
-    /// Returns the newest roll-out of a service, or `None` if no control leader
+    /// Returns the newest rollout of a service, or `None` if no control leader
     /// confirmed it in time.
     pub async fn read_rollout(&self, service: &str) -> Option<RolloutOutcome> {
         let service = service.to_owned();
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -52,7 +52,7 @@
                 registry,
                 "credential_lease_seconds",
                 "Time left in which requests that need a credential are accepted without a new \
-                 word from control; -1 without such a limit.",
+                 confirmation by control; -1 without such a limit.",
             )?,
             credentials: int_gauge_vec(
                 registry,
@@ -119,7 +119,7 @@
                 registry,
                 "version_attempts",
                 "Attempts at upstreams since the start, by the service and version of the \
-                 upstream and what became of them, while the service has a roll-out.",
+                 upstream and what became of them, while the service has a rollout.",
                 &["service", "version", "what"],
             )?,
             limited_requests: customer_gauge_vec(
@@ -272,9 +272,7 @@
             }
         }
     }
-}
 
-impl Gauges {
     fn update_versions(&self, daemon: &Daemon) {
         let counts = daemon.read(|node| node.entry.version_counts().clone());
         for ((service, version), count) in counts {
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -249,7 +249,7 @@
     }
 }
 
-/// Returns the service whose roll-out is read by a request to a path.
+/// Returns the service whose rollout is read by a request to a path.
 fn rollout_service(path: &str) -> Option<&str> {
     let service = path.strip_prefix(api::ROLLOUTS)?.strip_prefix('/')?;
     Some(service).filter(|service| !service.is_empty())
--- a/crates/plumhitchd/src/operators_http/rollouts.rs
+++ b/crates/plumhitchd/src/operators_http/rollouts.rs
@@ -1,4 +1,4 @@
-//! Endpoints for roll-outs.
+//! Endpoints for rollouts.
 
 use super::{HttpResponse, Operators, error, json, no_outcome, parse};
 use crate::handle::Handle;
@@ -10,7 +10,7 @@
 const MAX_ORDER_BYTES: usize = 16 * 1024;
 
 impl Operators {
-    /// Orders a roll-out.
+    /// Orders a rollout.
     pub(super) async fn start_rollout(
         &self,
         req: &mut Request,
@@ -26,7 +26,7 @@
         respond(handle.start_rollout(body.into()).await)
     }
 
-    /// Returns the newest roll-out of a service.
+    /// Returns the newest rollout of a service.
     pub(super) async fn rollout(&self, service: &str) -> Result<HttpResponse, HttpResponse> {
         let handle = Handle::new(self.daemon.clone());
         respond(handle.read_rollout(service).await)
@@ -42,13 +42,13 @@
         }
         (RolloutResult::InProgress, rollout) => {
             let version = rollout.map(|r| r.version).unwrap_or_default();
-            let why = format!("another roll-out of the service is in progress, to {version:?}");
+            let why = format!("another rollout of the service is in progress, to {version:?}");
             Err(error(StatusCode::CONFLICT, &why))
         }
         (RolloutResult::Invalid, _) => Err(error(StatusCode::UNPROCESSABLE_ENTITY, &findings)),
         (RolloutResult::NotFound, _) => Err(error(
             StatusCode::NOT_FOUND,
-            "no roll-out was ordered for the service",
+            "no rollout was ordered for the service",
         )),
         (RolloutResult::Accepted | RolloutResult::Unknown, _) => Err(no_outcome()),
     }
--- a/crates/plumhitchd/tests/rollouts.rs
+++ b/crates/plumhitchd/tests/rollouts.rs
@@ -1,4 +1,4 @@
-//! The operators' interface for roll-outs of a real daemon, with replies of a stand-in
+//! The operators' interface for rollouts of a real daemon, with replies of a stand-in
 //! for the control leader.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
--- a/crates/quota/src/rate_leases.rs
+++ b/crates/quota/src/rate_leases.rs
@@ -90,6 +90,7 @@
     pub unanswered: u64,
 }
 
+/// Tokens that the home granted, and the time in which they may be used.
 #[derive(Debug)]
 struct Block {
     tokens: u32,
@@ -97,6 +98,7 @@
     until: Duration,
 }
 
+/// A held request, and the time by which it must be decided.
 #[derive(Debug)]
 struct Waiter {
     request: RequestId,
@@ -117,11 +119,13 @@
     blocks: VecDeque<Block>,
     waiters: VecDeque<Waiter>,
     asked: Option<Asked>,
-    /// The home's refusal: when to ask it again, and when a token arrives.
+    /// When the home may be asked again after a refusal.
     ask_from: Duration,
+    /// When the next token arrives, as stated in the home's refusal.
     refused_until: Duration,
     /// When tokens may be requested ahead of requests.
     ahead_from: Duration,
+    /// Unused tokens that are to be returned to the home.
     returned: u32,
     /// When the first of the returned tokens was returned.
     returned_at: Duration,
@@ -130,6 +134,7 @@
     limited: bool,
     demand: Meter,
     last_used: Duration,
+    /// Whether the home did not reply in time, and has not replied since.
     home_lost: bool,
 }
 
@@ -393,8 +398,8 @@
         self.ask(now, &customer, tx);
     }
 
-    /// Forgets what was asked of a home that can't be reached or is no longer the
-    /// customer's home.
+    /// Forgets the request to a home that can't be reached, and allows the next one at
+    /// once.
     pub fn request_failed(&mut self, now: Duration, customer: &str) {
         if let Some(state) = self.customers.get_mut(customer) {
             state.asked = None;
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -42,7 +42,7 @@
     /// routing.
     #[prost(bool, tag = "12")]
     pub supports_routing_changes: bool,
-    /// Responses of the upstream, during a roll-out of its service.
+    /// Responses of the upstream, during a rollout of its service.
     #[prost(message, optional, tag = "13")]
     pub evidence: Option<crate::rollout::VersionEvidence>,
     /// Requests that are in progress at the upstream.
@@ -211,7 +211,7 @@
     /// The routing delta, if one is sent; valid on the last page.
     #[prost(message, optional, boxed, tag = "10")]
     pub routing_change: Option<Box<crate::routing::RoutingChange>>,
-    /// The newest roll-out of each service; valid on the last page.
+    /// The newest rollout of each service; valid on the last page.
     #[prost(message, repeated, tag = "11")]
     pub rollouts: Vec<crate::rollout::Rollout>,
 }
@@ -317,10 +317,10 @@
         /// Reads the current routing.
         #[prost(message, tag = "10")]
         ReadRouting(crate::routing::RoutingRequest),
-        /// Orders a roll-out.
+        /// Orders a rollout.
         #[prost(message, tag = "11")]
         StartRollout(crate::rollout::RolloutOrder),
-        /// Reads the newest roll-out of a service.
+        /// Reads the newest rollout of a service.
         #[prost(message, tag = "12")]
         ReadRollout(crate::rollout::RolloutQuery),
     }
@@ -366,7 +366,7 @@
         /// The current routing.
         #[prost(message, tag = "8")]
         Routing(crate::routing::Routing),
-        /// Outcome of a roll-out order or query.
+        /// Outcome of a rollout order or query.
         #[prost(message, tag = "9")]
         Rollout(crate::rollout::RolloutOutcome),
     }
@@ -622,7 +622,7 @@
     /// Number of customers on the list.
     #[prost(uint64, tag = "11")]
     pub customers: u64,
-    /// The newest roll-out of each service.
+    /// The newest rollout of each service.
     #[prost(message, repeated, tag = "12")]
     pub rollouts: Vec<crate::rollout::Rollout>,
 }
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -232,7 +232,7 @@
     Cold = 2,
     /// The upstream is leaving.
     Leaving = 3,
-    /// Operators have taken the data centre or the upstream out, or a roll-out excludes
+    /// Operators have taken the data centre or the upstream out, or a rollout excludes
     /// the version of the upstream.
     Out = 4,
     /// The daemon's state from control is stale.
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -1,6 +1,6 @@
-//! Roll-outs: moving the traffic of a service to upstreams of another version.
+//! Rollouts: moving the traffic of a service to upstreams of another version.
 
-/// Stage of a roll-out.
+/// Stage of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum RolloutStage {
@@ -28,15 +28,15 @@
     /// Version to move to.
     #[prost(string, tag = "2")]
     pub version: String,
-    /// Time within which the roll-out is to be complete, in milliseconds.
+    /// Time within which the rollout is to be complete, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub duration_ms: u64,
 }
 
-/// The newest roll-out of a service.
+/// The newest rollout of a service.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Rollout {
-    /// Number, higher for each roll-out: the configuration version that its order made.
+    /// Number, higher for each rollout: the configuration version that its order made.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Name of the service.
@@ -75,7 +75,7 @@
     pub step_version: u64,
 }
 
-/// Reads the newest roll-out of a service.
+/// Reads the newest rollout of a service.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct RolloutQuery {
     /// Name of the service.
@@ -83,29 +83,29 @@
     pub service: String,
 }
 
-/// Result of a roll-out order or query.
+/// Result of a rollout order or query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum RolloutResult {
     /// Not specified.
     Unknown = 0,
-    /// The order is committed by a majority, or was before; or the roll-out was found.
+    /// The order is committed by a majority, or was before; or the rollout was found.
     Accepted = 1,
     /// Another order for the service is in progress.
     InProgress = 2,
     /// The order has findings; nothing was changed.
     Invalid = 3,
-    /// No roll-out was ordered for the service.
+    /// No rollout was ordered for the service.
     NotFound = 4,
 }
 
-/// Outcome of a roll-out order or query.
+/// Outcome of a rollout order or query.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct RolloutOutcome {
     /// The result.
     #[prost(enumeration = "RolloutResult", tag = "1")]
     pub result: i32,
-    /// The newest roll-out of the service, if there is one.
+    /// The newest rollout of the service, if there is one.
     #[prost(message, optional, tag = "2")]
     pub rollout: Option<Rollout>,
     /// Findings, one per line.
@@ -113,11 +113,11 @@
     pub findings: Vec<String>,
 }
 
-/// Responses of an upstream during a roll-out of its service, counted since the daemon
-/// on its VM started or the roll-out began.
+/// Responses of an upstream during a rollout of its service, counted since the daemon
+/// on its VM started or the rollout began.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct VersionEvidence {
-    /// Number of the roll-out.
+    /// Number of the rollout.
     #[prost(uint64, tag = "1")]
     pub rollout: u64,
     /// Version of the upstream.
