Use one word for rollouts, and plainer wording in code and docs read first

No public name, setting, metric, log event or wire field changes, and no behaviour. Measured: not built, no tests run; cargo fmt only.

--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -33,12 +33,13 @@
     pub(crate) address: String,
     pub(crate) data_centre: DataCentreId,
     pub(crate) started: Duration,
-    /// Whether daemons that are not preferred are homes only if there is no such daemon.
+    /// Whether it takes precedence: other daemons are homes only while no preferred one is
+    /// a candidate.
     pub(crate) preferred: bool,
 }
 
-/// The list of quota homes. A daemon stays a home as long as it is registered,
-/// since a change moves customers' buckets to other daemons.
+/// The list of quota homes. A daemon stays a home as long as it is a candidate, since a
+/// change moves customers' buckets to other daemons.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Homes {
     members: Vec<DaemonId>,
@@ -47,7 +48,7 @@
 }
 
 impl Homes {
-    /// Removes homes that are no longer registered, and fills the list with the
+    /// Removes homes that are no longer candidates, and fills the list with the
     /// daemons that have been up longest, each from the data centre that has the
     /// fewest homes.
     pub(crate) fn update(&mut self, mut candidates: Vec<Candidate>) {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -231,7 +231,7 @@
     }
 
     /// Returns the quota homes, or an empty list if a daemon has them already
-    /// (`known_hash`) or the election was less than one lease ago.
+    /// (`known_hash`) or the election was less than the lease of homes ago.
     #[must_use]
     pub fn homes(&mut self, now: Duration, known_hash: u64) -> Vec<QuotaHome> {
         if now.saturating_sub(self.created) < self.home_options.lease {
@@ -342,15 +342,15 @@
 
 /// Reduces a full update to the buckets of upstreams whose checksums differ from those
 /// of the daemon's view.
-fn without_known(mut delta: ServiceDelta, held: &[u64]) -> ServiceDelta {
+fn without_known(mut delta: ServiceDelta, known: &[u64]) -> ServiceDelta {
     let current = checksums(delta.upstreams.iter());
-    let differing = (0..VIEW_BUCKETS).filter(|bucket| held.get(*bucket) != current.get(*bucket));
+    let differing = (0..VIEW_BUCKETS).filter(|bucket| known.get(*bucket) != current.get(*bucket));
     let replaced = differing.fold(0, |bits, bucket| bits | 1 << bucket);
     delta
         .upstreams
         .retain(|info| replaced & (1 << bucket_of(&info.upstream)) != 0);
     delta.full = false;
-    delta.base_checksums = held.to_vec();
+    delta.base_checksums = known.to_vec();
     delta.replaced_buckets = replaced;
     delta
 }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -1,21 +1,22 @@
-//! Which upstreams a roll-out excludes, and between which it shares the requests.
+//! Rules of a rollout that entries and gates apply: the versions that it excludes, and
+//! whether requests are shared between versions.
 
 use crate::view::ServiceView;
 use std::time::Duration;
 use wire::{Rollout, RolloutStage};
 
 /// Time without a confirmation by control after which a daemon sends nothing to the
-/// version that a roll-out moves to: the roll-out may have been rolled back.
+/// version that a rollout moves to: the rollout may have been rolled back.
 pub const ROLLOUT_CONFIRMATION: Duration = Duration::from_millis(1_500);
 
 /// Returns whether the requests of the service are shared between the version that the
-/// roll-out moves to and the others.
+/// rollout moves to and the others.
 #[must_use]
 pub fn is_shared(rollout: &Rollout) -> bool {
     matches!(rollout.stage(), RolloutStage::Canary | RolloutStage::Ramp)
 }
 
-/// Returns whether the roll-out can still change: it is neither complete nor rolled back.
+/// Returns whether the rollout can still change: it is neither complete nor rolled back.
 #[must_use]
 pub fn is_unfinished(rollout: &Rollout) -> bool {
     is_shared(rollout) || rollout.stage() == RolloutStage::Switched
@@ -24,7 +25,7 @@
 /// Returns whether upstreams of a version get no requests. `view` is the view of the
 /// service, if it is known.
 ///
-/// Once the roll-out is complete, the replaced versions are excluded only while there is
+/// Once the rollout is complete, the replaced versions are excluded only while there is
 /// an upstream of the new one. If the view is not known, they are excluded, because the
 /// platform may stop them at any time.
 #[must_use]
@@ -38,7 +39,7 @@
     }
 }
 
-/// Returns whether an upstream of the version that the roll-out moves to is staying in
+/// Returns whether an upstream of the version that the rollout moves to is staying in
 /// the fleet.
 fn has_version(view: &ServiceView, rollout: &Rollout) -> bool {
     let mut staying = view.upstreams.values().filter(|u| !u.leaving);
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -1,4 +1,4 @@
-//! Versions that a roll-out excludes.
+//! Versions that a rollout excludes.
 #![allow(clippy::unwrap_used)]
 
 use fleet::{FleetView, ServiceView, is_excluded, is_shared, is_unfinished};
--- a/crates/node/src/admission/evidence.rs
+++ b/crates/node/src/admission/evidence.rs
@@ -1,4 +1,4 @@
-//! Responses of the upstream during a roll-out of its service, by route. The control
+//! Responses of the upstream during a rollout of its service, by route. The control
 //! leader compares those of the new version with those of the others.
 
 use gate::Outcome;
@@ -8,11 +8,11 @@
 
 /// Maximum number of routes that are counted separately.
 const MAX_ROUTES: usize = 16;
-/// Name under which the others are counted.
+/// Name under which further routes are counted together.
 const OTHER: &str = "other";
 /// End of the first bucket of service times, in milliseconds.
 const FIRST_BUCKET_MS: f64 = 1.0;
-/// Buckets for each doubling of the service time.
+/// Buckets for each doubling of the service time, as `rollout` reads them.
 const BUCKETS_PER_DOUBLING: f64 = 2.0;
 /// Maximum number of buckets; the last one ends at 12 minutes.
 const MAX_BUCKETS: usize = 40;
@@ -43,14 +43,14 @@
     responded: Option<UpstreamState>,
 }
 
-/// How a run ended, as far as it says something about the upstream's version.
+/// End of a run that is evidence about the upstream's version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ending {
     Success(Duration),
     Failure,
 }
 
-/// Counts of the responses of one version during one roll-out.
+/// Counts of the responses of one version during one rollout.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     rollout: u64,
@@ -81,7 +81,7 @@
         self.responded.get_or_insert(state);
     }
 
-    /// Returns what the end of the run says, or `None` if it does not count.
+    /// Returns the end of the run as evidence, or `None` if it is none.
     fn ending(&self, outcome: Outcome, ended: UpstreamState) -> Option<Ending> {
         if self.started.cold || ended.cold {
             return None;
@@ -107,7 +107,7 @@
 }
 
 impl Evidence {
-    /// Sets the roll-out and the version of the upstream. Counts of another roll-out or
+    /// Sets the rollout and the version of the upstream. Counts of another rollout or
     /// version are discarded.
     pub fn update(&mut self, rollout: Option<&Rollout>, version: &str) {
         let id = rollout.map_or(0, |rollout| rollout.id);
@@ -143,7 +143,7 @@
         }
     }
 
-    /// Returns the counts, while there is a roll-out.
+    /// Returns the counts, while there is a rollout.
     #[must_use]
     pub fn to_wire(&self) -> Option<VersionEvidence> {
         if self.rollout == 0 {
--- a/crates/node/src/admission/rollout.rs
+++ b/crates/node/src/admission/rollout.rs
@@ -1,4 +1,4 @@
-//! Roll-outs at the gate: refuses requests when the version of the upstream is excluded,
+//! Rollouts at the gate: refuses requests when the version of the upstream is excluded,
 //! and keeps the evidence about it.
 
 use super::jobs::{Job, Stage};
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use wire::{RefuseReason, VersionEvidence};
 
-/// Time before the deadline in which an entry's cancellation is taken for the deadline,
-/// which passes earlier at the entry: by the way to the gate, and by a tick.
+/// Time before the deadline from which on a cancellation by the entry counts as the
+/// deadline. The deadline passes earlier at the entry, by the network delay and a tick.
 const DEADLINE_SLACK: Duration = Duration::from_millis(50);
 
 impl Admission {
@@ -20,21 +20,21 @@
         u32::try_from(self.jobs.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the responses of the upstream during the current roll-out of its service.
+    /// Returns the responses of the upstream during the current rollout of its service.
     #[must_use]
     pub fn evidence(&self) -> Option<VersionEvidence> {
         self.evidence.to_wire()
     }
 
-    /// Returns whether a roll-out excludes the version of the upstream.
+    /// Returns whether a rollout excludes the version of the upstream.
     pub(super) fn is_version_excluded(&self, cx: &Cx<'_>) -> bool {
         let announced = self.gate.announced();
         announced.is_some_and(|a| cx.agent.is_version_excluded(&a.service, &a.version))
     }
 
-    /// Takes note of the roll-out of the upstream's service. If it excludes the version
-    /// of the upstream, the requests that wait are refused, so that their entries place
-    /// them elsewhere.
+    /// Applies the current rollout of the upstream's service. If it excludes the version
+    /// of the upstream, queued requests are refused, so that their entries send them
+    /// elsewhere.
     pub fn review_rollout(&mut self, cx: &mut Cx<'_>) {
         let Some(announced) = self.gate.announced() else {
             return;
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Records the end of a request. One that was cancelled says nothing: its response
-    /// may have been cut off by that.
+    /// Records the end of a request. A cancelled request is no evidence, because the
+    /// cancellation may have cut off its response.
     pub(super) fn record_run_end(&mut self, job: &Job, outcome: Outcome, now: Duration) {
         if let (Stage::Running, Some(run)) = (job.stage, &job.run) {
             let state = self.upstream_state(now);
@@ -80,8 +80,8 @@
         }
     }
 
-    /// Records that a running request is cancelled, which counts if its deadline is
-    /// over.
+    /// Records that a running request is cancelled. It is evidence only if its deadline
+    /// has passed.
     pub(super) fn record_run_cancelled(&mut self, ticket: Ticket, now: Duration) {
         let state = self.upstream_state(now);
         let Some(job) = self.jobs.get_mut(ticket) else {
--- a/crates/node/src/admission/suspects.rs
+++ b/crates/node/src/admission/suspects.rs
@@ -141,7 +141,7 @@
     names.into_iter().map(|(name, _)| name).collect()
 }
 
-/// Returns whether the roll-out of the service allows an upstream to run suspected
+/// Returns whether the rollout of the service allows an upstream to run suspected
 /// requests. The new version gets none while its share is limited, because a suspected
 /// request may go to one upstream only.
 fn takes_suspects(rollout: Option<&Rollout>, upstream: &Upstream, view: &ServiceView) -> bool {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -232,12 +232,12 @@
         self.view.service(service)
     }
 
-    /// Returns the newest roll-out of a service.
+    /// Returns the newest rollout of a service.
     pub(crate) fn rollout(&self, service: &str) -> Option<&Rollout> {
         self.config.rollouts.get(service)
     }
 
-    /// Returns whether a roll-out excludes the upstreams of a version.
+    /// Returns whether a rollout excludes the upstreams of a version.
     #[must_use]
     pub fn is_version_excluded(&self, service: &str, version: &str) -> bool {
         let view = self.view.service(service);
@@ -250,13 +250,13 @@
         now.saturating_sub(self.started.unwrap_or(now))
     }
 
-    /// Returns whether a heartbeat will be sent at the next tick, if that is now.
+    /// Returns whether a tick at this time sends a heartbeat.
     pub(crate) fn is_heartbeat_due(&self, now: Duration) -> bool {
         self.heartbeats.is_due(now) || self.heartbeats.reply_overdue(now)
     }
 
     /// Sets what the next heartbeat reports about the upstream on this VM: the requests
-    /// in progress there, and its responses during a roll-out.
+    /// in progress there, and its responses during a rollout.
     pub(crate) fn set_upstream_progress(
         &mut self,
         in_progress: u32,
--- a/crates/node/src/agent/credential_lease.rs
+++ b/crates/node/src/agent/credential_lease.rs
@@ -1,7 +1,8 @@
-//! How long control's confirmation of the credentials allows requests that need one.
+//! Lease that limits how long a daemon accepts credentials without a confirmation by
+//! control.
 //!
-//! A daemon that is cut off from control does not learn of withdrawn keys. Within the
-//! lease after a withdrawal it stops accepting requests that need a key.
+//! A daemon that is cut off from control does not learn of withdrawn keys. It stops
+//! accepting requests that need a key once the lease since its last confirmation ends.
 
 use crate::effect::{Effect, LogLine};
 use crate::millis::millis;
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -179,7 +179,7 @@
     })
 }
 
-/// Reports the roll-outs that differ from those before.
+/// Reports the rollouts that differ from those before.
 fn log_rollouts(
     before: &BTreeMap<ServiceId, Rollout>,
     now: &BTreeMap<ServiceId, Rollout>,
--- a/crates/node/src/allowance.rs
+++ b/crates/node/src/allowance.rs
@@ -298,7 +298,7 @@
                 continue;
             };
             if home.daemon == agent.name {
-                self.ask_itself(now, &req, agent);
+                self.handle_local_request(now, &req, agent);
                 continue;
             }
             let address = CompactString::new(&home.address);
@@ -317,7 +317,7 @@
     }
 
     /// Handles a request of this daemon's entry as the home, and the reply.
-    fn ask_itself(&mut self, now: Duration, req: &AllowanceRequest, agent: &Agent) {
+    fn handle_local_request(&mut self, now: Duration, req: &AllowanceRequest, agent: &Agent) {
         let mut due = vec![req.clone()];
         for _ in 0..MAX_LOCAL_ROUNDS {
             let Some(mut req) = due.pop() else {
--- a/crates/node/src/control/rollouts.rs
+++ b/crates/node/src/control/rollouts.rs
@@ -23,25 +23,27 @@
 /// Time after which a step that was not committed is proposed again.
 const REPROPOSE_AFTER: Duration = Duration::from_secs(1);
 /// Interval at which the log time is recorded during a rollout. A new leader continues
-/// from the recorded time, so that the schedule is delayed by this at most, in addition
-/// to the time without a leader.
+/// from the recorded time, so that a change of leader delays the schedule by at most this
+/// interval in addition to the time without a leader.
 const TIME_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A rollout in progress, as far as this leader knows more than the replicated state.
+/// State that the leader keeps about a rollout in progress, in addition to the replicated
+/// state. A new leader starts without it.
 #[derive(Debug, Default)]
-struct Driven {
+struct TrackedRollout {
     id: u64,
     evidence: Evidence,
     /// Other versions that upstreams of the service have reported.
     old_versions: BTreeSet<String>,
-    /// Number of the step that a proposed one follows, and when it was proposed.
+    /// For the newest proposed step: the number of the step before it, and the time of the
+    /// proposal.
     proposed: Option<(u64, Duration)>,
 }
 
 /// The rollouts in progress.
 #[derive(Debug, Default)]
 pub(super) struct Rollouts {
-    driven: BTreeMap<ServiceId, Driven>,
+    tracked: BTreeMap<ServiceId, TrackedRollout>,
     decided_at: Option<Duration>,
     time_recorded_at: Option<Duration>,
 }
@@ -56,13 +58,13 @@
         let Some(rollout) = rollout.filter(|r| r.id == evidence.rollout && is_active(r)) else {
             return;
         };
-        let driven = self.driven(rollout);
+        let tracked = self.tracked(rollout);
         let group = match evidence.version == rollout.version {
             true => VersionGroup::New,
             false => VersionGroup::Old,
         };
         if group == VersionGroup::Old {
-            driven.old_versions.insert(evidence.version.clone());
+            tracked.old_versions.insert(evidence.version.clone());
         }
         let reporter = Reporter {
             daemon: heartbeat.daemon.as_str().into(),
@@ -70,24 +72,24 @@
             data_centre: heartbeat.data_centre.as_str().into(),
             group,
         };
-        driven.evidence.record(now, &reporter, &evidence.routes);
+        tracked.evidence.record(now, &reporter, &evidence.routes);
     }
 
-    /// Returns what is known of a rollout; what is known of an earlier one of the
-    /// service is dropped.
-    fn driven(&mut self, rollout: &Rollout) -> &mut Driven {
+    /// Returns the state kept about a rollout. The state of an earlier rollout of the
+    /// service is discarded.
+    fn tracked(&mut self, rollout: &Rollout) -> &mut TrackedRollout {
         let service = rollout.service.as_str().into();
-        let driven = self.driven.entry(service).or_default();
-        if driven.id != rollout.id {
-            *driven = Driven {
+        let tracked = self.tracked.entry(service).or_default();
+        if tracked.id != rollout.id {
+            *tracked = TrackedRollout {
                 id: rollout.id,
-                ..Driven::default()
+                ..TrackedRollout::default()
             };
         }
-        driven
+        tracked
     }
 
-    /// Returns whether decisions are due, and notes that they are made now.
+    /// Returns whether decisions are due, and records that they are made now.
     fn take_due(&mut self, now: Duration) -> bool {
         let elapsed = |last: Duration| now.saturating_sub(last) >= DECISION_INTERVAL;
         let is_due = self.decided_at.is_none_or(elapsed);
@@ -97,7 +99,7 @@
         is_due
     }
 
-    /// Returns whether the log time is to be recorded, and notes that it is now.
+    /// Returns whether the log time is to be recorded, and records that it is now.
     fn take_time_due(&mut self, now: Duration) -> bool {
         let elapsed = |last: Duration| now.saturating_sub(last) >= TIME_INTERVAL;
         let is_due = self.time_recorded_at.is_none_or(elapsed);
@@ -117,7 +119,9 @@
         let rollouts = self.config().rollouts.values();
         let active: Vec<Rollout> = rollouts.filter(|r| is_active(r)).cloned().collect();
         let is_active = |service: &ServiceId| active.iter().any(|r| r.service == *service);
-        self.rollouts.driven.retain(|service, _| is_active(service));
+        self.rollouts
+            .tracked
+            .retain(|service, _| is_active(service));
         if !active.is_empty() && self.rollouts.take_time_due(now) {
             self.batch.record_time();
         }
@@ -130,33 +134,33 @@
         let fleet = fleet(&self.registry, self.config(), now, rollout);
         let time_ms = self.log_time_ms(now);
         let bounds = self.bounds;
-        let driven = self.rollouts.driven(rollout);
+        let tracked = self.rollouts.tracked(rollout);
         let is_pending = |(after, at): (u64, Duration)| {
             after == rollout.step && now.saturating_sub(at) < REPROPOSE_AFTER
         };
-        if driven.proposed.is_some_and(is_pending) {
+        if tracked.proposed.is_some_and(is_pending) {
             return;
         }
         let decision = rollout::decide(&RolloutView {
             rollout,
             time_ms,
             now,
-            evidence: &driven.evidence,
+            evidence: &tracked.evidence,
             fleet,
             bounds,
         });
         let Some(mut step) = step(rollout, &decision) else {
             return;
         };
-        driven.proposed = Some((rollout.step, now));
+        tracked.proposed = Some((rollout.step, now));
         let figures = Figures {
             fleet,
             elapsed_ms: time_ms.saturating_sub(rollout.ordered_ms),
-            new: driven.evidence.totals(VersionGroup::New),
-            old: driven.evidence.totals(VersionGroup::Old),
+            new: tracked.evidence.totals(VersionGroup::New),
+            old: tracked.evidence.totals(VersionGroup::Old),
         };
         if step.stage() == RolloutStage::Switched {
-            let mut replaced = driven.old_versions.clone();
+            let mut replaced = tracked.old_versions.clone();
             replaced.extend(other_versions(&self.registry, rollout));
             step.replaced_versions = replaced.into_iter().collect();
         }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -136,7 +136,7 @@
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
             Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
-            Purpose::Hedge => chosen.is_some() && self.pay_hedge(id, &service, now),
+            Purpose::Hedge => chosen.is_some() && self.charge_hedge(id, &service, now),
         };
         chosen.filter(|_| paid)
     }
@@ -314,7 +314,7 @@
     identity::check(active, cx)
 }
 
-/// Returns the upstreams that accept requests and that the roll-out does not exclude.
+/// Returns the upstreams that accept requests and that the rollout does not exclude.
 fn candidates(view: &ServiceView, rollout: Option<&Rollout>) -> Vec<Candidate> {
     let accepting = view.upstreams.iter().filter(|(_, u)| !u.leaving);
     let excluded = |u: &Upstream| rollout.is_some_and(|r| is_excluded(r, &u.version, Some(view)));
--- a/crates/node/src/entry/hedge.rs
+++ b/crates/node/src/entry/hedge.rs
@@ -48,7 +48,12 @@
 
     /// Charges a hedge of a request to the limit of its service; returns whether the limit
     /// allows it.
-    pub(super) fn pay_hedge(&mut self, id: RequestId, service: &ServiceId, now: Duration) -> bool {
+    pub(super) fn charge_hedge(
+        &mut self,
+        id: RequestId,
+        service: &ServiceId,
+        now: Duration,
+    ) -> bool {
         let paid = self.budgets(service).hedges.spend(now);
         if !paid {
             self.deny_hedge(id);
--- a/crates/node/src/entry/hedge_limit.rs
+++ b/crates/node/src/entry/hedge_limit.rs
@@ -1,4 +1,4 @@
-//! Limit of the hedges of one service, and what became of them.
+//! Limits the hedges of one service and counts their outcomes.
 //!
 //! Each entry keeps to the ratio for the requests that it sent itself, so that the sum over
 //! all entries keeps to it too.
@@ -20,7 +20,7 @@
 pub struct HedgeCount {
     /// Hedges that were sent.
     pub sent: u64,
-    /// Hedges that responded first.
+    /// Hedges whose response came first.
     pub won: u64,
     /// Hedges that were cancelled, because another attempt responded first or the request
     /// ended otherwise.
@@ -58,8 +58,8 @@
         self.ratio > 0.0
     }
 
-    /// Counts a request that is sent for the first time, which earns a part of a hedge.
-    /// Requests that are refused unsent are no work of the service.
+    /// Counts a request that is sent for the first time and earns a fraction of a hedge.
+    /// Requests that are refused before they are sent earn nothing.
     pub(super) fn record_request(&mut self) {
         self.budget.record_request();
     }
--- a/crates/node/src/entry/overload.rs
+++ b/crates/node/src/entry/overload.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 use wire::{RefuseReason, RequestId};
 
-/// Expected response time, relative to the time left to the objective, above which a
-/// response counts as late. Service times vary, and reports are slightly outdated.
-const HOPELESS_RATIO: u32 = 2;
+/// Ratio of the expected response time to the time left to the objective above which a
+/// response is expected to be late. It is above 1 because service times vary and reports
+/// are slightly outdated.
+const MAX_LATENESS_RATIO: u32 = 2;
 
 impl Entry {
     /// Checks whether a request may be sent to the upstream that was chosen for it, or
@@ -33,7 +34,7 @@
         if !matches!(purpose, Purpose::First | Purpose::Repick) {
             return Ok(());
         }
-        let latest = |at: Duration| at.saturating_sub(cx.now) * HOPELESS_RATIO;
+        let latest = |at: Duration| at.saturating_sub(cx.now) * MAX_LATENESS_RATIO;
         let in_time = active
             .late_at
             .is_none_or(|at| estimate.finish <= latest(at));
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -77,7 +77,7 @@
     /// Retries delegated to the call tree below.
     pub(super) delegated_retries: u32,
     pub(super) state: AttemptState,
-    /// Version of the upstream, and the roll-out of its service.
+    /// Version of the upstream, and the rollout of its service.
     pub(super) version: AttemptVersion,
     /// Whether the upstream may be chosen again, because it was only slower
     /// than assumed.
--- a/crates/node/src/entry/versions.rs
+++ b/crates/node/src/entry/versions.rs
@@ -1,4 +1,5 @@
-//! To which versions of a service an attempt may go during a roll-out.
+//! Selects the versions of a service to which an attempt may go during a rollout, and
+//! counts attempts by version.
 
 use super::Entry;
 use super::request::{ActiveRequest, AttemptState, SentAttempt};
@@ -12,52 +13,52 @@
 
 /// Maximum number of versions, of all services, that are counted separately.
 const MAX_VERSIONS: usize = 64;
-/// Age of the daemon from which on its view lists every upstream. Before, the leader may
-/// have started with it, and not have heard of all of them.
+/// Age of the daemon from which on its view is taken to list every upstream. A leader that
+/// was elected when the daemon started may not know all of them before.
 const MIN_VIEW_AGE: Duration = Duration::from_secs(5);
-/// Name under which the others are counted.
+/// Name under which further versions are counted together.
 const OTHER: &str = "other";
 
 /// Service and version.
 pub type VersionKey = (ServiceId, CompactString);
 
 /// Attempts at the upstreams of a version since the start of the daemon, as far as their
-/// service had a roll-out.
+/// service had a rollout.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct VersionCount {
     /// Attempts, including those that were not run.
     pub attempts: u64,
     /// Attempts that were not run.
     pub not_run: u64,
-    /// Responses that are no server errors.
+    /// Responses other than server errors.
     pub responses: u64,
     /// Server errors.
     pub errors: u64,
 }
 
-/// The shares of the services with a roll-out, and counts by version.
+/// The shares of the services with a rollout, and counts by version.
 #[derive(Debug, Default)]
 pub(super) struct Versions {
     shares: BTreeMap<ServiceId, VersionShare>,
     counts: BTreeMap<VersionKey, VersionCount>,
 }
 
-/// The roll-out during which an attempt is made.
+/// The rollout during which an attempt is made.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptVersion {
-    /// Number of the roll-out, or 0.
+    /// Number of the rollout, or 0.
     rollout: u64,
     version: CompactString,
     /// Whether the attempt was counted against the share of the new version.
     charged: bool,
 }
 
-/// Upstreams that an attempt must not go to, by choice; the first choice that finds room
-/// applies.
+/// Alternatives for an attempt in order of preference, each given as the upstreams that it
+/// leaves out. The first alternative with an upstream that has room is used.
 pub(super) type Choices = Vec<Vec<UpstreamId>>;
 
 impl Versions {
-    /// Takes note of the roll-out of a service and of its upstreams.
+    /// Updates the share of the new version from the rollout and the view of a service.
     pub(super) fn update(
         &mut self,
         service: &str,
@@ -112,8 +113,8 @@
         &self.versions.counts
     }
 
-    /// Returns the choices of versions for the next attempt of a request. Without a
-    /// roll-out there is one, which leaves out nothing.
+    /// Returns the alternatives for the next attempt of a request. Without a rollout there
+    /// is one, which leaves out no upstream.
     pub(super) fn version_choices(&self, active: &ActiveRequest, cx: &Cx<'_>) -> Choices {
         let service = &active.request.service;
         let any = vec![Vec::new()];
@@ -133,8 +134,8 @@
         if !confirmed || !share.allows(rollout.share_ppm) {
             return vec![new];
         }
-        // Where the new version had no room for this request once, the next attempt is
-        // free only if it finds an upstream at once.
+        // After a refusal by the new version the old one is preferred, because a request may
+        // be refused and sent again only a limited number of times.
         let refused =
             |t: &SentAttempt| t.state == AttemptState::NotRun && new.contains(&t.upstream);
         match active.attempts.iter().any(refused) {
@@ -152,7 +153,8 @@
         }
     }
 
-    /// Takes note of the roll-out of a service, before its upstreams are chosen from.
+    /// Updates the share of the new version of a service. Called before an upstream is
+    /// chosen.
     pub(super) fn update_versions(&mut self, service: &str, cx: &Cx<'_>) {
         let rollout = cx.agent.rollout(service);
         let view = cx.agent.known_service(service);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -140,8 +140,9 @@
     with_admission(node, now, tx, Admission::tick);
 }
 
-/// Tells the agent what is in progress at the upstream, exactly at the time of the
-/// heartbeat: the leader takes an excluded version for idle by it.
+/// Passes the requests in progress at the upstream to the agent immediately before it sends
+/// a heartbeat. The leader completes a rollout by this number, so it must not be older than
+/// the configuration version in the same heartbeat.
 fn report_progress(node: &mut Node, now: Duration) {
     if node.agent.is_heartbeat_due(now) {
         let evidence = node.admission.evidence();
--- a/crates/node/tests/rollout_daemons.rs
+++ b/crates/node/tests/rollout_daemons.rs
@@ -1,4 +1,4 @@
-//! What the entry and the gate of a daemon do during a roll-out.
+//! What the entry and the gate of a daemon do during a rollout.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use conf::{DaemonSettings, ListenSettings, Settings};
@@ -218,7 +218,7 @@
         })
     }
 
-    /// Brings another state of the roll-out into force; returns the effects.
+    /// Brings another state of the rollout into force; returns the effects.
     fn roll(&mut self, rollout: Rollout) -> Vec<Effect> {
         self.rollout = Some(rollout);
         self.config_version += 1;
@@ -572,7 +572,7 @@
     assert!(forwarded(&bench.arrive().1).is_none());
 }
 
-/// Guards against other choices for services without a roll-out.
+/// Guards against other choices for services without a rollout.
 #[test]
 fn entry_chooses_as_before_without_rollout() {
     let choices = |rollout: Option<Rollout>| {
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -46,7 +46,7 @@
     pub(crate) transfer: f64,
     /// Time left until the response is late, if there is an objective.
     pub(crate) objective: Option<f64>,
-    /// Time left until the caller leaves.
+    /// Time left until the caller's deadline.
     pub(crate) deadline: f64,
     /// Cost of a late response.
     pub(crate) late_cost: f64,
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -93,7 +93,7 @@
     pub bytes: u64,
     /// Time left until the response is late, if the request has an objective.
     pub objective: Option<Duration>,
-    /// Time left until the caller leaves.
+    /// Time left until the caller's deadline.
     pub deadline: Duration,
     /// Rank among requests for upstreams that state a rate, the greatest first.
     pub preference: u32,
@@ -490,7 +490,7 @@
         let all = self.candidates.iter().enumerate();
         let untried = all.filter(|(_, c)| !request.tried.contains(&c.upstream));
         untried
-            .filter(|(_, c)| self.transfer_is_worth(c, request))
+            .filter(|(_, c)| self.is_transfer_allowed(c, request))
             .filter_map(|(index, _)| self.score_candidate(now, peers, index, request))
             .collect()
     }
@@ -619,8 +619,9 @@
         limit.map_or(cost, |limit| cost.min(limit))
     }
 
-    /// Returns whether the bytes of a request may be sent to a candidate.
-    fn transfer_is_worth(&self, candidate: &Candidate, request: PickRequest<'_>) -> bool {
+    /// Returns whether the cost of sending a request to a candidate is within the limit of
+    /// the request.
+    fn is_transfer_allowed(&self, candidate: &Candidate, request: PickRequest<'_>) -> bool {
         let Some(max_transfer) = request.max_transfer else {
             return true;
         };
--- a/crates/pick/src/version_share.rs
+++ b/crates/pick/src/version_share.rs
@@ -1,4 +1,4 @@
-//! The share of a service's requests that the new version gets during a roll-out.
+//! The share of a service's requests that the new version gets during a rollout.
 //!
 //! It is kept by counting: each attempt to which an upstream responded earns the share
 //! of an attempt, and an attempt at the new version costs a whole one. So the attempts
@@ -21,7 +21,7 @@
 }
 
 impl VersionShare {
-    /// Sets the number of the roll-out; another one begins with nothing earned.
+    /// Sets the number of the rollout; another one begins with nothing earned.
     /// `others` is whether the service has upstreams of other versions now.
     pub fn update(&mut self, rollout: u64, others: bool) {
         if self.rollout != rollout {
@@ -33,14 +33,14 @@
         self.has_other_versions |= others;
     }
 
-    /// Returns the number of the roll-out.
+    /// Returns the number of the rollout.
     #[must_use]
     pub fn rollout(&self) -> u64 {
         self.rollout
     }
 
     /// Returns whether there is something to share: other versions had an upstream at
-    /// any time of the roll-out.
+    /// any time of the rollout.
     #[must_use]
     pub fn is_shared(&self) -> bool {
         self.has_other_versions
@@ -71,7 +71,7 @@
     }
 
     /// Records that an upstream of any version responded to an attempt that was made
-    /// during the roll-out.
+    /// during the rollout.
     pub fn record_response(&mut self, rollout: u64, share_ppm: u32) {
         if self.rollout == rollout {
             self.earn(u64::from(share_ppm).min(PPM));
--- a/crates/pick/tests/version_share.rs
+++ b/crates/pick/tests/version_share.rs
@@ -1,4 +1,4 @@
-//! The share of the new version during a roll-out, kept by counting.
+//! The share of the new version during a rollout, kept by counting.
 #![allow(clippy::unwrap_used)]
 
 use pick::VersionShare;
@@ -119,7 +119,7 @@
     assert!(!share.allows(0));
 }
 
-/// Guards against a roll-out that inherits what another one earned, also through the
+/// Guards against a rollout that inherits what another one earned, also through the
 /// late ends of attempts that were made during the other one.
 #[test]
 fn update_to_another_rollout_begins_with_nothing() {
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,4 +1,4 @@
-//! Schedule of a rollout without a verdict.
+//! Schedule of a rollout whose new version is not known to be bad.
 //!
 //! The canary stage takes all of the duration except for a reserve, in which the share
 //! is raised, the traffic is switched and the old upstreams become empty. Each step of
@@ -9,7 +9,7 @@
 use wire::{Rollout, RolloutStage};
 
 /// Fraction of the permitted share that is used. The rest covers retries and the
-/// requests that are sent before a roll-back is in force.
+/// requests that are sent before a rollback is in force.
 const USED_SHARE: f64 = 0.8;
 /// Fraction of the duration that is reserved for the ramp and the switch.
 const RESERVE_RATIO: f64 = 0.4;
--- a/crates/rollout/src/statistics.rs
+++ b/crates/rollout/src/statistics.rs
@@ -19,8 +19,8 @@
 /// Service time, relative to the median of the old version, above which a response is
 /// slow.
 const SLOW_RATIO: f64 = 2.5;
-/// Minimum number of bad responses of a bad version. It is well below
-/// `canary-slack`, because requests are sent until a roll-back is in force.
+/// Minimum number of bad responses of a bad version. It is well below `canary-slack`,
+/// because the new version gets further requests until the rollback is in force.
 const MIN_BAD: f64 = 8.0;
 /// Fraction of `canary-slack` that the minimum number of bad responses may take.
 const MIN_BAD_RATIO: f64 = 0.2;
@@ -52,7 +52,8 @@
 pub struct Verdict {
     /// Route that was compared; `None` for all routes together.
     pub route: Option<String>,
-    /// Whether only recent responses were compared.
+    /// Whether only responses within the rollback time were compared, not all that are
+    /// kept.
     pub recent: bool,
     /// Responses of the new version that were compared.
     pub responses: f64,
@@ -89,7 +90,8 @@
     })
 }
 
-/// Compares the versions from an interval on, on each route and on all together.
+/// Compares the versions from an interval on, on each route and on all together. Interval
+/// 0 stands for all evidence that is kept.
 fn compare(evidence: &Evidence, first: Interval, kind: Kind, bounds: Bounds) -> Option<Verdict> {
     let recent = first > 0;
     let mut all = Comparison {
@@ -162,23 +164,23 @@
         self.bad_upstreams.extend(bad.cloned());
     }
 
-    /// Adds a stratum. `doubt` is added to the expected proportion for the variance.
-    fn add_stratum(&mut self, stratum: &Stratum, correlation: f64, doubt: f64) {
+    /// Adds a stratum. `margin` is added to the expected proportion for the variance.
+    fn add_stratum(&mut self, stratum: &Stratum, correlation: f64, margin: f64) {
         let (new, new_bad) = sums(stratum, VersionGroup::New);
         let (old, old_bad) = sums(stratum, VersionGroup::Old);
         let all = new + old;
         let expected = (new_bad + old_bad) / all;
-        let square = |group| {
+        let weighted_size = |group| {
             let cells = stratum.iter().filter(|cell| cell.group == group);
             let terms = cells.map(|c| c.responses * (1.0 + (c.responses - 1.0) * correlation));
             terms.sum::<f64>()
         };
-        let variance = square(VersionGroup::New) * (old / all).powi(2)
-            + square(VersionGroup::Old) * (new / all).powi(2);
+        let variance = weighted_size(VersionGroup::New) * (old / all).powi(2)
+            + weighted_size(VersionGroup::Old) * (new / all).powi(2);
         self.responses += new;
         self.bad += new_bad;
         self.excess += new_bad - new * expected;
-        let proportion = (expected + doubt).min(0.5_f64.max(expected));
+        let proportion = (expected + margin).min(0.5_f64.max(expected));
         self.variance += proportion * (1.0 - proportion) * variance;
         self.weight += new * old / all;
         for cell in stratum.iter().filter(|c| c.group == VersionGroup::New) {
@@ -220,7 +222,7 @@
     let old_cells = strata.iter().flatten();
     let old_cells = old_cells.filter(|c| c.group == VersionGroup::Old).count();
     // With few old cells, it may be by chance that none of them was slowed.
-    let (assumed, doubt) = match kind {
+    let (assumed, margin) = match kind {
         Kind::Failures => (FAILURE_CORRELATION, 0.0),
         Kind::All => (SLOW_CORRELATION, 1.0 / old_cells.max(1) as f64),
     };
@@ -230,7 +232,7 @@
         ..Comparison::default()
     };
     for stratum in &strata {
-        comparison.add_stratum(stratum, correlation, doubt);
+        comparison.add_stratum(stratum, correlation, margin);
     }
     comparison
 }
--- a/crates/rollout/tests/closed_loop/mod.rs
+++ b/crates/rollout/tests/closed_loop/mod.rs
@@ -72,7 +72,7 @@
     pub sent_new: u64,
     pub sent_all: u64,
     /// Failed or slow responses of the new version that had been given when the
-    /// roll-back was decided.
+    /// rollback was decided.
     pub bad_at_decision: u64,
     pub largest_share: u32,
     pub reason: String,
