--- a/crates/conf/src/state/rollouts.rs
+++ b/crates/conf/src/state/rollouts.rs
@@ -12,6 +12,8 @@
 const MAX_ROLLOUTS: usize = 1_000;
 /// Maximum duration of a rollout.
 const MAX_DURATION: Duration = Duration::from_secs(30 * 24 * 3600);
+/// Maximum number of versions of a service that stay excluded after a rollback.
+const MAX_REJECTED_VERSIONS: usize = 16;
 /// Maximum length of the name of a service or version.
 const MAX_NAME_BYTES: usize = 200;
 
@@ -69,9 +71,12 @@
                 return outcome(RolloutResult::InProgress, latest);
             }
         }
+        let latest = self.current.rollouts.get(order.service.as_str());
+        let rejected_versions = latest.map(|latest| rejected_versions(latest, order));
         self.advance(RoutingDelta::None);
         let rollout = Rollout {
             id: self.current.version,
+            rejected_versions: rejected_versions.unwrap_or_default(),
             service: order.service.clone(),
             version: order.version.clone(),
             duration_ms: order.duration_ms,
@@ -158,6 +163,21 @@
     }
 }
 
+/// Returns the versions that stay excluded when an order follows the latest rollout: those
+/// that were rolled back, but for the one that is ordered now.
+fn rejected_versions(latest: &Rollout, order: &RolloutOrder) -> Vec<String> {
+    let rolled_back = latest.stage() == RolloutStage::RolledBack;
+    let newest = rolled_back.then_some(&latest.version);
+    let rejected = latest.rejected_versions.iter().chain(newest);
+    let mut rejected: Vec<String> = rejected
+        .filter(|version| **version != order.version)
+        .cloned()
+        .collect();
+    let excess = rejected.len().saturating_sub(MAX_REJECTED_VERSIONS);
+    rejected.drain(..excess);
+    rejected
+}
+
 /// Returns whether a rollout has not ended.
 fn is_active(rollout: &Rollout) -> bool {
     matches!(
--- a/crates/conf/tests/rollouts.rs
+++ b/crates/conf/tests/rollouts.rs
@@ -106,6 +106,18 @@
     assert_eq!(is_new, expect == RolloutResult::Accepted);
 }
 
+/// Guards against a bad version that gets requests again with the next rollout.
+#[test]
+fn apply_rollout_order_keeps_rolled_back_versions_excluded() {
+    let mut state = at_stage(RolloutStage::RolledBack);
+    apply(&mut state, &order("v3", 12_000), 3_000);
+    assert_eq!(current(&state).rejected_versions, ["v2"]);
+    let rolled_back = step(&current(&state), RolloutStage::RolledBack);
+    assert!(state.apply_rollout_step(&rolled_back, 4_000));
+    apply(&mut state, &order("v2", 9_000), 5_000);
+    assert_eq!(current(&state).rejected_versions, ["v3"]);
+}
+
 /// Guards against an order that can never be tried again, and against one that is
 /// tried again because an operator resends it.
 #[test_case(REPEAT_AFTER_MS => false; "resent")]
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -1,4 +1,5 @@
-//! Which upstreams a rollout excludes, and between which it shares the requests.
+//! Rules of a rollout that entries and gates apply: the versions that it excludes, and
+//! whether requests are shared between versions.
 
 use crate::view::ServiceView;
 use std::time::Duration;
@@ -29,6 +30,9 @@
 /// platform may stop them at any time.
 #[must_use]
 pub fn is_excluded(rollout: &Rollout, version: &str, view: Option<&ServiceView>) -> bool {
+    if rollout.rejected_versions.iter().any(|v| v == version) {
+        return true;
+    }
     let replaced = || rollout.replaced_versions.iter().any(|v| v == version);
     match rollout.stage() {
         RolloutStage::Unknown | RolloutStage::Canary | RolloutStage::Ramp => false,
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -88,3 +88,15 @@
         (shared, unfinished)
     );
 }
+
+/// Guards against a version that was rolled back and counts as an old one in the next
+/// rollout.
+#[test_case(RolloutStage::Canary)]
+#[test_case(RolloutStage::Complete)]
+fn is_excluded_at_every_stage_after_an_earlier_rollback(stage: RolloutStage) {
+    let rollout = Rollout {
+        rejected_versions: vec!["v9".to_owned()],
+        ..rollout(stage)
+    };
+    assert!(is_excluded(&rollout, "v9", None));
+}
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -250,7 +250,7 @@
         now.saturating_sub(self.started.unwrap_or(now))
     }
 
-    /// Returns whether a heartbeat will be sent at the next tick, if that is now.
+    /// Returns whether a tick at this time sends a heartbeat.
     pub(crate) fn is_heartbeat_due(&self, now: Duration) -> bool {
         self.heartbeats.is_due(now) || self.heartbeats.reply_overdue(now)
     }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -136,7 +136,7 @@
         let paid = match purpose {
             Purpose::First | Purpose::Redirect | Purpose::Repick => true,
             Purpose::Retry => chosen.is_some() && self.budgets(&service).retries.spend(now),
-            Purpose::Hedge => chosen.is_some() && self.pay_hedge(id, &service, now),
+            Purpose::Hedge => chosen.is_some() && self.charge_hedge(id, &service, now),
         };
         chosen.filter(|_| paid)
     }
--- a/crates/node/src/entry/versions.rs
+++ b/crates/node/src/entry/versions.rs
@@ -1,4 +1,5 @@
-//! To which versions of a service an attempt may go during a rollout.
+//! Selects the versions of a service to which an attempt may go during a rollout, and
+//! counts attempts by version.
 
 use super::Entry;
 use super::request::{ActiveRequest, AttemptState, SentAttempt};
@@ -12,10 +13,10 @@
 
 /// Maximum number of versions, of all services, that are counted separately.
 const MAX_VERSIONS: usize = 64;
-/// Age of the daemon from which on its view lists every upstream. Before, the leader may
-/// have started with it, and not have heard of all of them.
+/// Age of the daemon from which on its view is taken to list every upstream. A leader that
+/// was elected when the daemon started may not know all of them before.
 const MIN_VIEW_AGE: Duration = Duration::from_secs(5);
-/// Name under which the others are counted.
+/// Name under which further versions are counted together.
 const OTHER: &str = "other";
 
 /// Service and version.
@@ -29,7 +30,7 @@
     pub attempts: u64,
     /// Attempts that were not run.
     pub not_run: u64,
-    /// Responses that are no server errors.
+    /// Responses other than server errors.
     pub responses: u64,
     /// Server errors.
     pub errors: u64,
@@ -52,12 +53,12 @@
     charged: bool,
 }
 
-/// Upstreams that an attempt must not go to, by choice; the first choice that finds room
-/// applies.
+/// Alternatives for an attempt in order of preference, each given as the upstreams that it
+/// leaves out. The first alternative with an upstream that has room is used.
 pub(super) type Choices = Vec<Vec<UpstreamId>>;
 
 impl Versions {
-    /// Takes note of the rollout of a service and of its upstreams.
+    /// Updates the share of the new version from the rollout and the view of a service.
     pub(super) fn update(
         &mut self,
         service: &str,
@@ -112,8 +113,8 @@
         &self.versions.counts
     }
 
-    /// Returns the choices of versions for the next attempt of a request. Without a
-    /// rollout there is one, which leaves out nothing.
+    /// Returns the alternatives for the next attempt of a request. Without a rollout there
+    /// is one, which leaves out no upstream.
     pub(super) fn version_choices(&self, active: &ActiveRequest, cx: &Cx<'_>) -> Choices {
         let service = &active.request.service;
         let any = vec![Vec::new()];
@@ -133,8 +134,8 @@
         if !confirmed || !share.allows(rollout.share_ppm) {
             return vec![new];
         }
-        // Where the new version had no room for this request once, the next attempt is
-        // free only if it finds an upstream at once.
+        // After a refusal by the new version the old one is preferred, because a request may
+        // be refused and sent again only a limited number of times.
         let refused =
             |t: &SentAttempt| t.state == AttemptState::NotRun && new.contains(&t.upstream);
         match active.attempts.iter().any(refused) {
@@ -152,7 +153,8 @@
         }
     }
 
-    /// Takes note of the rollout of a service, before its upstreams are chosen from.
+    /// Updates the share of the new version of a service. Called before an upstream is
+    /// chosen.
     pub(super) fn update_versions(&mut self, service: &str, cx: &Cx<'_>) {
         let rollout = cx.agent.rollout(service);
         let view = cx.agent.known_service(service);
--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -1,4 +1,4 @@
-//! Schedule of a rollout without a verdict.
+//! Schedule of a rollout whose new version is not known to be bad.
 //!
 //! The canary stage takes all of the duration except for a reserve, in which the share
 //! is raised, the traffic is switched and the old upstreams become empty. Each step of
@@ -9,7 +9,7 @@
 use wire::{Rollout, RolloutStage};
 
 /// Fraction of the permitted share that is used. The rest covers retries and the
-/// requests that are sent before a roll-back is in force.
+/// requests that are sent before a rollback is in force.
 const USED_SHARE: f64 = 0.8;
 /// Fraction of the duration that is reserved for the ramp and the switch. An operator
 /// counts from when the order was first sent, which may be seconds before its commit.
@@ -54,11 +54,13 @@
     if !fleet.is_known {
         return Decision::Hold;
     }
-    if rollout.stage() == RolloutStage::Switched {
+    let is_switched = rollout.stage() == RolloutStage::Switched;
+    if is_switched && fleet.new_upstreams > 0 {
         return completion(rollout, fleet, elapsed_ms);
     }
     if fleet.new_upstreams == 0 {
-        return match elapsed_ms >= rollout.duration_ms {
+        // After the switch no upstream accepts requests without the new ones.
+        return match is_switched || elapsed_ms >= rollout.duration_ms {
             true => Decision::RollBack(RollBackReason::NoUpstream),
             false => Decision::Hold,
         };
@@ -94,7 +96,8 @@
     let next = RAMP.into_iter().find(|share| *share > rollout.share_ppm);
     match next.map(|share| share.min(room)) {
         Some(share) if share > rollout.share_ppm => Decision::SetShare(share),
-        None => Decision::Switch,
+        None if room > 0 => Decision::Switch,
+        None => Decision::Hold,
         Some(_) if elapsed_ms >= switch_ms && room > 0 => Decision::Switch,
         Some(_) => Decision::Hold,
     }
--- a/crates/rollout/tests/decide.rs
+++ b/crates/rollout/tests/decide.rs
@@ -250,6 +250,7 @@
 #[test_case(250_000, 6_280, FLEET => Decision::SetShare(500_000); "second")]
 #[test_case(500_000, 6_280, FLEET => Decision::SetShare(ALL_PPM); "third")]
 #[test_case(ALL_PPM, 6_280, FLEET => Decision::Switch; "last")]
+#[test_case(ALL_PPM, 6_280, Fleet { new_slots: 0, ..FLEET } => Decision::Hold; "last_all_cold")]
 #[test_case(250_000, 6_280, Fleet { new_slots: 8, ..FLEET } => Decision::Hold; "no_more_slots")]
 #[test_case(250_000, 8_040, Fleet { new_slots: 8, ..FLEET } => Decision::Switch; "no_more_slots_in_time")]
 #[test_case(250_000, 8_040, Fleet { new_slots: 0, ..FLEET } => Decision::Hold; "all_cold")]
@@ -268,6 +269,8 @@
 #[test_case(30_000, FLEET => Decision::Hold; "requests_in_progress_after_the_deadline")]
 #[test_case(10_000, Fleet { entries_switched: true, ..EMPTY } => Decision::Complete; "all_switched")]
 #[test_case(30_000, Fleet { is_known: false, ..EMPTY } => Decision::Hold; "fleet_not_known")]
+#[test_case(10_000, Fleet { new_upstreams: 0, entries_switched: true, ..EMPTY }
+    => Decision::RollBack(RollBackReason::NoUpstream); "new_upstreams_lost")]
 fn decide_when_switched(time_ms: u64, fleet: Fleet) -> Decision {
     next(&staged(RolloutStage::Switched), time_ms, fleet)
 }
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -70,6 +70,10 @@
     /// Why it was rolled back, in one line, or empty.
     #[prost(string, tag = "11")]
     pub reason: String,
+    /// Versions that earlier rollouts of the service rolled back. They are excluded at every
+    /// stage.
+    #[prost(string, repeated, tag = "13")]
+    pub rejected_versions: Vec<String>,
     /// Configuration version that the newest step made.
     #[prost(uint64, tag = "12")]
     pub step_version: u64,
