Keep a live home when a daemon with a control replica registers later

Cause: a new home took the former one for silent because it was no longer listed, so both could grant (found by reading). Change: daemons with a replica are preferred when homes are added; a live home stays. Measured: fleet tests pass; homes_stay_when_a_replica_registers_later fails without the change.

--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -51,14 +51,11 @@
     /// Removes homes that are no longer candidates, and fills the list with the
     /// daemons that have been up longest, each from the data centre that has the
     /// fewest homes.
-    pub(crate) fn update(&mut self, mut candidates: Vec<Candidate>) {
-        if candidates.iter().any(|c| c.preferred) {
-            candidates.retain(|c| c.preferred);
-        }
+    pub(crate) fn update(&mut self, candidates: &[Candidate]) {
         let by_name: BTreeMap<&DaemonId, &Candidate> =
             candidates.iter().map(|c| (&c.daemon, c)).collect();
         self.members.retain(|m| by_name.contains_key(m));
-        let mut spares = Spares::new(&candidates, &self.members);
+        let mut spares = Spares::new(candidates, &self.members);
         while self.members.len() < MAX_HOMES {
             let Some(next) = spares.pop() else {
                 break;
@@ -98,12 +95,13 @@
 
 impl<'a> Spares<'a> {
     fn new(candidates: &'a [Candidate], members: &[DaemonId]) -> Self {
+        let any_preferred = candidates.iter().any(|c| c.preferred);
         let mut data_centres: BTreeMap<_, (usize, Vec<_>)> = BTreeMap::new();
         for candidate in candidates {
             let (homes, spares) = data_centres.entry(&candidate.data_centre).or_default();
             if members.contains(&candidate.daemon) {
                 *homes += 1;
-            } else {
+            } else if candidate.preferred || !any_preferred {
                 spares.push(candidate);
             }
         }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -298,7 +298,7 @@
                 preferred: self.home_options.on_replicas && r.runs_replica,
             })
             .collect();
-        self.homes.update(candidates);
+        self.homes.update(&candidates);
     }
 
     fn record_change(&mut self, service: Option<ServiceId>, daemon: &str) {
