--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -33,8 +33,8 @@
     pub(crate) address: String,
     pub(crate) data_centre: DataCentreId,
     pub(crate) started: Duration,
-    /// Whether it takes precedence: other daemons are homes only while no preferred one is
-    /// a candidate.
+    /// Whether it becomes a home before others, which become homes only while no preferred
+    /// daemon is a candidate. A home stays one.
     pub(crate) preferred: bool,
 }
 
