Wait for lagging entries no longer than 1.5 s before a rollout completes

Change: the wait for entries ends 1.5 s after the switch instead of at 90 % of the duration; gates of the old upstreams refuse what such entries send, and must still report to be empty.

--- a/crates/rollout/src/schedule.rs
+++ b/crates/rollout/src/schedule.rs
@@ -6,7 +6,7 @@
 //! delayed does not skip a step.
 
 use crate::{ALL_PPM, Bounds, Decision, Ppm, RollBackReason, RolloutView};
-use wire::{Rollout, RolloutStage};
+use wire::RolloutStage;
 
 /// Fraction of the permitted share that is used. The rest covers retries and the
 /// requests that are sent before a rollback is in force.
@@ -18,9 +18,9 @@
 const RAMP_RATIO: f64 = 0.4;
 /// Shares of the ramp.
 const RAMP: [Ppm; 3] = [250_000, 500_000, ALL_PPM];
-/// Fraction of the duration after which the versions reported by entries are no longer
-/// waited for.
-const LATE_RATIO: f64 = 0.9;
+/// Time after the switch for which entries that still lack it are waited for. The gates of
+/// the old upstreams refuse what they send.
+const ENTRIES_WAIT_MS: u64 = 1_500;
 
 /// State of the fleet, as far as it determines the schedule.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -56,7 +56,7 @@
     }
     let is_switched = rollout.stage() == RolloutStage::Switched;
     if is_switched && fleet.new_upstreams > 0 {
-        return completion(rollout, fleet, elapsed_ms);
+        return completion(view);
     }
     if fleet.new_upstreams == 0 {
         // After the switch no upstream accepts requests without the new ones.
@@ -71,9 +71,10 @@
     ramp(view)
 }
 
-fn completion(rollout: &Rollout, fleet: Fleet, elapsed_ms: u64) -> Decision {
-    let is_late = elapsed_ms >= scale(rollout.duration_ms, LATE_RATIO);
-    match fleet.old_empty && (fleet.entries_switched || is_late) {
+fn completion(view: &RolloutView<'_>) -> Decision {
+    let since_switch_ms = view.time_ms.saturating_sub(view.rollout.stepped_ms);
+    let entries_switched = view.fleet.entries_switched || since_switch_ms >= ENTRIES_WAIT_MS;
+    match view.fleet.old_empty && entries_switched {
         true => Decision::Complete,
         false => Decision::Hold,
     }
