Do not prefer customers that cannot be tracked under overload

Cause: beyond 256 customers a customer was not recorded, so it always counted as below its floor and went before all others (found by reading). Change: such a customer counts as served its share. Measured: overload tests pass; the new test fails without the change.

--- a/crates/overload/src/shares.rs
+++ b/crates/overload/src/shares.rs
@@ -64,14 +64,16 @@
     }
 
     /// Returns what a customer was served for its share, relative to the average of all
-    /// that were served recently; 1 if there are no others.
+    /// that were served recently; 1 if there are no others, or if it cannot be tracked.
     #[must_use]
     pub fn relative(&self, now: Duration, customer: &str, share: u32) -> f64 {
         let own_share = f64::from(share.max(1));
         let total = self.total.requests_at(now);
         let own = self.served.get(customer).copied();
         let is_only_one = own.is_some() && self.served.len() == 1;
-        if total <= MIN_SERVED || is_only_one {
+        // What a customer that could not be tracked was served is not known.
+        let is_untracked = own.is_none() && self.served.len() >= MAX_CUSTOMERS;
+        if total <= MIN_SERVED || is_only_one || is_untracked {
             return 1.0;
         }
         let all_shares = match own {
--- a/crates/overload/tests/shares.rs
+++ b/crates/overload/tests/shares.rs
@@ -53,3 +53,14 @@
     assert!(!shares.is_below_floor(at(8_000), "small", 1));
     assert!(shares.is_below_floor(at(8_000), "large", 1));
 }
+
+/// Guards against a customer that floods and always counts as below its floor, because more
+/// customers are served than are tracked.
+#[test]
+fn untracked_customer_is_not_below_floor() {
+    let mut shares = CustomerShares::default();
+    for n in 0..300 {
+        shares.record_served(Duration::ZERO, &format!("c{n}"), 1);
+    }
+    assert!(!shares.is_below_floor(Duration::ZERO, "c299", 1));
+}
