Count a crash also for requests whose callers left before it

Cause: the gate counted a crash for requests whose connection broke while they ran. A request whose caller left, whose deadline passed or that a hedge overtook is cancelled: its connection is closed, the upstream ends some 50 ms later, and the end of a cancelled request was dropped (`Outcome::Broken => {}`). The upstream does not end when it is told to, so the harm goes on while the evidence is discarded.

Change: the end of a cancelled request's connection is kept like a broken connection, and a response within 500 ms does not clear it, since the upstream may work on the request for so long. With isolated suspects such a request is suspected, and convicted if it ran exclusively; before, it ended one upstream after the other there, too.

Why it works: what decides is whether the upstream ends, not who waits for the response. A request of a live upstream is still cleared by its signs of life.

Red before: crash_is_counted_after_its_caller_left (both cases), crash_is_counted_after_its_caller_left_and_others_got_responses, decisions caller_left.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -441,7 +441,7 @@
                 }
             }
             Outcome::Broken if job.stage == Stage::Running => self.connection_broken(&job, cx),
-            Outcome::Broken => {}
+            Outcome::Broken => self.cancelled_ended(&job, cx),
         }
     }
 
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -12,33 +12,38 @@
 //! to its end since the first of these crashes has it acquitted.
 
 use super::Admission;
-use super::breaks::CRASH_WINDOW;
+use super::breaks::{CRASH_WINDOW, LostRequest};
 use super::jobs::Job;
 use super::suspects::{assign_upstream, eligible_upstreams, suspect_state};
 use crate::agent::Requester;
 use crate::context::Cx;
 use crate::effect::{Effect, LogLine};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use wire::{Body, Fingerprint, LinkKind, Suspect, SuspectState, Verdict, control_request};
 
 impl Admission {
     /// Handles the broken connection of a request that was not cancelled.
     pub(super) fn connection_broken(&mut self, job: &Job, cx: &mut Cx<'_>) {
-        let fingerprint = job.arrival.fingerprint;
         if !self.isolate_suspects {
-            return self.breaks.record(cx.now, fingerprint);
+            return self.breaks.record(cx.now, job.lost());
         }
         self.last_break_at = Some(cx.now);
         if job.exclusive {
-            return self.convict(fingerprint, cx);
+            return self.convict(job.arrival.fingerprint, cx);
         }
-        self.breaks.record(cx.now, fingerprint);
+        self.breaks.record(cx.now, job.lost());
         if !self.jobs.any_uncancelled() {
             let suspects = self.breaks.take_recent(cx.now);
-            self.mark_suspected(&suspects, cx);
+            self.suspect(&suspects, cx);
         }
     }
 
+    /// Handles the end of the connection of a cancelled request.
+    pub(super) fn cancelled_ended(&mut self, job: &Job, cx: &Cx<'_>) {
+        self.breaks.record_cancelled(cx.now, job.lost());
+    }
+
     /// Returns whether a connection broke so recently that the upstream may be
     /// crashing. A request dispatched now may break through no fault of its
     /// own, because it uses a pooled connection or waits in the listener's
@@ -69,32 +74,35 @@
     /// Handles a restart of the upstream that lost these requests in flight.
     pub(super) fn upstream_restarted(&mut self, lost: Vec<Job>, cx: &mut Cx<'_>) {
         let mut suspects = self.breaks.take_at_restart(cx.now);
-        for job in lost {
-            if job.exclusive {
-                self.convict(job.arrival.fingerprint, cx);
-            } else {
-                suspects.push(job.arrival.fingerprint);
-            }
-        }
+        suspects.extend(lost.iter().map(Job::lost));
         self.record_crash(suspects, cx);
     }
 
     /// Handles a crash of the upstream with these requests in flight.
-    fn record_crash(&mut self, mut in_flight: Vec<Fingerprint>, cx: &mut Cx<'_>) {
-        in_flight.sort_unstable();
-        in_flight.dedup();
+    fn record_crash(&mut self, in_flight: Vec<LostRequest>, cx: &mut Cx<'_>) {
         if in_flight.is_empty() {
             return;
         }
-        log_crash(&in_flight, cx);
+        let fingerprints = distinct(&in_flight);
+        log_crash(&fingerprints, cx);
         if self.isolate_suspects {
-            self.mark_suspected(&in_flight, cx);
+            self.suspect(&in_flight, cx);
         } else {
-            let states = self.crash_counts.record_crash(cx.now, &in_flight);
+            let states = self.crash_counts.record_crash(cx.now, &fingerprints);
             self.report(states, cx);
         }
     }
 
+    /// Convicts those requests that ran exclusively, and suspects the others.
+    fn suspect(&mut self, in_flight: &[LostRequest], cx: &mut Cx<'_>) {
+        let (exclusive, others): (Vec<LostRequest>, Vec<LostRequest>) =
+            in_flight.iter().partition(|lost| lost.exclusive);
+        for fingerprint in distinct(&exclusive) {
+            self.convict(fingerprint, cx);
+        }
+        self.mark_suspected(&distinct(&others), cx);
+    }
+
     /// Records that a request ran to its end, which clears it of crashes before.
     pub(super) fn record_completion(&mut self, fingerprint: Fingerprint, cx: &mut Cx<'_>) {
         if self.isolate_suspects {
@@ -200,6 +208,12 @@
     }
 }
 
+/// Returns the fingerprints of requests, each once.
+fn distinct(requests: &[LostRequest]) -> Vec<Fingerprint> {
+    let fingerprints: BTreeSet<Fingerprint> = requests.iter().map(|r| r.fingerprint).collect();
+    fingerprints.into_iter().collect()
+}
+
 /// Logs that the upstream ended, with the requests that were in flight.
 fn log_crash(fingerprints: &[Fingerprint], cx: &mut Cx<'_>) {
     let listed: Vec<String> = fingerprints.iter().map(|f| format!("{f:016x}")).collect();
--- a/crates/node/src/admission/jobs.rs
+++ b/crates/node/src/admission/jobs.rs
@@ -1,5 +1,6 @@
 //! Requests that wait at this gate or run at its upstream.
 
+use super::breaks::LostRequest;
 use super::evidence::EvidenceRun;
 use super::message::Arrival;
 use gate::Ticket;
@@ -52,6 +53,14 @@
             run: None,
         }
     }
+
+    /// Returns what is kept of this request once the upstream has lost it.
+    pub(super) fn lost(&self) -> LostRequest {
+        LostRequest {
+            fingerprint: self.arrival.fingerprint,
+            exclusive: self.exclusive,
+        }
+    }
 }
 
 /// The requests at this gate, by ticket.
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -10,6 +10,7 @@
 use node::{Event, entry};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use test_case::test_case;
 use wire::{Announcement, Fingerprint, RefuseReason};
 
 const CONTROLS: usize = 3;
@@ -492,6 +493,68 @@
     assert!(fleet.refuses_crashing(3));
 }
 
+/// Guards against a request that ends upstream after upstream because its callers leave
+/// before each crash: a cancelled request was not counted.
+#[test_case(false; "connection_kept_open")]
+#[test_case(true; "connection_closed")]
+fn crash_is_counted_after_its_caller_left(closed: bool) {
+    let mut fleet = Fleet::new(17);
+    for gate in 0..3 {
+        let ticket = fleet.send(gate, CRASHING);
+        fleet.run(CRASH_AFTER / 2);
+        fleet.gate_event(gate, admission::Event::Cancelled(ticket));
+        if closed {
+            fleet.end(gate, ticket, Outcome::Broken);
+        }
+        fleet.run(CRASH_AFTER + DOWN);
+        assert_eq!(fleet.crashes.len(), gate + 1);
+    }
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+}
+
+/// Guards against a crash that is forgotten because the upstream responds to others
+/// between the end of the caller's connection and its own end.
+#[test]
+fn crash_is_counted_after_its_caller_left_and_others_got_responses() {
+    let mut fleet = Fleet::new(18);
+    for gate in 0..3 {
+        let ticket = fleet.send(gate, CRASHING);
+        fleet.gate_event(gate, admission::Event::Cancelled(ticket));
+        fleet.end(gate, ticket, Outcome::Broken);
+        fleet.run(CRASH_AFTER - Duration::from_millis(20));
+        fleet.complete(gate, POPULAR);
+        fleet.run(CRASH_AFTER + DOWN);
+        assert_eq!(fleet.crashes.len(), gate + 1);
+    }
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+}
+
+/// Guards against requests that are convicted because their callers left: the upstream
+/// lives on.
+#[test]
+fn cancelled_request_of_live_upstream_is_no_crash() {
+    let mut fleet = Fleet::new(19);
+    let report = LoadReport {
+        in_flight: 0,
+        limit: None,
+        slow_percent: Some(700),
+    };
+    for gate in [0, 1, 2, 0, 1, 2] {
+        let ticket = fleet.send(gate, POPULAR);
+        fleet.gate_event(gate, admission::Event::Cancelled(ticket));
+        fleet.end(gate, ticket, Outcome::Broken);
+        fleet.gate_event(gate, admission::Event::ConnectionRefused);
+        fleet.run(REPORT_INTERVAL);
+        fleet.gate_event(gate, admission::Event::Reported(report));
+        fleet.announce(gate);
+        fleet.run(Duration::from_secs(1));
+    }
+    assert!(fleet.convicted.is_empty());
+    assert_eq!(fleet.logged("upstream_crashed"), 0);
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -488,6 +488,7 @@
 #[test_case("suspect_moves")]
 #[test_case("queue")]
 #[test_case("queue_suspects")]
+#[test_case("caller_left")]
 fn decisions_scenario(name: &str) {
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios/decisions");
     let fleet = Fleet::new();
