Do not take a failure response for a request's run to its end

Cause: any whole response acquitted a request: also a 429 or 503 of an overloaded upstream that did not run it, or a 500 of one that failed before it got to the part that ends upstreams. The acquittal removes the count, and the control leader then ignores reports for 10 s, so that three more upstreams could end, again and again.

Change: only responses below 500, without 408, 425 and 429, acquit.

Ruled out: acquittal by 2xx and 3xx only. A page that is not found runs to its end, and would stay isolated or convicted although it harms nothing.

Red before: failure_response_does_not_acquit, all three cases. After: -p node and -p gate pass.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -31,7 +31,7 @@
 /// Slowness up to which service times are comparable, in percent.
 const NEAR_NORMAL_PERCENT: u32 = 150;
 /// First HTTP status of a server error.
-const MIN_SERVER_ERROR: u16 = 500;
+pub const MIN_SERVER_ERROR: u16 = 500;
 
 /// Settings of a gate.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,7 +19,7 @@
 mod statement;
 
 pub use cold::ColdLimit;
-pub use gate::{Gate, GateLimits, LoadReport, MAX_SLOTS, Outcome, Placement};
+pub use gate::{Gate, GateLimits, LoadReport, MAX_SLOTS, MIN_SERVER_ERROR, Outcome, Placement};
 pub use queue::SlotRequest;
 pub use slots::Ticket;
 pub use stated_limit::StatedLimit;
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -29,7 +29,7 @@
 use crate::effect::LogLine;
 use breaks::Breaks;
 use check::customer_share;
-use completions::Completions;
+use completions::{Completions, is_completion};
 use conf::Settings;
 use crash_counts::CrashCounts;
 use dispatched::DispatchedClaims;
@@ -430,6 +430,7 @@
         };
         self.record_run_end(&job, outcome, cx.now);
         match outcome {
+            Outcome::Whole(status) if !is_completion(status) => {}
             Outcome::Whole(_) if job.exclusive => self.acquit(job.arrival.fingerprint, cx),
             Outcome::Whole(_) => self.record_completion(job.arrival.fingerprint, cx),
             Outcome::Rejected => self.dispatched.remove(job.arrival.claim),
--- a/crates/node/src/admission/completions.rs
+++ b/crates/node/src/admission/completions.rs
@@ -1,9 +1,20 @@
 //! When requests last ran to their end at this gate's upstream.
 
+use gate::MIN_SERVER_ERROR;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use wire::Fingerprint;
 
+/// HTTP statuses below it with which an upstream turns a request away before it runs:
+/// timeout of the request, too early, too many requests.
+const TURNED_AWAY: [u16; 3] = [408, 425, 429];
+
+/// Returns whether a response with this HTTP status shows that the upstream ran the
+/// request to its end. One that fails may not have got to the part that ends upstreams.
+pub(super) fn is_completion(status: u16) -> bool {
+    status < MIN_SERVER_ERROR && !TURNED_AWAY.contains(&status)
+}
+
 /// Maximum number of completions kept.
 const MAX_COMPLETIONS: usize = 1_024;
 
--- a/crates/node/src/admission/evidence.rs
+++ b/crates/node/src/admission/evidence.rs
@@ -1,7 +1,7 @@
 //! Responses of the upstream during a rollout of its service, by route. The control
 //! leader compares those of the new version with those of the others.
 
-use gate::Outcome;
+use gate::{MIN_SERVER_ERROR, Outcome};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{ClassId, Rollout, RouteEvidence, VersionEvidence};
@@ -20,8 +20,6 @@
 const NORMAL_PERCENT: u32 = 100;
 /// Slowness above which an upstream reports itself as slow, in percent.
 const SLOW_PERCENT: u32 = 150;
-/// First HTTP status of a server error.
-const MIN_SERVER_ERROR: u16 = 500;
 
 /// The state of the upstream at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -9,6 +9,7 @@
 use super::{Entry, push};
 use crate::context::Cx;
 use crate::verdict::verdict_ttl;
+use gate::MIN_SERVER_ERROR;
 use pick::{Reply, rendezvous};
 use std::time::Duration;
 use wire::{AttemptId, Load, Refuse, RefuseReason, RequestId, SettleKind, UpstreamId, Verdict};
@@ -22,8 +23,6 @@
 /// Time before the deadline in which a broken connection counts as the gate's
 /// own deadline.
 const DEADLINE_SLACK: Duration = Duration::from_millis(20);
-/// Lowest HTTP status of server errors.
-const MIN_SERVER_ERROR: u16 = 500;
 
 impl Entry {
     pub(super) fn on_refused(
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -555,6 +555,25 @@
     assert_eq!(fleet.logged("upstream_crashed"), 0);
 }
 
+/// Guards against a request whose crashes are forgotten because an upstream turned it
+/// away or failed before it got to the part that ends upstreams.
+#[test_case(429; "rejected")]
+#[test_case(500; "failed")]
+#[test_case(503; "overloaded")]
+fn failure_response_does_not_acquit(status: u16) {
+    let mut fleet = Fleet::new(20);
+    fleet.crash_once(0);
+    fleet.crash_once(1);
+    fleet.run(Duration::from_secs(1));
+    let ticket = fleet.send(3, CRASHING);
+    fleet.upstreams[3].ends_at = None;
+    fleet.end(3, ticket, Outcome::Whole(status));
+    fleet.run(Duration::from_secs(1));
+    fleet.crash_once(2);
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
