--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -268,9 +268,8 @@
                 self.queue(waiter, Item::rollout_order(order, share_ppm), tx);
             }
             control_request::Kind::Suspect(suspect) => {
-                for (fingerprint, crashes) in self.suspects.update(now, &suspect) {
-                    tx.push(log_lines::convicted(fingerprint, crashes));
-                }
+                let changes = self.suspects.update(now, &suspect);
+                tx.extend(changes.iter().map(log_lines::verdict_changed));
                 replies::reply(waiter, true, String::new(), None, tx);
                 return;
             }
--- a/crates/node/src/control/log_lines.rs
+++ b/crates/node/src/control/log_lines.rs
@@ -1,11 +1,12 @@
 //! Builds the log lines of the control role.
 
 use super::rollouts::Figures;
+use super::suspects::VerdictChange;
 use crate::effect::{Effect, LogLine};
 use conf::RolloutStep;
 use log::Level;
 use replica::Role;
-use wire::{Fingerprint, Rollout, RolloutStage, Term};
+use wire::{Rollout, RolloutStage, Term};
 
 pub(super) fn with_value(
     level: Level,
@@ -32,15 +33,34 @@
     })
 }
 
-pub(super) fn convicted(fingerprint: Fingerprint, crashes: u32) -> Effect {
-    Effect::Log(LogLine {
-        level: Level::Warn,
-        event: "request_convicted",
-        pairs: vec![
-            ("fingerprint", format!("{fingerprint:016x}")),
-            ("crashes", crashes.to_string()),
-        ],
-    })
+pub(super) fn verdict_changed(change: &VerdictChange) -> Effect {
+    let line = match change {
+        VerdictChange::Convicted {
+            fingerprint,
+            crashes,
+        } => LogLine {
+            level: Level::Warn,
+            event: "request_convicted",
+            pairs: vec![
+                ("fingerprint", format!("{fingerprint:016x}")),
+                ("crashes", crashes.to_string()),
+            ],
+        },
+        VerdictChange::Acquitted {
+            fingerprint,
+            crashes,
+            daemon,
+        } => LogLine {
+            level: Level::Info,
+            event: "request_acquitted",
+            pairs: vec![
+                ("fingerprint", format!("{fingerprint:016x}")),
+                ("crashes", crashes.to_string()),
+                ("completed_at", daemon.clone()),
+            ],
+        },
+    };
+    Effect::Log(line)
 }
 
 /// Returns the line about a proposed step of a rollout, with the figures that decided it.
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -51,6 +51,22 @@
     first_crash_at: Option<Duration>,
 }
 
+/// A verdict that a report has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum VerdictChange {
+    /// The request is refused from now on, after so many crashes.
+    Convicted {
+        fingerprint: Fingerprint,
+        crashes: u32,
+    },
+    /// The request has run to its end at a daemon, so its crashes no longer count.
+    Acquitted {
+        fingerprint: Fingerprint,
+        crashes: u32,
+        daemon: String,
+    },
+}
+
 /// The verdicts and counts of a leader.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
@@ -61,10 +77,10 @@
 }
 
 impl Suspects {
-    /// Applies the states that a gate reported. Returns the requests that are
-    /// convicted because of their count, with that count.
-    pub(super) fn update(&mut self, now: Duration, suspect: &Suspect) -> Vec<(Fingerprint, u32)> {
-        let mut convicted = Vec::new();
+    /// Applies the states that a gate reported. Returns the verdicts that follow from
+    /// counts.
+    pub(super) fn update(&mut self, now: Duration, suspect: &Suspect) -> Vec<VerdictChange> {
+        let mut changes = Vec::new();
         for state in &suspect.states {
             let fingerprint = state.fingerprint;
             match state.verdict() {
@@ -74,15 +90,25 @@
                     let first_at = since.map(|since| now.saturating_sub(since));
                     self.convict(fingerprint, now + age, first_at);
                 }
-                Verdict::Acquitted => self.acquit(now, fingerprint),
+                Verdict::Acquitted => {
+                    let crashes = self.acquit(now, fingerprint);
+                    changes.extend(crashes.map(|crashes| VerdictChange::Acquitted {
+                        fingerprint,
+                        crashes,
+                        daemon: suspect.daemon.clone(),
+                    }));
+                }
                 Verdict::Crashed => {
-                    let count = self.count(now, suspect, state);
-                    convicted.extend(count.map(|count| (fingerprint, count)));
+                    let crashes = self.count(now, suspect, state);
+                    changes.extend(crashes.map(|crashes| VerdictChange::Convicted {
+                        fingerprint,
+                        crashes,
+                    }));
                 }
                 Verdict::Suspected | Verdict::Unknown => {}
             }
         }
-        convicted
+        changes
     }
 
     fn convict(
@@ -97,11 +123,13 @@
         evict_first(&mut self.convicted, MAX_PUBLISHED, |c| c.expires_at);
     }
 
-    fn acquit(&mut self, now: Duration, fingerprint: Fingerprint) {
+    /// Removes a conviction and the count of crashes. Returns the count, if there was one.
+    fn acquit(&mut self, now: Duration, fingerprint: Fingerprint) -> Option<u32> {
         self.convicted.remove(&fingerprint);
-        self.counts.remove(&fingerprint);
+        let count = self.counts.remove(&fingerprint);
         self.acquitted.insert(fingerprint, now + ACQUITTAL_TTL);
         evict_first(&mut self.acquitted, MAX_PUBLISHED, |expires_at| *expires_at);
+        count.map(|count| count.total())
     }
 
     /// Adds a gate's count. Returns the total if it convicts the request now.
