Grant the first limits of a fleet at once

Cause: two waits for a predecessor that never was. A new leader lists no homes for the lease of those that an earlier leader may have listed; a daemon that becomes home and knows no predecessor grants nothing for another lease and begins with an empty bucket.

Change: a leader that finds no limit in force when it first replies lists homes after 0.5 s and marks that list as initial (HeartbeatReply.initial_homes, a new field; without it a daemon waits as before). A home of that list begins at once with a full bucket. The mark ends with the first change of the list, does not hold for a daemon that started again in the term, and a daemon that was unconfirmed ignores it.

Not shown: the shuffle of limits under failures does not know initial lists.

--- a/crates/fleet/src/homes.rs
+++ b/crates/fleet/src/homes.rs
@@ -73,6 +73,11 @@
         self.hash = homes_hash(&self.list);
     }
 
+    /// Returns the checksum of the list, 0 if it is empty.
+    pub(crate) fn hash(&self) -> u64 {
+        self.hash
+    }
+
     /// Returns the daemons that are homes.
     pub(crate) fn members(&self) -> impl Iterator<Item = &DaemonId> {
         self.members.iter()
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -15,6 +15,9 @@
 /// Time between two checks of the leases from which this process must have been
 /// paused. Missing heartbeats then do not mean that daemons have failed.
 const MIN_PROCESS_PAUSE: Duration = Duration::from_secs(1);
+/// Time after an election before which no homes are listed although no limit was in force:
+/// the daemons register first, so that the list does not change at once.
+const FIRST_HOMES_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of earlier incarnations remembered for a daemon.
 const MAX_SUPERSEDED: usize = 4;
 
@@ -89,9 +92,30 @@
     services: BTreeMap<ServiceId, ServiceLog>,
     homes: Homes,
     homes_outdated: bool,
+    initial_homes: InitialHomes,
     home_options: HomeOptions,
 }
 
+/// Whether the first homes of this term are the first that may ever grant.
+#[derive(Clone, Debug, Default)]
+struct InitialHomes {
+    /// Whether a limit was in force before this term; unknown before the first reply.
+    limited_before: Option<bool>,
+    /// Checksum of the first list of homes.
+    first_hash: Option<u64>,
+    /// Whether the list has changed since.
+    changed: bool,
+}
+
+impl InitialHomes {
+    fn record_list(&mut self, hash: u64) {
+        if hash != 0 || self.first_hash.is_some() {
+            let first = *self.first_hash.get_or_insert(hash);
+            self.changed |= hash != first;
+        }
+    }
+}
+
 /// How quota homes are selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HomeOptions {
@@ -116,6 +140,7 @@
             services: BTreeMap::new(),
             homes: Homes::default(),
             homes_outdated: false,
+            initial_homes: InitialHomes::default(),
             home_options: HomeOptions {
                 lease,
                 on_replicas: false,
@@ -184,6 +209,7 @@
             .map(|(daemon, _)| daemon.clone())
             .collect();
         for daemon in expired {
+            self.initial_homes.changed |= self.homes.members().any(|home| *home == daemon);
             let service = self.daemons.remove(&daemon).and_then(|r| r.service);
             self.record_change(service, &daemon);
             self.homes_outdated = true;
@@ -230,17 +256,41 @@
             .collect()
     }
 
+    /// Records whether the configuration states limits. Only the first call of a term
+    /// counts, which must come before the first list of homes.
+    pub fn record_limits(&mut self, is_limited: impl FnOnce() -> bool) {
+        let limited_before = &mut self.initial_homes.limited_before;
+        limited_before.get_or_insert_with(is_limited);
+    }
+
     /// Returns the quota homes, or an empty list if a daemon has them already
-    /// (`known_hash`) or the election was less than the lease of homes ago.
+    /// (`known_hash`) or homes that an earlier leader listed may still grant.
     #[must_use]
     pub fn homes(&mut self, now: Duration, known_hash: u64) -> Vec<QuotaHome> {
-        if now.saturating_sub(self.created) < self.home_options.lease {
+        let lease = self.home_options.lease;
+        let wait = match self.initial_homes.limited_before {
+            Some(false) => lease.min(FIRST_HOMES_DELAY),
+            Some(true) | None => lease,
+        };
+        if now.saturating_sub(self.created) < wait {
             return Vec::new();
         }
         self.update_homes();
+        self.initial_homes.record_list(self.homes.hash());
         self.homes.if_changed(known_hash)
     }
 
+    /// Returns whether no daemon, nor an earlier start of this one, was a home under a limit
+    /// before the present list.
+    #[must_use]
+    pub fn has_initial_homes(&self, daemon: &str) -> bool {
+        let initial = &self.initial_homes;
+        let registration = self.daemons.get(daemon);
+        initial.limited_before == Some(false)
+            && !initial.changed
+            && registration.is_some_and(|r| r.superseded.is_empty())
+    }
+
     /// Returns the number of registered daemons.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -261,6 +261,55 @@
     assert_eq!(homes(&mut registry, 3), ["d1", "d2"]);
 }
 
+const HOMES: HomeOptions = HomeOptions {
+    lease: Duration::from_secs(2),
+    on_replicas: false,
+};
+
+/// Guards against customers that are refused for a lease after the first election, although
+/// no earlier leader can have listed homes that grant.
+#[test_case(false, 1; "no limit before")]
+#[test_case(true, 0; "limits before")]
+fn first_leader_lists_homes_without_the_wait_for_a_predecessor(limited: bool, listed: usize) {
+    let mut registry = Registry::new(1, LEASE, secs(0)).with_home_options(HOMES);
+    registry.record_limits(|| limited);
+    registry.handle_heartbeat(Duration::from_millis(100), &heartbeat("d1", 1, 1, 6));
+    assert_eq!(homes(&mut registry, 1).len(), listed);
+    registry.record_limits(|| !limited);
+    assert_eq!(registry.has_initial_homes("d1"), !limited);
+}
+
+/// Guards against a daemon that takes itself for the first home ever although its earlier
+/// start may have granted, or another home before it.
+#[test_case(&[("d1", 2)]; "started again")]
+#[test_case(&[("d2", 1)]; "list has grown")]
+fn later_homes_are_not_the_first(heartbeats: &[(&str, u64)]) {
+    let mut registry = Registry::new(1, LEASE, secs(0)).with_home_options(HOMES);
+    registry.record_limits(|| false);
+    registry.handle_heartbeat(secs(1), &heartbeat("d1", 1, 1, 6));
+    homes(&mut registry, 1);
+    for (daemon, incarnation) in heartbeats {
+        registry.handle_heartbeat(secs(2), &heartbeat(daemon, *incarnation, 1, 6));
+        homes(&mut registry, 2);
+        assert!(!registry.has_initial_homes(daemon));
+    }
+}
+
+/// Guards against a home that expired and comes back as the first home ever.
+#[test]
+fn home_that_expired_is_not_the_first() {
+    let mut registry = Registry::new(1, LEASE, secs(0)).with_home_options(HOMES);
+    registry.record_limits(|| false);
+    registry.handle_heartbeat(secs(1), &heartbeat("d1", 1, 1, 6));
+    homes(&mut registry, 1);
+    for now in 2..=20 {
+        registry.expire(Duration::from_millis(500 * now));
+    }
+    registry.handle_heartbeat(secs(10), &heartbeat("d1", 2, 1, 6));
+    homes(&mut registry, 10);
+    assert!(!registry.has_initial_homes("d1"));
+}
+
 fn homes(registry: &mut Registry, now: u64) -> Vec<String> {
     let homes = registry.homes(secs(now), 0).into_iter();
     homes.map(|home| home.daemon).collect()
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -89,6 +89,8 @@
     view: FleetView,
     receiver: TransferReceiver,
     homes: Vec<QuotaHome>,
+    /// Whether no daemon was a home under a limit before this list.
+    initial_homes: bool,
     convicted: BTreeMap<Fingerprint, Conviction>,
     /// Requests whose crashes the leader counts, by its last reply.
     counted: Vec<CountedSuspect>,
@@ -143,6 +145,7 @@
             view: FleetView::default(),
             receiver: TransferReceiver::default(),
             homes: Vec::new(),
+            initial_homes: false,
             convicted: BTreeMap::new(),
             counted: Vec::new(),
             acquitted: Vec::new(),
@@ -272,6 +275,11 @@
         &self.homes
     }
 
+    /// Returns whether no daemon was a home under a limit before the present list.
+    pub(crate) fn has_initial_homes(&self) -> bool {
+        self.initial_homes
+    }
+
     /// Returns whether a request is known to crash upstreams.
     #[must_use]
     pub fn convicted(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -40,6 +40,7 @@
             self.apply_verdicts(now, &reply.convicted);
             if !reply.homes.is_empty() {
                 self.homes = reply.homes;
+                self.initial_homes = reply.initial_homes;
             }
         }
         if reply.config_version < sent.config_version {
--- a/crates/node/src/allowance.rs
+++ b/crates/node/src/allowance.rs
@@ -245,6 +245,9 @@
         }
         self.home_times
             .update(now, agent.homes(), agent.is_confirmed(now, self.home_lease));
+        if agent.has_initial_homes() {
+            self.home_times.mark_initial();
+        }
         while self
             .sent
             .front()
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -5,6 +5,7 @@
 use super::command::Item;
 use super::reads::PendingRead;
 use crate::effect::Effect;
+use conf::Configuration;
 use prost::Message;
 use std::time::Duration;
 use wire::{
@@ -140,6 +141,8 @@
     fn heartbeat_reply(&mut self, now: Duration, heartbeat: &Heartbeat) -> HeartbeatReply {
         let held = heartbeat.config_version;
         let config = &self.state_machine.config;
+        self.registry
+            .record_limits(|| states_limits(config.current()));
         let subscriptions = heartbeat.subscriptions.iter();
         HeartbeatReply {
             sequence: heartbeat.sequence,
@@ -157,6 +160,7 @@
                 .filter_map(|s| self.registry.delta(now, s))
                 .collect(),
             homes: self.registry.homes(now, heartbeat.homes_hash),
+            initial_homes: self.registry.has_initial_homes(&heartbeat.daemon),
             convicted: self.suspects.published(now),
             term: self.replica.term(),
         }
@@ -193,3 +197,9 @@
         }
     }
 }
+
+/// Returns whether a configuration limits any customer.
+fn states_limits(config: &Configuration) -> bool {
+    let routed = &config.routing.content().customers;
+    !config.customers.is_empty() || routed.iter().any(|rules| rules.rate_milli > 0)
+}
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -86,8 +86,28 @@
     run(node, at_ms, Event::Received { link, daemon, body })
 }
 
+/// The list of homes that control sends: one daemon.
+struct Homes<'a> {
+    daemon: &'a str,
+    initial: bool,
+}
+
 /// Replies to the heartbeats among the effects.
 fn confirm(node: &mut Node, at_ms: u64, effects: Vec<Effect>, home: &str, rate_milli: u64) {
+    let list = Homes {
+        daemon: home,
+        initial: false,
+    };
+    confirm_homes(node, at_ms, effects, list, rate_milli);
+}
+
+fn confirm_homes(
+    node: &mut Node,
+    at_ms: u64,
+    effects: Vec<Effect>,
+    list: Homes<'_>,
+    rate_milli: u64,
+) {
     for effect in effects {
         let Effect::Send {
             body: Body::Heartbeat(heartbeat),
@@ -122,9 +142,10 @@
                 ..ServiceDelta::default()
             }],
             homes: vec![QuotaHome {
-                daemon: home.into(),
+                daemon: list.daemon.into(),
                 address: "127.0.0.1:9100".into(),
             }],
+            initial_homes: list.initial,
             term: 1,
             ..HeartbeatReply::default()
         };
@@ -344,6 +365,21 @@
     assert_eq!((allowance.granted, allowance.retry_after_ms), (0, 1_999));
 }
 
+/// Guards against a customer within its limit that is refused after the first configuration.
+#[test]
+fn first_home_ever_grants_at_once() {
+    let mut node = node();
+    let effects = tick(&mut node, 0);
+    let list = Homes {
+        daemon: "entry-1",
+        initial: true,
+    };
+    confirm_homes(&mut node, 1, effects, list, 5_000);
+    tick(&mut node, 20);
+    let allowance = ask_as_peer(&mut node, 21, 1).expect("a reply");
+    assert_eq!(allowance.granted, 1);
+}
+
 /// Guards against a request that is held although its own daemon is the home.
 #[test]
 fn request_at_the_home_itself_is_decided_at_once() {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -27,7 +27,7 @@
 mod rendezvous;
 
 pub use bucket::{Bucket, MilliRate, per_second};
-pub use home_times::HomeTimes;
+pub use home_times::{HomeTimes, NO_PREDECESSOR};
 pub use leases::{Leases, LimitExceeded};
 pub use ledger::{Ledger, refusal};
 pub use rate_leases::{Decision, RateAdmission, RateCounts, RateLeases, RateLimit};
--- a/crates/quota/src/rate_ledger.rs
+++ b/crates/quota/src/rate_ledger.rs
@@ -1,6 +1,7 @@
 //! The home's side of the limits that the routing states.
 
 use crate::bucket::Bucket;
+use crate::home_times::NO_PREDECESSOR;
 use crate::rate_leases::{BLOCK_LIFETIME, RateLimit};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -95,9 +96,13 @@
 
 impl RateAccount {
     fn new(now: Duration, limit: RateLimit, since: Duration) -> Self {
+        let mut bucket = Bucket::new(now, limit.rate_milli, capacity(limit), since);
+        if since == NO_PREDECESSOR {
+            bucket.refund(now, capacity(limit));
+        }
         Self {
             limit,
-            bucket: Bucket::new(now, limit.rate_milli, capacity(limit), since),
+            bucket,
             since,
             entries: HashMap::new(),
             last_sweep: now,
--- a/crates/quota/tests/rate_limits.rs
+++ b/crates/quota/tests/rate_limits.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use quota::{HomeTimes, RateAdmission, RateLeases, RateLedger, RateLimit, home_of};
+use quota::{HomeTimes, NO_PREDECESSOR, RateAdmission, RateLeases, RateLedger, RateLimit, home_of};
 use std::time::Duration;
 use wire::{Allowance, AllowanceRequest, CustomerId, QuotaHome};
 
@@ -144,6 +144,49 @@
     assert_eq!(since, Some(START + ms(11_000) + LEASE));
 }
 
+/// Guards against a customer within its limit that is refused after the first configuration,
+/// until a lease of a predecessor ends that never was.
+#[test]
+fn first_home_ever_begins_at_once_with_a_full_bucket() {
+    let (first, _) = two_homes();
+    let mut times = HomeTimes::new(LEASE);
+    times.update(START, &[], true);
+    times.update(START, &homes(&[first]), true);
+    times.mark_initial();
+    let since = times.home_since(&CUSTOMER, first);
+    assert_eq!(since, Some(NO_PREDECESSOR));
+    let mut home = RateLedger::new();
+    assert_eq!(granted(&mut home, START, 1, NO_PREDECESSOR), 1_004);
+}
+
+/// Guards against a second full bucket for a customer that moves when the first list of
+/// homes grows.
+#[test]
+fn home_waits_for_a_predecessor_of_the_first_list() {
+    let (first, second) = two_homes();
+    let mut times = HomeTimes::new(LEASE);
+    times.update(START, &homes(&[second]), true);
+    times.mark_initial();
+    times.update(START + ms(100), &homes(&[first, second]), true);
+    let since = times.home_since(&CUSTOMER, first);
+    assert_eq!(since, Some(START + ms(100) + LEASE));
+}
+
+/// Guards against a daemon that takes itself for the first home ever after it was
+/// unconfirmed: it has granted before.
+#[test]
+fn home_that_was_unconfirmed_is_not_the_first() {
+    let (first, _) = two_homes();
+    let mut times = HomeTimes::new(LEASE);
+    times.update(START, &homes(&[first]), true);
+    times.mark_initial();
+    times.update(START + ms(10_000), &homes(&[first]), false);
+    times.update(START + ms(11_000), &homes(&[first]), true);
+    times.mark_initial();
+    let since = times.home_since(&CUSTOMER, first);
+    assert_eq!(since, Some(START + ms(11_000) + LEASE));
+}
+
 struct Entry {
     leases: RateLeases,
     requests: Vec<AllowanceRequest>,
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -145,6 +145,9 @@
     /// Term of the leader.
     #[prost(uint64, tag = "10")]
     pub term: u64,
+    /// Whether no daemon was a home under a limit before `homes`.
+    #[prost(bool, tag = "11")]
+    pub initial_homes: bool,
 }
 
 /// Address of a control replica.
