Show that first homes keep the bound under failures

Cause: the shuffle of limits began with a settled fleet and knew no initial list of homes. Change: its control lists homes after 0.5 s, marks the first list, and 320 seeds cause failures in the first seconds; requests within the limit are served 2 s after the start.

--- a/crates/quota/tests/limit_fleet/mod.rs
+++ b/crates/quota/tests/limit_fleet/mod.rs
@@ -21,6 +21,8 @@
 /// Time within which a changed limit reaches every entry that control reaches, and
 /// after which it binds for one window.
 const CHANGE_TIME: Duration = Duration::from_secs(2);
+/// Time after the start before which control lists no homes.
+const FIRST_HOMES_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of homes.
 const HOMES: usize = 3;
 
@@ -36,6 +38,8 @@
     ledger: RateLedger,
     times: HomeTimes,
     homes: Vec<QuotaHome>,
+    /// Whether control stated that no daemon was a home before this list.
+    initial_homes: bool,
     limit: RateLimit,
     version: u64,
     confirmed: Option<Duration>,
@@ -57,6 +61,7 @@
             ledger: RateLedger::new(),
             times: HomeTimes::new(LEASE),
             homes: Vec::new(),
+            initial_homes: false,
             limit: RateLimit::default(),
             version: 0,
             confirmed: None,
@@ -92,6 +97,11 @@
     limits: Vec<(Duration, RateLimit)>,
     heartbeats: Vec<Option<Duration>>,
     homes: Vec<QuotaHome>,
+    started: Duration,
+    /// Whether the list of homes has changed since the first one.
+    homes_changed: bool,
+    /// Incarnation of each daemon in its first heartbeat.
+    first_incarnations: Vec<Option<u64>>,
     queue: BTreeMap<(Duration, u64), (usize, Message)>,
     not_run: VecDeque<(Duration, usize, Duration)>,
     sequence: u64,
@@ -116,6 +126,9 @@
             limits: vec![(now, limit)],
             heartbeats: vec![None; entries],
             homes: Vec::new(),
+            started: now,
+            homes_changed: false,
+            first_incarnations: vec![None; entries],
             queue: BTreeMap::new(),
             not_run: VecDeque::new(),
             sequence: 0,
@@ -270,6 +283,9 @@
         let daemon = &mut self.daemons[i];
         let confirmed = daemon.confirmed.is_some_and(|at| now < at + LEASE);
         daemon.times.update(now, &daemon.homes, confirmed);
+        if daemon.initial_homes {
+            daemon.times.mark_initial();
+        }
         let homes = &daemon.homes;
         daemon
             .ledger
@@ -295,7 +311,11 @@
         }
         self.heartbeats[i] = Some(now);
         daemon.confirmed = Some(now);
-        daemon.homes.clone_from(&self.homes);
+        let first = *self.first_incarnations[i].get_or_insert(daemon.incarnation);
+        if daemon.homes != self.homes {
+            daemon.homes.clone_from(&self.homes);
+            daemon.initial_homes = !self.homes_changed && daemon.incarnation == first;
+        }
         daemon.version = self.limits.len() as u64;
         daemon.limit = self.limits[self.limits.len() - 1].1;
     }
@@ -303,6 +323,9 @@
     /// Removes homes whose registration expired, and adds others.
     fn list_homes(&mut self) {
         let now = self.now;
+        if now < self.started + FIRST_HOMES_DELAY {
+            return;
+        }
         let registered = |i: usize| self.heartbeats[i].is_some_and(|at| now < at + LEASE);
         let mut homes = self.homes.clone();
         homes.retain(|home| registered(index_of(&home.daemon)));
@@ -315,6 +338,7 @@
                 });
             }
         }
+        self.homes_changed |= !self.homes.is_empty() && homes != self.homes;
         self.homes = homes;
     }
 
--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -332,3 +332,31 @@
         fleet.assert_bound(&format!("seed {seed}"));
     }
 }
+
+/// Guards against first homes that begin with a full bucket while another one has granted:
+/// failures in the first seconds of a fleet, in which its list of homes still changes.
+#[test_case(3, 200)]
+#[test_case(16, 100)]
+#[test_case(61, 20)]
+fn bound_holds_for_first_homes_under_shuffled_failures(entries: usize, seeds: u64) {
+    for seed in 0..seeds {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(entries, limit(300, 300));
+        for _ in 0..12 {
+            let demand = spread(entries, 3_000.0, rng.random_bool(0.5));
+            fleet.run(Duration::from_millis(rng.random_range(50..800)), &demand);
+            shuffle(&mut fleet, &mut rng);
+        }
+        fleet.run(WINDOW, &spread(entries, 3_000.0, true));
+        fleet.assert_bound(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a customer within its limit that is refused at the start of a fleet.
+#[test]
+fn first_requests_within_the_limit_are_served() {
+    let mut fleet = Fleet::new(8, LIMIT);
+    fleet.run(secs(2), &[0.0; 8]);
+    fleet.run(secs(2), &spread(8, 150.0, true));
+    assert_eq!(fleet.refused, 0);
+}
