--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -1,22 +1,17 @@
 //! Decisions of a gate on offered requests and on announcements of its upstream.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{DaemonSettings, ListenSettings, Settings};
+mod one_daemon;
+
 use node::admission::{self, Arrival};
-use node::{Effect, Event, Node, NodeOptions, step};
-use std::net::SocketAddr;
+use node::{Effect, Event, Node};
+use one_daemon::run;
 use std::time::Duration;
 use test_case::test_case;
 use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason, Restriction};
 
 const SLOTS: u32 = 2;
 
-fn run(node: &mut Node, at_ms: u64, event: Event) -> Vec<Effect> {
-    let mut tx = Vec::new();
-    step(node, Duration::from_millis(at_ms), event, &mut tx);
-    tx
-}
-
 fn admit(node: &mut Node, at_ms: u64, event: admission::Event) -> Vec<admission::Effect> {
     let effects = run(node, at_ms, Event::Admission(event)).into_iter();
     let admissions = effects.filter_map(|effect| match effect {
@@ -32,29 +27,11 @@
 }
 
 fn gate_with_queue(queue_ratio: f64) -> Node {
-    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-    let listen = ListenSettings {
-        callers: Some(address(7100)),
-        operators: address(7200),
-        peers: address(7300),
-    };
-    let daemon = DaemonSettings {
-        name: "booking-1".into(),
-        data_centre: "ams".into(),
-    };
-    let mut settings = Settings::new(daemon, listen, address(8000));
-    settings.control.replicas = vec![address(7301)];
-    settings.control.serve_stale = true;
+    let mut settings = one_daemon::settings("booking-1");
     settings.gate.isolate_suspects = false;
     settings.gate.cold_slots = SLOTS;
     settings.gate.queue_ratio = queue_ratio;
-    let mut node = Node::new(NodeOptions {
-        settings,
-        incarnation: 1,
-        seed: 1,
-        replica: None,
-        policy: pick::Policy::default(),
-    });
+    let mut node = one_daemon::node(settings);
     for effect in run(&mut node, 0, Event::Tick { unix_ms: 0 }) {
         let Effect::Send {
             body: Body::Heartbeat(heartbeat),
--- a/crates/node/tests/credentials.rs
+++ b/crates/node/tests/credentials.rs
@@ -2,11 +2,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bytes::Bytes;
-use conf::{DaemonSettings, ListenSettings, Settings};
+mod one_daemon;
+
 use credentials::{Key, Presented, digest, parse, salt};
 use node::entry::{self, Attempt, Reason, Refusal, RunState};
-use node::{Effect, Event, Node, NodeOptions, step};
-use std::net::SocketAddr;
+use node::{Effect, Event, Node};
+use one_daemon::run;
 use std::time::Duration;
 use test_case::test_case;
 use wire::{
@@ -21,28 +22,10 @@
 const FIRST: u64 = 2;
 
 fn new_node() -> Node {
-    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-    let listen = ListenSettings {
-        callers: Some(address(7100)),
-        operators: address(7200),
-        peers: address(7300),
-    };
-    let daemon = DaemonSettings {
-        name: "entry-1".into(),
-        data_centre: "ams".into(),
-    };
-    let mut settings = Settings::new(daemon, listen, address(8000));
-    settings.control.replicas = vec![address(7301)];
-    settings.control.serve_stale = true;
+    let mut settings = one_daemon::settings("entry-1");
     settings.control.credential_lease = Some(LEASE);
     settings.routing.repicks = 4;
-    Node::new(NodeOptions {
-        settings,
-        incarnation: 1,
-        seed: 1,
-        replica: None,
-        policy: pick::Policy::default(),
-    })
+    one_daemon::node(settings)
 }
 
 fn route(prefix: &str, open: bool) -> Route {
@@ -88,12 +71,6 @@
     }
 }
 
-fn run(node: &mut Node, at_ms: u64, event: Event) -> Vec<Effect> {
-    let mut tx = Vec::new();
-    step(node, Duration::from_millis(at_ms), event, &mut tx);
-    tx
-}
-
 /// Confirms every heartbeat among the effects, with a configuration whose version is that
 /// of its routing.
 fn confirm(node: &mut Node, at_ms: u64, effects: Vec<Effect>, routing: &Routing) -> Vec<Effect> {
--- a/crates/node/tests/hedges.rs
+++ b/crates/node/tests/hedges.rs
@@ -1,6 +1,7 @@
 //! Hedges: when they are sent, their limit over all entries, and what becomes of them.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod one_daemon;
 mod routed_entry;
 
 use conf::Settings;
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -3,10 +3,11 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{DaemonSettings, ListenSettings, Settings};
+mod one_daemon;
+
 use node::entry::{self, Reason, RunState};
-use node::{Effect, Event, Node, NodeOptions, step};
-use std::net::SocketAddr;
+use node::{Effect, Event, Node};
+use one_daemon::run;
 use std::time::Duration;
 use wire::{
     Allowance, AllowanceRequest, Body, ConfigDelta, CustomerRules, HeartbeatReply, QuotaHome,
@@ -20,27 +21,9 @@
 const READY_MS: u64 = 6_010;
 
 fn node() -> Node {
-    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-    let listen = ListenSettings {
-        callers: Some(address(7100)),
-        operators: address(7200),
-        peers: address(7300),
-    };
-    let daemon = DaemonSettings {
-        name: "entry-1".into(),
-        data_centre: "ams".into(),
-    };
-    let mut settings = Settings::new(daemon, listen, address(8000));
-    settings.control.replicas = vec![address(7301)];
-    settings.control.serve_stale = true;
+    let mut settings = one_daemon::settings("entry-1");
     settings.control.lease = Duration::from_secs(2);
-    Node::new(NodeOptions {
-        settings,
-        incarnation: 1,
-        seed: 1,
-        replica: None,
-        policy: pick::Policy::default(),
-    })
+    one_daemon::node(settings)
 }
 
 fn routing(rate_milli: u64) -> Routing {
@@ -71,12 +54,6 @@
     }
 }
 
-fn run(node: &mut Node, at_ms: u64, event: Event) -> Vec<Effect> {
-    let mut tx = Vec::new();
-    step(node, Duration::from_millis(at_ms), event, &mut tx);
-    tx
-}
-
 fn tick(node: &mut Node, at_ms: u64) -> Vec<Effect> {
     run(node, at_ms, Event::Tick { unix_ms: 0 })
 }
--- a/crates/node/tests/rollout_daemons.rs
+++ b/crates/node/tests/rollout_daemons.rs
@@ -1,12 +1,13 @@
 //! What the entry and the gate of a daemon do during a rollout.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{DaemonSettings, ListenSettings, Settings};
+mod one_daemon;
+
+use conf::Settings;
 use gate::Outcome;
 use node::admission::{self, Arrival, ReadStatement};
 use node::entry::{self, Reason, VersionCount};
-use node::{Effect, Event, Node, NodeOptions, step};
-use std::net::SocketAddr;
+use node::{Effect, Event, Node, step};
 use std::time::Duration;
 use test_case::test_case;
 use wire::{
@@ -44,19 +45,7 @@
 }
 
 fn settings(name: &str) -> Settings {
-    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-    let listen = ListenSettings {
-        callers: Some(address(7100)),
-        operators: address(7200),
-        peers: address(7300),
-    };
-    let daemon = DaemonSettings {
-        name: name.into(),
-        data_centre: "ams".into(),
-    };
-    let mut settings = Settings::new(daemon, listen, address(8000));
-    settings.control.replicas = vec![address(7301)];
-    settings.control.serve_stale = true;
+    let mut settings = one_daemon::settings(name);
     settings.gate.isolate_suspects = false;
     settings.gate.cold_slots = 2;
     settings.gate.queue_ratio = 1.0;
@@ -115,13 +104,7 @@
         rollout: Option<Rollout>,
         settings: Settings,
     ) -> Self {
-        let node = Node::new(NodeOptions {
-            settings,
-            incarnation: 1,
-            seed: 1,
-            replica: None,
-            policy: pick::Policy::default(),
-        });
+        let node = one_daemon::node(settings);
         let mut bench = Self {
             node,
             at_ms: 0,
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -1,6 +1,7 @@
 //! Decisions of the entry on requests that are resolved through routes.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod one_daemon;
 mod routed_entry;
 
 use node::entry::{self, Reason, RunState};
--- a/crates/node/tests/routed_entry/mod.rs
+++ b/crates/node/tests/routed_entry/mod.rs
@@ -2,10 +2,11 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{DaemonSettings, ListenSettings, Settings};
+use crate::one_daemon;
+pub use crate::one_daemon::run;
+use conf::Settings;
 use node::entry;
-use node::{Effect, Event, Node, NodeOptions, step};
-use std::net::SocketAddr;
+use node::{Effect, Event, Node};
 use std::time::Duration;
 use wire::{
     Body, ConfigDelta, HeartbeatReply, LinkKind, Load, LoadUpdate, Refuse, RefuseReason, Route,
@@ -22,19 +23,7 @@
 
 /// Returns a daemon with changed settings that knows nothing yet.
 pub fn node_with(change: impl Fn(&mut Settings)) -> Node {
-    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
-    let listen = ListenSettings {
-        callers: Some(address(7100)),
-        operators: address(7200),
-        peers: address(7300),
-    };
-    let daemon = DaemonSettings {
-        name: "entry-1".into(),
-        data_centre: "ams".into(),
-    };
-    let mut settings = Settings::new(daemon, listen, address(8000));
-    settings.control.replicas = vec![address(7301)];
-    settings.control.serve_stale = true;
+    let mut settings = one_daemon::settings("entry-1");
     settings.gate.isolate_suspects = false;
     settings.routing.repicks = 4;
     settings.routing.by_expected_finish = true;
@@ -42,13 +31,7 @@
     settings.routing.retry_ratio = RETRY_RATIO;
     settings.routing.hedge_ratio = 0.2;
     change(&mut settings);
-    Node::new(NodeOptions {
-        settings,
-        incarnation: 1,
-        seed: 1,
-        replica: None,
-        policy: pick::Policy::default(),
-    })
+    one_daemon::node(settings)
 }
 
 pub fn route(prefix: &str, kind: RouteKind) -> Route {
@@ -69,12 +52,6 @@
     }
 }
 
-pub fn run(node: &mut Node, at_ms: u64, event: Event) -> Vec<Effect> {
-    let mut tx = Vec::new();
-    step(node, Duration::from_millis(at_ms), event, &mut tx);
-    tx
-}
-
 /// Name and data centre of an upstream.
 pub type Place = (&'static str, &'static str);
 
