--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -442,7 +442,7 @@
                 }
             }
             Outcome::Broken if job.stage == Stage::Running => self.connection_broken(&job, cx),
-            Outcome::Broken => self.cancelled_ended(&job, cx),
+            Outcome::Broken => self.cancelled_request_ended(&job, cx),
         }
     }
 
--- a/crates/node/src/admission/breaks.rs
+++ b/crates/node/src/admission/breaks.rs
@@ -35,14 +35,15 @@
 struct Break {
     at: Duration,
     request: LostRequest,
+    /// Whether the request was cancelled before its connection ended.
     cancelled: bool,
     /// Whether a connection was refused afterwards, before any sign of life.
     refused: bool,
 }
 
 impl Break {
-    /// Returns whether a response that is handled now leaves open that the upstream ended
-    /// with this request.
+    /// Returns whether the upstream may have ended, or may still end, because of this
+    /// request although a response of it is handled now.
     fn outlasts_sign_of_life(&self, now: Duration) -> bool {
         let spread = match self.cancelled {
             true => CANCELLED_WORK,
--- a/crates/node/src/admission/completions.rs
+++ b/crates/node/src/admission/completions.rs
@@ -5,19 +5,18 @@
 use std::time::Duration;
 use wire::Fingerprint;
 
-/// HTTP statuses below it with which an upstream turns a request away before it runs:
-/// timeout of the request, too early, too many requests.
-const TURNED_AWAY: [u16; 3] = [408, 425, 429];
+/// Maximum number of completions kept.
+const MAX_COMPLETIONS: usize = 1_024;
+/// HTTP statuses of client errors with which an upstream rejects a request before it runs:
+/// request timeout, too early, too many requests.
+const REJECTIONS: [u16; 3] = [408, 425, 429];
 
 /// Returns whether a response with this HTTP status shows that the upstream ran the
-/// request to its end. One that fails may not have got to the part that ends upstreams.
+/// request to its end. One that failed may not have got to the part that ends upstreams.
 pub(super) fn is_completion(status: u16) -> bool {
-    status < MIN_SERVER_ERROR && !TURNED_AWAY.contains(&status)
+    status < MIN_SERVER_ERROR && !REJECTIONS.contains(&status)
 }
 
-/// Maximum number of completions kept.
-const MAX_COMPLETIONS: usize = 1_024;
-
 /// The most recent completions. A request that has run to its end since a crash does
 /// not crash each upstream that runs it.
 #[derive(Debug, Default)]
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -40,7 +40,7 @@
     }
 
     /// Handles the end of the connection of a cancelled request.
-    pub(super) fn cancelled_ended(&mut self, job: &Job, cx: &Cx<'_>) {
+    pub(super) fn cancelled_request_ended(&mut self, job: &Job, cx: &Cx<'_>) {
         self.breaks.record_cancelled(cx.now, job.lost());
     }
 
