--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -574,6 +574,30 @@
     assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
 }
 
+/// Guards against a request that harms nothing and is refused for ten minutes, because it
+/// was in flight at the same three crashes as the one that ends upstreams.
+#[test]
+fn request_retried_beside_crashing_one_is_served_again() {
+    let mut fleet = Fleet::new(21);
+    for gate in 0..3 {
+        fleet.send(gate, POPULAR);
+        fleet.crash_once(gate);
+    }
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3));
+    let mut served = false;
+    for _ in 0..60 {
+        fleet.convicted.clear();
+        fleet.complete(3, POPULAR);
+        served |= fleet.convicted.is_empty();
+        fleet.send(3, CRASHING);
+        fleet.run(Duration::from_secs(1));
+    }
+    assert!(served, "refused for a minute");
+    let late = fleet.reached_late();
+    assert!(late <= MAX_LATE, "sent {late} times after its third crash");
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
