End all processes of a case with its script

Cause: a script that failed to start a stand-in skipped the end of the processes. Change: processes end with the script that started them, and before the stand-ins.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,9 +62,9 @@
             f"(acknowledged at {acked_at:.2f}) and not taken back since; requests sent later "
             f"than {judged_from:.2f} that ran there: {len(late)}{first}")
     finally:
+        deployment.stop()
         for i in instances:
             await i.close()
-        deployment.stop()
 
 
 f.main(HERE, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -49,9 +49,9 @@
             f"it later than {DRAIN:.0f} s after the ack: {len(after)} ({fresh} of them were also sent "
             f"later){first}; cut off when it exited: {len(cut)}, of which {len(failed)} failed at the client")
     finally:
+        deployment.stop()
         for i in instances:
             await i.close()
-        deployment.stop()
 
 
 f.main(HERE, case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -56,9 +56,9 @@
             f"it later than {judged_from:.2f}: {len(after)}{first}; cut off when it exited: "
             f"{len(cut)}, of which {len(failed)} failed at the client")
     finally:
+        deployment.stop()
         for i in instances:
             await i.close()
-        deployment.stop()
 
 
 f.main(HERE, case)
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -4,6 +4,7 @@
 Only the standard library is used. Every address is in 127.0.0.0/8."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -29,10 +30,18 @@
 HEARTBEAT = 1.5
 ACK_TIMEOUT = 1.0
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
 # Exit codes of a script.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
+def end_with_parent():
+    """Lets a process end with the script, should that be killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not be run, which says nothing about the rule."""
 
@@ -72,7 +81,7 @@
         env["PLUMHITCH_NODE_FILE"] = self.path
         self.child = subprocess.Popen(
             [PROGRAM, "--settings", self.path], cwd=ROOT, env=env,
-            stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+            stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=end_with_parent)
         log.close()
         self.fleet.record.write("platform", f"starts {self.name}")
 
@@ -275,6 +284,7 @@
         self.pinging = True
         self.last_ping_ack = None
         self.server = None
+        self.ping_task = None
         self.service = sidecar.service
         self.tasks = set()
         self.connections = set()
@@ -409,9 +419,10 @@
         return cut
 
     async def close(self):
-        for task in [self.ping_task, *self.tasks]:
+        for task in self.tasks | {self.ping_task} - {None}:
             task.cancel()
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
 
 
 class Operator:
