Do not carry out an order for a data centre that a later one has overtaken

A control machine that had been frozen meanwhile read the withdrawal from its socket when it woke and carried it out, although the operator had given that call up seconds before. From then on all machines sent requests to the evacuated data centre, for good.

Cause: orders for data centres (and for rollouts) have neither an id nor a base version, so nothing tells a delayed or resent copy from a new order, and the request went on in the agent after its connection had ended.

Change: the leader numbers the orders of its term. A daemon asks for the newest position, lets the connection be read, and sends the order with that position; the leader takes it only if no other order came since. The position was read while the operator still waited, so what is given up cannot follow a later order, whichever process or link held it. Rollout orders are covered too: a delayed one started a rollout back once the next had ended.

--- a/crates/api/src/rollout.rs
+++ b/crates/api/src/rollout.rs
@@ -27,6 +27,7 @@
             service: body.service,
             version: body.version,
             duration_ms: u64::try_from(body.within.as_millis()).unwrap_or(u64::MAX),
+            base: None,
         }
     }
 }
--- a/crates/conf/tests/rollouts.rs
+++ b/crates/conf/tests/rollouts.rs
@@ -24,6 +24,7 @@
         service: "booking".to_owned(),
         version: version.to_owned(),
         duration_ms,
+        base: None,
     }
 }
 
@@ -255,6 +256,7 @@
     state.apply_data_centre(&DataCentreOrder {
         data_centre: "dc1".to_owned(),
         out: true,
+        base: None,
     });
     let page = Transfers::default().page(&state, config.version, 0, true);
     let mut receiver = TransferReceiver::default();
--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -154,6 +154,7 @@
     let order = |out| DataCentreOrder {
         data_centre: "ams".into(),
         out,
+        base: None,
     };
     state.apply_data_centre(&order(true));
     let version = state.current().version;
@@ -189,6 +190,7 @@
     state.apply_data_centre(&DataCentreOrder {
         data_centre: "ams".into(),
         out: true,
+        base: None,
     });
     let delta = transfers.page(&state, config.version, 0, true).unwrap();
     assert!(delta.routing.is_none());
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,6 +11,7 @@
 mod held_heartbeats;
 mod leadership;
 mod log_lines;
+mod orders;
 mod reads;
 mod replies;
 mod rollouts;
@@ -260,10 +261,16 @@
             control_request::Kind::Routing(change) => {
                 self.queue(waiter, Item::routing(change), tx);
             }
-            control_request::Kind::DataCentre(order) => {
+            control_request::Kind::DataCentre(mut order) => {
+                if !self.take_order(waiter, order.base.take(), tx) {
+                    return;
+                }
                 self.queue(waiter, Item::data_centre(order), tx);
             }
-            control_request::Kind::StartRollout(order) => {
+            control_request::Kind::StartRollout(mut order) => {
+                if !self.take_order(waiter, order.base.take(), tx) {
+                    return;
+                }
                 let share_ppm = rollout::canary_share(self.bounds);
                 self.queue(waiter, Item::rollout_order(order, share_ppm), tx);
             }
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -16,6 +16,8 @@
     pub(super) term: Term,
     pub(super) since: Duration,
     pub(super) log_time_ms: u64,
+    /// Number of operators' orders taken in this term.
+    pub(super) orders: u64,
 }
 
 impl Control {
@@ -44,6 +46,7 @@
             term,
             since: now,
             log_time_ms: self.state_machine.claims.time_ms(),
+            orders: 0,
         });
         self.registry = Registry::new(term, self.lease, now).with_home_options(self.home_options);
         self.suspects = Suspects::default();
--- a/crates/node/src/control/log_lines.rs
+++ b/crates/node/src/control/log_lines.rs
@@ -6,7 +6,7 @@
 use conf::RolloutStep;
 use log::Level;
 use replica::Role;
-use wire::{Rollout, RolloutStage, Term};
+use wire::{OrderPosition, Rollout, RolloutStage, Term};
 
 pub(super) fn with_value(
     level: Level,
@@ -33,6 +33,20 @@
     })
 }
 
+/// Reports an order that was not carried out because others have come since its base.
+pub(super) fn order_outdated(base: OrderPosition, newest: OrderPosition) -> Effect {
+    Effect::Log(LogLine {
+        level: Level::Info,
+        event: "order_outdated",
+        pairs: vec![
+            ("base_term", base.term.to_string()),
+            ("base", base.number.to_string()),
+            ("term", newest.term.to_string()),
+            ("newest", newest.number.to_string()),
+        ],
+    })
+}
+
 pub(super) fn verdict_changed(change: &VerdictChange) -> Effect {
     let line = match change {
         VerdictChange::Convicted {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -223,6 +223,9 @@
                 .collect();
             lines.join("; ")
         }
+        control_reply::Kind::NewestOrder(newest) => {
+            format!("newest order {} of term {}", newest.number, newest.term)
+        }
         control_reply::Kind::Rollout(outcome) => {
             let state = outcome.rollout.as_ref().map(|r| (r.stage(), r.share_ppm));
             format!("rollout {:?} {state:?}", outcome.result())
--- a/crates/node/tests/rollouts.rs
+++ b/crates/node/tests/rollouts.rs
@@ -251,6 +251,7 @@
         service: "booking".to_owned(),
         version: version.to_owned(),
         duration_ms: u64::try_from(DURATION.as_millis()).unwrap(),
+        base: None,
     })
 }
 
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -8,12 +8,15 @@
 use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
 use wire::{
-    Announcement, ChangeOutcome, DataCentreOrder, RolloutOrder, RolloutOutcome, RolloutQuery,
-    RolloutResult, Routing, RoutingChange, RoutingRequest, control_reply, control_request,
+    Announcement, ChangeOutcome, DataCentreOrder, OrderPosition, RolloutOrder, RolloutOutcome,
+    RolloutQuery, RolloutResult, Routing, RoutingChange, RoutingRequest, control_reply,
+    control_request,
 };
 
 /// Length of the salt of digests, in bytes.
 const SALT_BYTES: usize = 16;
+/// Maximum number of times that an order is sent because other orders came in between.
+const MAX_ORDER_ATTEMPTS: u32 = 16;
 
 /// Handle to a running daemon.
 #[derive(Clone, Debug)]
@@ -83,8 +86,20 @@
 
     /// Takes a data centre out of service or returns it; returns `None` if no
     /// control leader confirmed an outcome in time.
-    pub async fn change_data_centre(&self, change: DataCentreOrder) -> Option<ChangeOutcome> {
-        self.change(control_request::Kind::DataCentre(change)).await
+    ///
+    /// The order is not carried out once the future has been dropped and a later order
+    /// has been accepted: drop it when the operator no longer waits.
+    pub async fn change_data_centre(&self, order: DataCentreOrder) -> Option<ChangeOutcome> {
+        let request = |base| {
+            control_request::Kind::DataCentre(DataCentreOrder {
+                base: Some(base),
+                ..order.clone()
+            })
+        };
+        match self.order(request).await? {
+            control_reply::Kind::Change(outcome) => Some(outcome),
+            _ => None,
+        }
     }
 
     /// Returns the routing in force, or `None` if no control leader confirmed it
@@ -100,9 +115,17 @@
 
     /// Orders a rollout; returns `None` if no control leader confirmed an outcome in
     /// time. The same order may then be sent again.
+    ///
+    /// The future is to be dropped when the operator no longer waits, as that of
+    /// [`Handle::change_data_centre`].
     pub async fn start_rollout(&self, order: RolloutOrder) -> Option<RolloutOutcome> {
-        self.rollout(control_request::Kind::StartRollout(order))
-            .await
+        let request = |base| {
+            control_request::Kind::StartRollout(RolloutOrder {
+                base: Some(base),
+                ..order.clone()
+            })
+        };
+        rollout_outcome(self.order(request).await?)
     }
 
     /// Returns the newest rollout of a service, or `None` if no control leader
@@ -110,17 +133,31 @@
     pub async fn read_rollout(&self, service: &str) -> Option<RolloutOutcome> {
         let service = service.to_owned();
         let query = RolloutQuery { service };
-        self.rollout(control_request::Kind::ReadRollout(query))
-            .await
+        rollout_outcome(
+            self.request(control_request::Kind::ReadRollout(query))
+                .await?,
+        )
     }
 
-    async fn rollout(&self, kind: control_request::Kind) -> Option<RolloutOutcome> {
-        match self.request(kind).await? {
-            control_reply::Kind::Rollout(outcome) => {
-                Some(outcome).filter(|o| o.result() != RolloutResult::Unknown)
+    /// Sends an order that has neither an id nor a base version, until the leader takes it.
+    ///
+    /// The first request states no known position, so that the leader replies with the
+    /// newest one. Before the order itself is sent, the future yields: by then the
+    /// connection has been read, and the future is dropped if the operator has left. What
+    /// is sent while the operator waits cannot follow an order that comes after.
+    async fn order(
+        &self,
+        request: impl Fn(OrderPosition) -> control_request::Kind,
+    ) -> Option<control_reply::Kind> {
+        let mut base = OrderPosition::default();
+        for _ in 0..MAX_ORDER_ATTEMPTS {
+            match self.request(request(base)).await? {
+                control_reply::Kind::NewestOrder(newest) => base = newest,
+                reply => return Some(reply),
             }
-            _ => None,
+            tokio::task::yield_now().await;
         }
+        None
     }
 
     /// Sends a request to the control leader; returns `None` if no reply arrives
@@ -140,3 +177,12 @@
         }
     }
 }
+
+fn rollout_outcome(reply: control_reply::Kind) -> Option<RolloutOutcome> {
+    match reply {
+        control_reply::Kind::Rollout(outcome) => {
+            Some(outcome).filter(|o| o.result() != RolloutResult::Unknown)
+        }
+        _ => None,
+    }
+}
--- a/crates/plumhitchd/tests/rollouts.rs
+++ b/crates/plumhitchd/tests/rollouts.rs
@@ -15,10 +15,13 @@
 use tokio_util::codec::Framed;
 use wire::{
     Body, ConfigDelta, ControlReply, Frame, FrameCodec, HeartbeatReply, Hello, LinkKind,
-    PROTOCOL_VERSION, Rollout, RolloutOrder, RolloutOutcome, RolloutResult, RolloutStage,
-    control_reply, control_request,
+    OrderPosition, PROTOCOL_VERSION, Rollout, RolloutOrder, RolloutOutcome, RolloutResult,
+    RolloutStage, control_reply, control_request,
 };
 
+/// Position that orders must state to be taken.
+const NEWEST_ORDER: OrderPosition = OrderPosition { term: 1, number: 4 };
+
 /// Stand-in for the control leader.
 #[derive(Default)]
 struct Leader {
@@ -55,6 +58,16 @@
         };
     }
 
+    fn control_reply(&self, kind: control_request::Kind) -> control_reply::Kind {
+        if let control_request::Kind::StartRollout(order) = kind {
+            if order.base != Some(NEWEST_ORDER) {
+                return control_reply::Kind::NewestOrder(NEWEST_ORDER);
+            }
+            self.orders.lock().unwrap().push(order);
+        }
+        control_reply::Kind::Rollout(self.outcome.lock().unwrap().clone())
+    }
+
     fn reply(&self, body: Body) -> Option<Body> {
         match body {
             Body::Heartbeat(heartbeat) => Some(Body::HeartbeatReply(HeartbeatReply {
@@ -70,18 +83,12 @@
                 term: 1,
                 ..HeartbeatReply::default()
             })),
-            Body::ControlRequest(request) => {
-                if let Some(control_request::Kind::StartRollout(order)) = request.kind {
-                    self.orders.lock().unwrap().push(order);
-                }
-                let outcome = self.outcome.lock().unwrap().clone();
-                Some(Body::ControlReply(ControlReply {
-                    id: request.id,
-                    leader: true,
-                    kind: Some(control_reply::Kind::Rollout(outcome)),
-                    ..ControlReply::default()
-                }))
-            }
+            Body::ControlRequest(request) => Some(Body::ControlReply(ControlReply {
+                id: request.id,
+                leader: true,
+                kind: request.kind.map(|kind| self.control_reply(kind)),
+                ..ControlReply::default()
+            })),
             Body::Hello(_) => Some(Body::Hello(Hello {
                 version: PROTOCOL_VERSION,
                 daemon: "control-1".to_owned(),
@@ -162,6 +169,7 @@
         service: "booking".into(),
         version: "v2".into(),
         duration_ms: 90_000,
+        base: Some(NEWEST_ORDER),
     };
     assert_eq!(*leader.orders.lock().unwrap(), [order]);
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -343,7 +343,7 @@
     pub leader_address: String,
     /// The reply itself; absent if the sender is not the leader, or lost its
     /// leadership before the outcome was known.
-    #[prost(oneof = "control_reply::Kind", tags = "4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "control_reply::Kind", tags = "4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<control_reply::Kind>,
 }
 
@@ -372,6 +372,10 @@
         /// Outcome of a rollout order or query.
         #[prost(message, tag = "9")]
         Rollout(crate::rollout::RolloutOutcome),
+        /// The newest order, in reply to one that states another base and was therefore
+        /// not carried out.
+        #[prost(message, tag = "10")]
+        NewestOrder(crate::routing::OrderPosition),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -47,6 +47,6 @@
     RouteEvidence, VersionEvidence,
 };
 pub use routing::{
-    CallerLimits, CustomerRules, DataCentreOrder, Route, RouteDestination, RouteKind, Routing,
-    RoutingChange, RoutingRequest, ServiceRules,
+    CallerLimits, CustomerRules, DataCentreOrder, OrderPosition, Route, RouteDestination,
+    RouteKind, Routing, RoutingChange, RoutingRequest, ServiceRules,
 };
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -31,6 +31,10 @@
     /// Time within which the rollout is to be complete, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub duration_ms: u64,
+    /// Newest order known when the operator was last seen to wait for this one, as in
+    /// [`DataCentreOrder::base`](crate::DataCentreOrder::base).
+    #[prost(message, optional, tag = "4")]
+    pub base: Option<crate::routing::OrderPosition>,
 }
 
 /// The newest rollout of a service.
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -238,6 +238,27 @@
     /// Whether it is taken out; if not, it is returned.
     #[prost(bool, tag = "2")]
     pub out: bool,
+    /// Newest order known when the operator was last seen to wait for this one. Without
+    /// it, the order is carried out whatever came before; daemons of earlier versions
+    /// state none.
+    #[prost(message, optional, tag = "3")]
+    pub base: Option<OrderPosition>,
+}
+
+/// Position of an operator's order among those that a control leader has taken.
+///
+/// Orders for data centres and rollouts have neither an id nor a base version. An order
+/// states the newest position that was known while its operator still waited, and the
+/// leader takes it only if no other order has come since. So a copy that was delayed or
+/// resent cannot undo a later order.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct OrderPosition {
+    /// Term of the leader.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Number of orders that the leader has taken in its term.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 /// Reads the current routing.
