Keep an upstream that has deregistered out of use, whatever arrives late

Cause: the message by which an instance deregisters has no number. The adapter gave it the one after the last announcement that had arrived, and the gate compared numbers only; that this start has gone for good was not remembered. A restarted daemon took any late announcement, since it didn't know which start had deregistered.

Change: an announcement says whether the upstream has deregistered; after that no other announcement of the same start counts. If the start is not known, an upstream of this name that began before stays out for 60 s. A repeated deregistration is acknowledged again.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -52,6 +52,9 @@
 /// Time without an announcement after which an upstream may announce a start with a
 /// lower number than the known one.
 const INCARNATION_SILENCE: Duration = Duration::from_secs(5);
+/// Time for which an upstream that has deregistered without the number of its start is not
+/// taken back: longer than an announcement is delayed.
+const UNNUMBERED_START_MEMORY: Duration = Duration::from_secs(60);
 /// Retry delay sent with a refusal that has another cause than missing slots.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Thousandths in a unit.
@@ -223,16 +226,23 @@
     }
 
     /// Returns whether an announcement is older than one already applied: from
-    /// an earlier start of the upstream, or overtaken in transit.
+    /// an earlier start of the upstream, or overtaken in transit. After a deregistration
+    /// each other announcement of the same start is.
     ///
     /// Upstreams number their starts by the time of day, which may be set back. So a
     /// start with a lower number is accepted once the known one has been silent for
     /// [`INCARNATION_SILENCE`].
     #[must_use]
     pub fn is_outdated(&self, now: Duration, announcement: &Announcement) -> bool {
-        let Some(known) = self.gate.announced().filter(|a| a.incarnation > 0) else {
+        let Some(known) = self.gate.announced() else {
             return false;
         };
+        if known.deregistered && self.is_deregistered_start(now, known, announcement) {
+            return !announcement.deregistered;
+        }
+        if known.incarnation == 0 {
+            return false;
+        }
         match announcement.incarnation.cmp(&known.incarnation) {
             Ordering::Greater => false,
             Ordering::Equal => announcement.sequence <= known.sequence,
@@ -240,12 +250,34 @@
         }
     }
 
-    fn announce(&mut self, mut announcement: Announcement, cx: &mut Cx<'_>) {
-        if self.is_outdated(cx.now, &announcement) {
-            return;
+    /// Returns whether an announcement is of the start that has deregistered. Where one of
+    /// the two does not number its start, they are of one if the names are the same and the
+    /// upstream is not known to have started since.
+    fn is_deregistered_start(
+        &self,
+        now: Duration,
+        known: &Announcement,
+        announcement: &Announcement,
+    ) -> bool {
+        if known.incarnation > 0 && announcement.incarnation > 0 {
+            return known.boot == announcement.boot;
         }
-        self.announced_at = cx.now;
-        announcement.leaving |= self.stopping;
+        let since = now.saturating_sub(self.announced_at);
+        let age = announcement.age_ms.map(Duration::from_millis);
+        known.target == announcement.target
+            && since < UNNUMBERED_START_MEMORY
+            && age.is_none_or(|age| age >= since)
+    }
+
+    fn announce(&mut self, announcement: Announcement, cx: &mut Cx<'_>) {
+        if !self.is_outdated(cx.now, &announcement) {
+            self.announced_at = cx.now;
+            self.apply_announcement(announcement, cx);
+        }
+    }
+
+    fn apply_announcement(&mut self, mut announcement: Announcement, cx: &mut Cx<'_>) {
+        announcement.leaving |= self.stopping || announcement.deregistered;
         let previous = self.gate.announced().map(|a| a.leaving);
         match self.gate.announce(cx.now, announcement) {
             Some(lost) => {
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -298,3 +298,20 @@
     assert!(announce(&mut node, 200, 101, 1));
     assert!(!node.admission.announced().unwrap().leaving);
 }
+
+/// Guards against an upstream that has deregistered and is brought back by an announcement
+/// that was sent before and has a higher number than the gate knew then (review/3).
+#[test_case(100, 9, false; "late_announcement")]
+#[test_case(200, 1, true; "next_start")]
+fn announced_after_deregistration_by_start(incarnation: u64, sequence: u64, counts: bool) {
+    let mut node = gate();
+    let deregistration = Announcement {
+        leaving: true,
+        deregistered: true,
+        ..announcement(100, 2)
+    };
+    admit(&mut node, 10, admission::Event::Announced(deregistration));
+    assert_eq!(announce(&mut node, 20, incarnation, sequence), counts);
+    let effects = admit(&mut node, 30, admission::Event::Arrived(arrival(1)));
+    assert_eq!(refused(&effects) == Some(RefuseReason::Leaving), !counts);
+}
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -87,6 +87,9 @@
     /// Version of its software, or empty if it states none.
     #[prost(string, tag = "10")]
     pub version: String,
+    /// Whether this start has deregistered. No later announcement of it counts.
+    #[prost(bool, tag = "11")]
+    pub deregistered: bool,
 }
 
 /// A subscription to a service, with the version that the daemon has.
