Remember over a restart of its daemon that an upstream has left

Cause: control compares the numbers of announcements, but the agent set the number to 0 in its reports, so that no announcement was ever older than another. The registry's test passed since it wrote the numbers itself. And the leave was acknowledged while only the gate knew it.

Change: heartbeats report the number; a change of it alone triggers none. The registry keeps a start that has deregistered out, also if the reporting daemon does not know which start it was, and replies to heartbeats name it, so that a restarted gate refuses it and tells the next leader. Daemons of earlier versions report 0, which counts as not numbered.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -59,22 +59,45 @@
 #[derive(Clone, Debug)]
 struct ReportedStart {
     boot: String,
+    target: String,
+    incarnation: u64,
     sequence: u64,
     leaving: bool,
+    deregistered: bool,
 }
 
 impl ReportedStart {
+    fn new(announcement: &Announcement) -> Self {
+        Self {
+            boot: announcement.boot.clone(),
+            target: announcement.target.clone(),
+            incarnation: announcement.incarnation,
+            sequence: announcement.sequence,
+            leaving: announcement.leaving,
+            deregistered: announcement.deregistered,
+        }
+    }
+
     /// Returns the newer one of this announcement and another. Announcements of one start
-    /// are numbered; of two starts the one that was reported later counts.
-    fn newer(self, other: &Announcement) -> Self {
-        if other.sequence < self.sequence && other.boot == self.boot {
+    /// are numbered, and none follows that of its deregistration; of two starts the one
+    /// that was reported later counts.
+    fn newer(mut self, other: &Announcement) -> Self {
+        let same_start = other.boot == self.boot;
+        if same_start && self.deregistered && self.incarnation > 0 {
             return self;
         }
-        Self {
-            boot: other.boot.clone(),
-            sequence: other.sequence,
-            leaving: other.leaving,
+        // A daemon that has started again may not know which start deregistered.
+        let unnumbered = other.incarnation == 0 && other.target == self.target;
+        if other.deregistered && unnumbered && self.incarnation > 0 {
+            self.deregistered = true;
+            self.leaving = true;
+            return self;
+        }
+        // Daemons of earlier versions report 0 in place of the number.
+        if same_start && other.sequence > 0 && other.sequence < self.sequence {
+            return self;
         }
+        Self::new(other)
     }
 }
 
@@ -291,6 +314,13 @@
             && registration.is_some_and(|r| r.superseded.is_empty())
     }
 
+    /// Returns the boot of the upstream beside a daemon if that start has deregistered.
+    #[must_use]
+    pub fn deregistered_boot(&self, daemon: &str) -> Option<&str> {
+        let newest = self.daemons.get(daemon)?.newest.as_ref()?;
+        newest.deregistered.then_some(newest.boot.as_str())
+    }
+
     /// Returns the number of registered daemons.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
@@ -439,11 +469,7 @@
     let newest = match (old.and_then(|o| o.newest.clone()), upstream) {
         (Some(known), Some(upstream)) => Some(known.newer(upstream)),
         (known, None) => known,
-        (None, Some(upstream)) => Some(ReportedStart {
-            boot: upstream.boot.clone(),
-            sequence: upstream.sequence,
-            leaving: upstream.leaving,
-        }),
+        (None, Some(upstream)) => Some(ReportedStart::new(upstream)),
     };
     let same_start = old.filter(|o| o.incarnation == heartbeat.incarnation);
     let age = Duration::from_millis(heartbeat.age_ms);
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -168,6 +168,7 @@
     pub fn tick(&mut self, cx: &mut Cx<'_>) {
         self.gate.advance_clock(cx.now);
         self.update_out_state(cx);
+        self.adopt_deregistration(cx);
         self.suspects.tick(cx.now);
         self.breaks.tick(cx.now);
         self.crash_counts.tick(cx.now);
@@ -269,6 +270,16 @@
             && age.is_none_or(|age| age >= since)
     }
 
+    /// Applies what control knows of a deregistration that was acknowledged before this
+    /// daemon started.
+    fn adopt_deregistration(&mut self, cx: &mut Cx<'_>) {
+        let announced = self.gate.announced();
+        let missed = announced.filter(|a| !a.deregistered && cx.agent.has_deregistered(&a.boot));
+        if let Some(announcement) = missed.cloned() {
+            self.apply_announcement(announcement, cx);
+        }
+    }
+
     fn announce(&mut self, announcement: Announcement, cx: &mut Cx<'_>) {
         if !self.is_outdated(cx.now, &announcement) {
             self.announced_at = cx.now;
@@ -277,6 +288,7 @@
     }
 
     fn apply_announcement(&mut self, mut announcement: Announcement, cx: &mut Cx<'_>) {
+        announcement.deregistered |= cx.agent.has_deregistered(&announcement.boot);
         announcement.leaving |= self.stopping || announcement.deregistered;
         let previous = self.gate.announced().map(|a| a.leaving);
         match self.gate.announce(cx.now, announcement) {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -100,6 +100,10 @@
     leader: Option<CompactString>,
     heartbeats: Heartbeats,
     upstream: Option<Announcement>,
+    /// Boot of the upstream that control has last confirmed to know as leaving.
+    reported_leaving: Option<String>,
+    /// Boot of the upstream's start that has deregistered, as far as control knows.
+    deregistered_boot: String,
     in_progress: u32,
     evidence: Option<VersionEvidence>,
     requests: Requests,
@@ -153,6 +157,8 @@
             leader: None,
             heartbeats: Heartbeats::new(control.heartbeat_interval, control.lease),
             upstream: None,
+            reported_leaving: None,
+            deregistered_boot: String::new(),
             in_progress: 0,
             evidence: None,
             requests: Requests::default(),
@@ -322,17 +328,36 @@
 
     /// Announces the upstream on the same VM, with the next heartbeat.
     pub fn announce(&mut self, mut announcement: Announcement) {
-        // Clears the fields that differ in every announcement and that other
-        // daemons do not use, so that only a real change triggers a heartbeat.
-        announcement.sequence = 0;
+        // Other daemons do not use these fields.
         announcement.cold_ms = 0;
         announcement.age_ms = None;
-        if self.upstream.as_ref() != Some(&announcement) {
-            self.upstream = Some(announcement);
+        // The number differs in every announcement and does not trigger a heartbeat.
+        let unchanged = self.upstream.as_ref().is_some_and(|known| {
+            let sequence = known.sequence;
+            *known
+                == Announcement {
+                    sequence,
+                    ..announcement.clone()
+                }
+        });
+        self.upstream = Some(announcement);
+        if !unchanged {
             self.heartbeats.schedule_now();
         }
     }
 
+    /// Returns whether the control leader knows that this start of the upstream leaves.
+    #[must_use]
+    pub fn is_leave_reported(&self, boot: &str) -> bool {
+        self.reported_leaving.as_deref() == Some(boot)
+    }
+
+    /// Returns whether this start of the upstream has deregistered, as far as control
+    /// knows. After a restart, this daemon has not heard of it.
+    pub(crate) fn has_deregistered(&self, boot: &str) -> bool {
+        !boot.is_empty() && self.deregistered_boot == boot
+    }
+
     /// Sends a request to the control leader. [`Agent::control_reply`] or
     /// [`Agent::tick`] returns the result. The request is resent with the same
     /// id, also to a new leader, until [`CONTROL_TIMEOUT`].
@@ -383,6 +408,7 @@
             return;
         }
         self.leader = Some(sent.target.clone());
+        self.reported_leaving.clone_from(&sent.leaving_boot);
         if self.replicas.leader_confirmed(&sent.target) {
             self.requests.resend_soon(now, &mut self.rng);
         }
@@ -466,6 +492,11 @@
         }
     }
 
+    fn leaving_boot(&self) -> Option<String> {
+        let leaving = self.upstream.as_ref().filter(|u| u.leaving);
+        leaving.map(|u| u.boot.clone())
+    }
+
     fn send_heartbeat(&mut self, now: Duration, tx: &mut Vec<Effect>) {
         let Some(target) = self.replicas.target().cloned() else {
             return;
@@ -474,6 +505,7 @@
             at: now,
             target,
             config_version: self.config.version,
+            leaving_boot: self.leaving_boot(),
         });
         let age = self.age(now);
         let heartbeat = Heartbeat {
--- a/crates/node/src/agent/heartbeats.rs
+++ b/crates/node/src/agent/heartbeats.rs
@@ -16,6 +16,8 @@
     pub(super) at: Duration,
     pub(super) target: CompactString,
     pub(super) config_version: ConfigVersion,
+    /// Boot of the upstream that it reports as leaving.
+    pub(super) leaving_boot: Option<String>,
 }
 
 /// The schedule, and the heartbeats sent within the lease.
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -37,6 +37,9 @@
         }
         if reply.term >= self.term {
             self.term = reply.term;
+            if !reply.deregistered_boot.is_empty() {
+                self.deregistered_boot = reply.deregistered_boot;
+            }
             self.apply_verdicts(now, &reply.convicted);
             if !reply.homes.is_empty() {
                 self.homes = reply.homes;
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -163,6 +163,11 @@
             initial_homes: self.registry.has_initial_homes(&heartbeat.daemon),
             convicted: self.suspects.published(now),
             term: self.replica.term(),
+            deregistered_boot: self
+                .registry
+                .deregistered_boot(&heartbeat.daemon)
+                .unwrap_or_default()
+                .to_owned(),
         }
     }
 
--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,272 @@
+//! Tests that an upstream whose leave was acknowledged stays out of use, whatever arrives
+//! late and whichever daemon has started again meanwhile.
+//!
+//! CI runs fixed seeds. For a longer run:
+//! `SHUFFLE_SEEDS=500 cargo test --release -p node --test leaving`.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod common;
+
+use common::Simulation;
+use node::{Event, admission};
+use rand::Rng;
+use std::time::Duration;
+use test_case::test_case;
+use wire::Announcement;
+
+const SERVICE: &str = "booking";
+const SETTLE: Duration = Duration::from_secs(40);
+/// Daemon beside the upstream, and one that sends requests to it.
+const GATE: usize = 3;
+const ENTRY: usize = 4;
+const BORN: u64 = 1_800_000_000_000;
+
+fn announcement(start: u64, sequence: u64) -> Announcement {
+    Announcement {
+        service: SERVICE.to_owned(),
+        slots: 4,
+        boot: format!("i-1/{start}"),
+        target: "i-1".to_owned(),
+        incarnation: start,
+        sequence,
+        ..Announcement::default()
+    }
+}
+
+fn draining(start: u64, sequence: u64) -> Announcement {
+    Announcement {
+        leaving: true,
+        ..announcement(start, sequence)
+    }
+}
+
+fn deregistration(start: u64, sequence: u64) -> Announcement {
+    Announcement {
+        deregistered: true,
+        ..draining(start, sequence)
+    }
+}
+
+/// A deregistration at a daemon that has not heard of the upstream.
+fn unknown_deregistration() -> Announcement {
+    Announcement {
+        slots: 0,
+        ..deregistration(0, 0)
+    }
+}
+
+struct Cluster {
+    sim: Simulation,
+}
+
+impl Cluster {
+    fn new(seed: u64) -> Self {
+        let mut sim = Simulation::new(3, 2, seed);
+        sim.event(0, Event::Initialise);
+        let mut cluster = Self { sim };
+        cluster.settle();
+        cluster
+    }
+
+    fn settle(&mut self) {
+        let fresh = |s: &Simulation| s.daemons.iter().all(|d| d.is_fresh(s.now));
+        self.sim.run_until(SETTLE, fresh).expect("settles");
+        let entry = self.sim.daemons[ENTRY].node.as_mut().unwrap();
+        entry.agent.service(SERVICE);
+        self.sim.run(Duration::from_secs(3));
+    }
+
+    fn announce(&mut self, announcement: Announcement) {
+        let event = admission::Event::Announced(announcement);
+        self.sim.event(GATE, Event::Admission(event));
+        self.sim.run(Duration::from_millis(200));
+    }
+
+    /// Passes on that the upstream leaves, until it is acknowledged as the platform does:
+    /// once control knows it.
+    fn leave(&mut self, announcement: Announcement) {
+        let boot = announcement.boot.clone();
+        let end = self.sim.now + SETTLE;
+        while !self.is_leave_reported(&boot) {
+            assert!(self.sim.now < end, "not acknowledged");
+            self.announce(announcement.clone());
+        }
+    }
+
+    fn is_leave_reported(&self, boot: &str) -> bool {
+        let node = self.sim.daemons[GATE].node.as_ref();
+        node.is_some_and(|n| n.agent.is_leave_reported(boot))
+    }
+
+    fn restart(&mut self, i: usize) {
+        self.sim.kill(i);
+        self.sim.run(Duration::from_millis(300));
+        self.sim.start(i);
+    }
+
+    /// Returns whether requests would be sent to the upstream: its gate admits them, or
+    /// entries select it.
+    fn is_used(&mut self) -> bool {
+        let gate = self.sim.daemons[GATE].node();
+        let admits = gate.admission.announced().is_some_and(|a| !a.leaving);
+        let entry = self.sim.daemons[ENTRY].node.as_mut().unwrap();
+        let view = entry.agent.service(SERVICE);
+        let selects = view.is_some_and(|v| v.upstreams.values().any(|u| !u.leaving));
+        admits || selects
+    }
+}
+
+/// Guards against late announcements that bring back an upstream which has deregistered
+/// without a number (review/3).
+#[test]
+fn late_announcements_do_not_bring_back_deregistered_upstream() {
+    let mut cluster = Cluster::new(1);
+    cluster.announce(announcement(BORN, 5));
+    assert!(cluster.is_used());
+    // Numbered after the last announcement that has arrived; 6 and 7 are on their way.
+    cluster.leave(deregistration(BORN, 6));
+    cluster.settle();
+    for late in [6, 7, 8] {
+        cluster.announce(announcement(BORN, late));
+        assert!(!cluster.is_used(), "brought back by announcement {late}");
+    }
+    cluster.announce(announcement(BORN + 9_000, 1));
+    assert!(cluster.is_used(), "the next start is used");
+}
+
+/// Guards against the same at a daemon that has never heard of the upstream, so that it
+/// doesn't know which start has deregistered (review/3).
+#[test]
+fn late_announcement_after_unknown_deregistration_does_not_bring_it_back() {
+    let mut cluster = Cluster::new(2);
+    cluster.leave(unknown_deregistration());
+    let late = Announcement {
+        age_ms: Some(60_000),
+        ..announcement(BORN, 7)
+    };
+    cluster.announce(late);
+    assert!(!cluster.is_used());
+    let next = Announcement {
+        age_ms: Some(100),
+        ..announcement(BORN + 60_000, 1)
+    };
+    cluster.announce(next);
+    assert!(cluster.is_used(), "the next start is used");
+}
+
+#[test]
+fn deregistration_that_is_resent_is_not_outdated() {
+    let mut cluster = Cluster::new(3);
+    cluster.announce(announcement(BORN, 5));
+    cluster.leave(deregistration(BORN, 6));
+    let now = cluster.sim.now;
+    let gate = cluster.sim.daemons[GATE].node();
+    let admission = &gate.admission;
+    assert!(!admission.is_outdated(now, &deregistration(BORN, 6)));
+    assert!(!admission.is_outdated(now, &deregistration(BORN, 7)));
+    assert!(admission.is_outdated(now, &announcement(BORN, 8)));
+}
+
+/// Guards against a daemon that has started again and brings back an upstream whose leave
+/// its predecessor had acknowledged (review/4).
+#[test_case(deregistration(BORN, 6); "deregistered")]
+#[test_case(draining(BORN, 9); "draining")]
+fn late_announcement_at_restarted_daemon_does_not_bring_it_back(leave: Announcement) {
+    let mut cluster = Cluster::new(4);
+    cluster.announce(announcement(BORN, 5));
+    cluster.leave(leave);
+    cluster.restart(GATE);
+    cluster.announce(announcement(BORN, 7));
+    cluster.settle();
+    cluster.announce(announcement(BORN, 8));
+    let entry = cluster.sim.daemons[ENTRY].node.as_mut().unwrap();
+    let view = entry.agent.service(SERVICE).expect("a view");
+    assert!(view.upstreams.values().all(|u| u.leaving));
+}
+
+/// Guards against the same by the gate itself, and when the leader that knew it has gone
+/// too, once it has told the daemon (review/4).
+#[test]
+fn deregistration_learned_from_control_outlasts_the_leader() {
+    let mut cluster = Cluster::new(5);
+    cluster.announce(announcement(BORN, 5));
+    cluster.leave(deregistration(BORN, 6));
+    cluster.restart(GATE);
+    cluster.settle();
+    let leader = cluster
+        .sim
+        .daemons
+        .iter()
+        .position(common::Daemon::is_leader);
+    cluster.sim.kill(leader.expect("a leader"));
+    cluster.sim.run(Duration::from_secs(10));
+    cluster.announce(announcement(BORN, 7));
+    cluster.sim.run(Duration::from_secs(3));
+    assert!(!cluster.is_used());
+}
+
+/// Guards against an upstream that leaves at a daemon which has started again and has not
+/// heard of it: the daemon after that one is reached by a late announcement (review/4).
+#[test]
+fn unknown_deregistration_is_that_of_the_start_known_to_control() {
+    let mut cluster = Cluster::new(6);
+    cluster.announce(announcement(BORN, 5));
+    cluster.restart(GATE);
+    cluster.settle();
+    cluster.leave(unknown_deregistration());
+    cluster.restart(GATE);
+    cluster.settle();
+    cluster.announce(announcement(BORN, 7));
+    assert!(!cluster.is_used());
+}
+
+/// Announces, deregisters and starts an upstream in turn, with copies of what it has sent
+/// that arrive later, beside restarts of its daemon and freezes of others.
+fn shuffle(seed: u64) {
+    let mut cluster = Cluster::new(seed);
+    cluster.sim.duplicate_ratio = 0.05;
+    for start in (1..12).map(|n| BORN + n * 10_000) {
+        let last = cluster.sim.rng.random_range(2..6);
+        for sequence in 1..=last {
+            cluster.announce(announcement(start, sequence));
+        }
+        assert!(cluster.is_used(), "seed {seed}: start {start} is not used");
+        // Some of the announcements have not arrived when the upstream deregisters.
+        let sent = last + cluster.sim.rng.random_range(0..4);
+        cluster.leave(deregistration(start, last + 1));
+        for _ in 0..cluster.sim.rng.random_range(2..8) {
+            match cluster.sim.rng.random_range(0..5) {
+                0 => cluster.restart(GATE),
+                1 => cluster.restart(ENTRY),
+                2 => {
+                    let frozen = cluster.sim.rng.random_range(0..3);
+                    cluster.sim.freeze(frozen);
+                    cluster.sim.run(Duration::from_millis(700));
+                    cluster.sim.thaw(frozen);
+                }
+                _ => {
+                    let late = cluster.sim.rng.random_range(1..=sent);
+                    cluster.announce(announcement(start, late));
+                }
+            }
+        }
+        cluster.settle();
+        assert!(!cluster.is_used(), "seed {seed}: start {start} is back");
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn shuffle_keeps_deregistered_upstreams_out_of_use(seed: u64) {
+    shuffle(seed);
+}
+
+#[test]
+fn shuffle_longer_run() {
+    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
+    let seeds: u64 = seeds.and_then(|s| s.parse().ok()).unwrap_or(2);
+    (100..100 + seeds).for_each(shuffle);
+}
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -6,6 +6,7 @@
 use node::{Event, admission};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use wire::{
     Announcement, ChangeOutcome, DataCentreOrder, OrderPosition, RolloutOrder, RolloutOutcome,
@@ -13,6 +14,8 @@
     control_request,
 };
 
+/// Interval at which a change of the daemon's state is looked for.
+const STATE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Length of the salt of digests, in bytes.
 const SALT_BYTES: usize = 16;
 /// Maximum number of times that an order is sent because other orders came in between.
@@ -67,6 +70,19 @@
         true
     }
 
+    /// Waits until the control leader knows that a start of the upstream beside the daemon
+    /// leaves, so that a restart of the daemon does not bring it back; returns whether it
+    /// does within a time.
+    pub async fn leave_reported(&self, boot: &str, limit: Duration) -> bool {
+        let is_reported = || self.daemon.read(|node| node.agent.is_leave_reported(boot));
+        let reported = async {
+            while !is_reported() {
+                tokio::time::sleep(STATE_POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(limit, reported).await.is_ok()
+    }
+
     /// Returns the latest announcement of the upstream beside the daemon.
     #[must_use]
     pub fn announced(&self) -> Option<Announcement> {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -151,6 +151,9 @@
     /// Whether no daemon was a home under a limit before `homes`.
     #[prost(bool, tag = "11")]
     pub initial_homes: bool,
+    /// Boot of the upstream on the daemon's VM if that start has deregistered, or empty.
+    #[prost(string, tag = "12")]
+    pub deregistered_boot: String,
 }
 
 /// Address of a control replica.
