--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -167,7 +167,10 @@
     if route.timeout_ms == 0 {
         problems.push("the timeout is 0".to_owned());
     }
-    if route.objective_ms >= route.timeout_ms + MAX_OBJECTIVE_ABOVE_TIMEOUT_MS {
+    let max_objective_ms = route
+        .timeout_ms
+        .saturating_add(MAX_OBJECTIVE_ABOVE_TIMEOUT_MS);
+    if route.objective_ms >= max_objective_ms {
         problems.push("the objective is a minute or more above the timeout".to_owned());
     }
     if route.attempts == 0 {
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -241,7 +241,9 @@
         if known.deregistered && self.is_deregistered_start(now, known, announcement) {
             return !announcement.deregistered;
         }
-        if known.incarnation == 0 {
+        // Deregistrations may have no number of their own.
+        let deregisters = announcement.deregistered && announcement.boot == known.boot;
+        if known.incarnation == 0 || deregisters {
             return false;
         }
         match announcement.incarnation.cmp(&known.incarnation) {
