Do not use a connection to an upstream twice for one attempt

Report of another operator: a faulty instance wrote an earlier refusal once more on a kept connection; callers were told 'not run' for what had run (REFUSED), or it ran at a second instance (TWICE).

Cause here: a response is recognised by the id of the caller's attempt. If the attempt is sent to the same upstream a second time, after a refusal, on the same kept connection, the copy of the refusal has the right id.

Change: a connection keeps the hashes of the attempts that it has carried and is not used for one of them again; after 1,024 it is closed.

--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -1,7 +1,7 @@
 //! One HTTP exchange, a request and its response, on a connection to the
 //! upstream.
 
-use super::pool::Connection;
+use super::pool::{AttemptHash, Connection};
 use super::upstream_request::UploadReader;
 use crate::runtime::Daemon;
 use bytes::{Bytes, BytesMut};
@@ -16,6 +16,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -69,6 +70,15 @@
 }
 
 impl Echo {
+    /// Returns the hash of the id that the caller gave to its attempt. Ids that this daemon
+    /// draws occur once only.
+    fn attempt(&self) -> Option<AttemptHash> {
+        match self {
+            Self::Required(_, id) => Some(xxh3_64(id.as_bytes())),
+            Self::IfPresent(..) | Self::Absent(_) | Self::Unchecked => None,
+        }
+    }
+
     fn check(&self, headers: &HeaderMap) -> Match {
         let (name, expected, if_missing) = match self {
             Self::Required(name, value) => (name, Some(value), Match::Unknown),
@@ -131,6 +141,8 @@
     read: OwnedReadHalf,
     buf: BytesMut,
     writer: RequestWriter,
+    /// What its connection has carried.
+    attempts: Vec<AttemptHash>,
 }
 
 /// The write half after a short request, or the task that writes a long one.
@@ -169,12 +181,13 @@
     request: UpstreamRequest,
     upload: Option<UploadReader>,
 ) -> Result<UpstreamResponse, ExchangeError> {
-    let connection = daemon.pool.take().await;
+    let connection = daemon.pool.take(request.echo.attempt()).await;
     let connection = connection.map_err(ExchangeError::Unreachable)?;
     let Connection {
         stream,
         buf,
         reused,
+        attempts,
     } = connection;
     let (read, write) = stream.into_split();
     let writer = start_writing(&request, write, upload).await;
@@ -200,6 +213,7 @@
         read: reader.read,
         buf: reader.buf,
         writer,
+        attempts,
     })
 }
 
@@ -413,6 +427,7 @@
                 stream,
                 buf: self.buf,
                 reused: true,
+                attempts: self.attempts,
             };
             daemon.pool.put(connection, &self.headers);
         }
--- a/crates/plumhitchd/src/gate_http/pool.rs
+++ b/crates/plumhitchd/src/gate_http/pool.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+/// Maximum number of attempts that a connection carries, whose ids are kept with it.
+const MAX_ATTEMPTS: usize = 1_024;
 /// Maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Maximum time for connecting to the upstream.
@@ -31,8 +33,13 @@
     pub(crate) buf: BytesMut,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
+    /// Hashes of the ids of the attempts that it has carried.
+    pub(super) attempts: Vec<AttemptHash>,
 }
 
+/// Hash of the id of an attempt.
+pub(super) type AttemptHash = u64;
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -58,14 +65,24 @@
 
     /// Returns an idle connection, or establishes a new one.
     ///
+    /// A connection that has carried the same attempt before is not used for it again: a
+    /// second copy of the response from then could not be told from the new response.
+    ///
     /// # Errors
     ///
     /// Returns an error if the upstream cannot be reached; nothing was sent to
     /// it.
-    pub(crate) async fn take(&self) -> io::Result<Connection> {
-        if let Some(connection) = self.take_idle() {
-            return Ok(connection);
-        }
+    pub(super) async fn take(&self, attempt: Option<AttemptHash>) -> io::Result<Connection> {
+        let idle = self.take_idle(attempt);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        connection.attempts.extend(attempt);
+        Ok(connection)
+    }
+
+    async fn connect(&self) -> io::Result<Connection> {
         let address = self.address.ok_or(io::ErrorKind::AddrNotAvailable)?;
         let Ok(connected) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
             return Err(io::ErrorKind::TimedOut.into());
@@ -76,6 +93,7 @@
             stream,
             buf: BytesMut::new(),
             reused: false,
+            attempts: Vec::new(),
         })
     }
 
@@ -88,6 +106,9 @@
         if idle_timeout.is_zero() || !connection.buf.is_empty() {
             return;
         }
+        if connection.attempts.len() >= MAX_ATTEMPTS {
+            return;
+        }
         let mut idle = lock(&self.idle);
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(IdleConnection {
@@ -97,12 +118,17 @@
         }
     }
 
-    /// Returns the most recently used connection that can still be reused.
-    fn take_idle(&self) -> Option<Connection> {
+    /// Returns the most recently used connection that can still be reused and has not
+    /// carried the attempt.
+    fn take_idle(&self, attempt: Option<AttemptHash>) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let now = Instant::now();
         idle.retain(|i| i.expires_at > now);
-        while let Some(IdleConnection { mut connection, .. }) = idle.pop() {
+        let carried = |i: &IdleConnection| {
+            attempt.is_some_and(|attempt| i.connection.attempts.contains(&attempt))
+        };
+        while let Some(position) = idle.iter().rposition(|i| !carried(i)) {
+            let IdleConnection { mut connection, .. } = idle.remove(position);
             if is_reusable(&connection.stream) {
                 connection.reused = true;
                 return Some(connection);
