Bound the idle time that an upstream advertises

Cause: the pool added the advertised seconds to the present time, which panics if the sum has no representation; a panic ends the process. Evidence: 'overflow when adding duration to instant' in the log.

Change: at most an hour counts.

--- a/crates/plumhitchd/src/gate_http/pool.rs
+++ b/crates/plumhitchd/src/gate_http/pool.rs
@@ -21,6 +21,8 @@
 /// Time for which an idle connection is kept if the upstream sends no
 /// `keep-alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time for which an idle connection is kept, whatever the upstream advertises.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Margin by which an idle connection is dropped before the upstream's
 /// `keep-alive` timeout, so that no request is sent on a connection that is
 /// just closing.
@@ -147,10 +149,12 @@
     peeked.is_err_and(|err| err == Errno::WOULDBLOCK)
 }
 
-/// Returns the idle timeout that the upstream advertises in `keep-alive`.
+/// Returns the idle timeout that the upstream advertises in `keep-alive`, which may be any
+/// number, up to [`MAX_IDLE_TIMEOUT`].
 fn advertised_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let fields = value.split(',').map(str::trim);
     let mut seconds = fields.filter_map(|f| f.strip_prefix("timeout="));
-    Some(Duration::from_secs(seconds.next()?.parse().ok()?))
+    let advertised = Duration::from_secs(seconds.next()?.parse().ok()?);
+    Some(advertised.min(MAX_IDLE_TIMEOUT))
 }
