Count crashes that the killed daemons beside them had not counted yet

Cause: broken and refused connections alone show no end of an upstream, so a gate waits up to two seconds for a new start or lasting refusals. Until then what it saw was in its memory only.

Evidence: the killed daemons log no upstream_crashed; a kill after the report loses nothing, as control counts by the start of the daemon.

Change: heartbeats report what the upstream may have ended with. When another start of the daemon hears a new start of the upstream, or none for 3 s, the leader counts the crash for the daemon that reported it; the known start refutes it. Totals make sure that it counts once.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -78,6 +78,8 @@
     stuck_timeout: Duration,
     isolate_suspects: bool,
     last_break_at: Option<Duration>,
+    /// When a heartbeat was last sent early because the upstream may have ended.
+    unconfirmed_reported_at: Option<Duration>,
     /// Time of the latest announcement.
     announced_at: Duration,
     was_out: bool,
@@ -119,6 +121,7 @@
             stuck_timeout: settings.gate.stuck_timeout,
             isolate_suspects: settings.gate.isolate_suspects,
             last_break_at: None,
+            unconfirmed_reported_at: None,
             announced_at: Duration::ZERO,
             was_out: false,
             stopping: false,
--- a/crates/node/src/admission/breaks.rs
+++ b/crates/node/src/admission/breaks.rs
@@ -4,6 +4,7 @@
 //! ended does, so neither shows that it ended. A new start does, and so does a refusal
 //! of all connections for longer than a live upstream goes without a sign of life.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use wire::Fingerprint;
 
@@ -119,6 +120,14 @@
         ended.map(|b| b.request).collect()
     }
 
+    /// Returns the requests that the upstream may have ended with: it refuses connections
+    /// since they broke.
+    pub(super) fn unconfirmed(&self) -> Vec<Fingerprint> {
+        let refused = self.breaks.iter().filter(|b| b.refused);
+        let fingerprints: BTreeSet<Fingerprint> = refused.map(|b| b.request.fingerprint).collect();
+        fingerprints.into_iter().collect()
+    }
+
     /// Returns, and clears, the requests that broke before a new start of the upstream.
     pub(super) fn take_at_restart(&mut self, now: Duration) -> Vec<LostRequest> {
         self.refused_since = None;
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -22,6 +22,9 @@
 use std::time::Duration;
 use wire::{Body, Fingerprint, LinkKind, Suspect, SuspectState, Verdict, control_request};
 
+/// Minimum time between two heartbeats that are sent because the upstream may have ended.
+const UNCONFIRMED_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
 impl Admission {
     /// Handles the broken connection of a request that was not cancelled.
     pub(super) fn connection_broken(&mut self, job: &Job, cx: &mut Cx<'_>) {
@@ -62,6 +65,25 @@
             false => self.breaks.record_refusal(cx.now),
         };
         self.record_crash(suspects, cx);
+        self.report_unconfirmed(cx);
+    }
+
+    /// Returns the requests that the upstream may have ended with, for the next heartbeat.
+    /// Should this daemon end before it is certain, control can tell.
+    #[must_use]
+    pub fn unconfirmed_crashes(&self, now: Duration) -> Vec<SuspectState> {
+        let in_flight = self.breaks.unconfirmed();
+        self.crash_counts.states_after_crash(now, &in_flight)
+    }
+
+    /// Has a heartbeat sent soon if the upstream may have ended.
+    fn report_unconfirmed(&mut self, cx: &mut Cx<'_>) {
+        let reported = self.unconfirmed_reported_at;
+        let is_due = reported.is_none_or(|at| cx.now >= at + UNCONFIRMED_REPORT_INTERVAL);
+        if is_due && !self.breaks.unconfirmed().is_empty() {
+            self.unconfirmed_reported_at = Some(cx.now);
+            cx.agent.send_heartbeat_soon();
+        }
     }
 
     /// Handles a sign of life of the upstream, which has not ended then.
--- a/crates/node/src/admission/crash_counts.rs
+++ b/crates/node/src/admission/crash_counts.rs
@@ -63,6 +63,26 @@
         counted.filter_map(|f| self.state(now, *f)).collect()
     }
 
+    /// Returns the states that would be reported if the upstream had crashed now with these
+    /// requests in flight.
+    pub(super) fn states_after_crash(
+        &self,
+        now: Duration,
+        in_flight: &[Fingerprint],
+    ) -> Vec<SuspectState> {
+        let in_flight = in_flight.iter().take(MAX_COUNTED);
+        let states = in_flight.map(|fingerprint| {
+            let count = self.counts.get(fingerprint);
+            let first_at = count.map_or(now, |count| count.first_at);
+            crashed(
+                *fingerprint,
+                count.map_or(0, |count| count.crashes) + 1,
+                now.saturating_sub(first_at),
+            )
+        });
+        states.collect()
+    }
+
     /// Drops counts of crashes that are long past.
     pub(super) fn tick(&mut self, now: Duration) {
         self.counts
@@ -71,13 +91,8 @@
 
     fn state(&self, now: Duration, fingerprint: Fingerprint) -> Option<SuspectState> {
         let count = self.counts.get(&fingerprint)?;
-        Some(SuspectState {
-            fingerprint,
-            verdict: Verdict::Crashed.into(),
-            crashes: count.crashes,
-            since_ms: Some(millis(now.saturating_sub(count.first_at))),
-            ..SuspectState::default()
-        })
+        let since = now.saturating_sub(count.first_at);
+        Some(crashed(fingerprint, count.crashes, since))
     }
 
     fn evict(&mut self) {
@@ -90,3 +105,13 @@
         }
     }
 }
+
+fn crashed(fingerprint: Fingerprint, crashes: u32, since: Duration) -> SuspectState {
+    SuspectState {
+        fingerprint,
+        verdict: Verdict::Crashed.into(),
+        crashes,
+        since_ms: Some(millis(since)),
+        ..SuspectState::default()
+    }
+}
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -28,8 +28,8 @@
 use std::time::Duration;
 use wire::{
     Announcement, Body, ConfigVersion, ControlReply, DataCentreId, Fingerprint, Heartbeat,
-    HeartbeatReply, LinkKind, QuotaHome, Rollout, Term, UpstreamId, VersionEvidence, control_reply,
-    control_request,
+    HeartbeatReply, LinkKind, QuotaHome, Rollout, SuspectState, Term, UpstreamId, VersionEvidence,
+    control_reply, control_request,
 };
 
 pub use conf::Configuration;
@@ -105,6 +105,7 @@
     /// Boot of the upstream's start that has deregistered, as far as control knows.
     deregistered_boot: String,
     in_progress: u32,
+    unconfirmed_crashes: Vec<SuspectState>,
     evidence: Option<VersionEvidence>,
     requests: Requests,
     rng: SmallRng,
@@ -160,6 +161,7 @@
             reported_leaving: None,
             deregistered_boot: String::new(),
             in_progress: 0,
+            unconfirmed_crashes: Vec::new(),
             evidence: None,
             requests: Requests::default(),
         }
@@ -265,16 +267,24 @@
     }
 
     /// Sets what the next heartbeat reports about the upstream on this VM: the requests
-    /// in progress there, and its responses during a rollout.
+    /// in progress there, those that it may have ended with, and its responses during a
+    /// rollout.
     pub(crate) fn set_upstream_progress(
         &mut self,
         in_progress: u32,
+        unconfirmed_crashes: Vec<SuspectState>,
         evidence: Option<VersionEvidence>,
     ) {
         self.in_progress = in_progress;
+        self.unconfirmed_crashes = unconfirmed_crashes;
         self.evidence = evidence;
     }
 
+    /// Has the next heartbeat sent as soon as the minimum interval allows.
+    pub(crate) fn send_heartbeat_soon(&mut self) {
+        self.heartbeats.schedule_now();
+    }
+
     /// Returns the daemons that keep the ledgers of the customers' limits.
     #[must_use]
     pub fn homes(&self) -> &[QuotaHome] {
@@ -524,6 +534,7 @@
             age_ms: millis(age),
             evidence: self.evidence.clone(),
             in_progress: self.in_progress,
+            unconfirmed_crashes: self.unconfirmed_crashes.clone(),
         };
         self.send(Body::Heartbeat(heartbeat), tx);
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -17,6 +17,7 @@
 mod rollouts;
 mod state_machine;
 mod suspects;
+mod unconfirmed_crashes;
 
 use crate::effect::Effect;
 use crate::event::LinkId;
@@ -35,6 +36,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use suspects::Suspects;
+use unconfirmed_crashes::UnconfirmedCrashes;
 use wire::{Body, Heartbeat, control_request};
 
 /// The state of the control role.
@@ -55,6 +57,7 @@
     registry: Registry,
     transfers: Transfers,
     suspects: Suspects,
+    unconfirmed_crashes: UnconfirmedCrashes,
     rollouts: Rollouts,
     bounds: rollout::Bounds,
     reads: Reads,
@@ -90,6 +93,7 @@
             registry,
             transfers: Transfers::default(),
             suspects: Suspects::default(),
+            unconfirmed_crashes: UnconfirmedCrashes::default(),
             rollouts: Rollouts::default(),
             bounds: rollouts::bounds(&settings.rollout),
             reads: Reads::default(),
@@ -144,6 +148,7 @@
         self.unix_ms = unix_ms;
         self.registry.expire(now);
         self.suspects.expire(now);
+        self.unconfirmed_crashes.expire(now);
         let expired = self.reads.drop_expired(now, self.lease);
         expired
             .iter()
@@ -190,6 +195,7 @@
             if self.registry.handle_heartbeat(now, &heartbeat) {
                 let config = self.state_machine.config.current();
                 self.rollouts.record(now, &heartbeat, config);
+                self.record_unconfirmed_crashes(now, &heartbeat, tx);
             }
             self.enqueue_read(now, PendingRead::Heartbeat(link, heartbeat), tx);
             return;
@@ -206,6 +212,22 @@
         self.reject_heartbeats(refused, tx);
     }
 
+    /// Counts a crash that an earlier start of a daemon reported as possible, and that a
+    /// heartbeat of the present one makes certain.
+    fn record_unconfirmed_crashes(
+        &mut self,
+        now: Duration,
+        heartbeat: &Heartbeat,
+        tx: &mut Vec<Effect>,
+    ) {
+        let Some(crash) = self.unconfirmed_crashes.record(now, heartbeat) else {
+            return;
+        };
+        tx.push(log_lines::crash_inferred(&crash));
+        let changes = self.suspects.update(now, &crash);
+        tx.extend(changes.iter().map(log_lines::verdict_changed));
+    }
+
     /// Replies to heartbeats that this replica is not the leader.
     fn reject_heartbeats(
         &self,
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -3,6 +3,7 @@
 use super::command::Item;
 use super::rollouts::Rollouts;
 use super::suspects::Suspects;
+use super::unconfirmed_crashes::UnconfirmedCrashes;
 use super::{Control, replies};
 use crate::effect::Effect;
 use fleet::Registry;
@@ -50,6 +51,7 @@
         });
         self.registry = Registry::new(term, self.lease, now).with_home_options(self.home_options);
         self.suspects = Suspects::default();
+        self.unconfirmed_crashes = UnconfirmedCrashes::default();
         self.rollouts = Rollouts::default();
     }
 
--- a/crates/node/src/control/log_lines.rs
+++ b/crates/node/src/control/log_lines.rs
@@ -6,7 +6,7 @@
 use conf::RolloutStep;
 use log::Level;
 use replica::Role;
-use wire::{OrderPosition, Rollout, RolloutStage, Term};
+use wire::{OrderPosition, Rollout, RolloutStage, Suspect, Term};
 
 pub(super) fn with_value(
     level: Level,
@@ -47,6 +47,22 @@
     })
 }
 
+/// Reports that an upstream must have ended, after its daemon has been replaced.
+pub(super) fn crash_inferred(crash: &Suspect) -> Effect {
+    let fingerprints = crash.states.iter();
+    let fingerprints: Vec<String> = fingerprints
+        .map(|state| format!("{:016x}", state.fingerprint))
+        .collect();
+    Effect::Log(LogLine {
+        level: Level::Warn,
+        event: "upstream_crash_inferred",
+        pairs: vec![
+            ("daemon", crash.daemon.clone()),
+            ("fingerprints", fingerprints.join(",")),
+        ],
+    })
+}
+
 pub(super) fn verdict_changed(change: &VerdictChange) -> Effect {
     let line = match change {
         VerdictChange::Convicted {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -147,7 +147,9 @@
     if node.agent.is_heartbeat_due(now) {
         let evidence = node.admission.evidence();
         let in_progress = node.admission.in_progress();
-        node.agent.set_upstream_progress(in_progress, evidence);
+        let unconfirmed = node.admission.unconfirmed_crashes(now);
+        node.agent
+            .set_upstream_progress(in_progress, unconfirmed, evidence);
     }
 }
 
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -218,6 +218,23 @@
         assert_eq!(self.crashes.len(), crashes + 1);
     }
 
+    /// Has the crashing request end the upstreams of the first three gates at once.
+    fn crash_at_first_gates(&mut self) {
+        (0..3).for_each(|gate| {
+            self.send(gate, CRASHING);
+        });
+        self.run(CRASH_AFTER + Duration::from_millis(20));
+        assert_eq!(self.crashes.len(), 3);
+    }
+
+    /// Kills the daemons of the first three gates and starts them again.
+    fn restart_first_gates(&mut self, down: Duration) {
+        let daemons = CONTROLS..CONTROLS + 3;
+        daemons.clone().for_each(|daemon| self.sim.kill(daemon));
+        self.run(down);
+        daemons.for_each(|daemon| self.sim.start(daemon));
+    }
+
     /// Runs until [`SETTLE`] after the last crash.
     fn settle(&mut self) {
         let last = self.crashes.last().copied().unwrap_or_default();
@@ -598,6 +615,56 @@
     assert!(late <= MAX_LATE, "sent {late} times after its third crash");
 }
 
+/// Guards against crashes that are forgotten because the daemons that saw them are killed
+/// before they are certain (review/5): the request ended upstream after upstream.
+#[test_case(true; "upstreams start again")]
+#[test_case(false; "upstreams stay down")]
+fn crashes_seen_by_killed_gates_count(upstreams_return: bool) {
+    let mut fleet = Fleet::new(22);
+    fleet.crash_at_first_gates();
+    fleet.run(Duration::from_millis(800));
+    fleet.restart_first_gates(Duration::from_millis(500));
+    if !upstreams_return {
+        let down = &mut fleet.upstreams[..3];
+        down.iter_mut()
+            .for_each(|u| u.starts_at = Some(Duration::MAX));
+    }
+    fleet.run(Duration::from_secs(4));
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+    assert_eq!(fleet.logged("upstream_crash_inferred"), 3);
+}
+
+/// Guards against a crash that is counted although the upstream is alive: it was overloaded
+/// when its daemon was killed.
+#[test]
+fn crashes_suspected_by_killed_gates_do_not_count_if_upstreams_live() {
+    let mut fleet = Fleet::new(23);
+    fleet.crash_at_first_gates();
+    fleet.run(Duration::from_millis(800));
+    for upstream in &mut fleet.upstreams[..3] {
+        upstream.starts_at = None;
+    }
+    fleet.restart_first_gates(Duration::from_millis(500));
+    (0..3).for_each(|gate| fleet.announce(gate));
+    fleet.run(Duration::from_secs(5));
+    assert!(!fleet.refuses_crashing(3), "no upstream has ended");
+    assert_eq!(fleet.logged("upstream_crash_inferred"), 0);
+}
+
+/// Guards against a crash that counts twice, at the gate and at the leader.
+#[test]
+fn crash_counted_by_gate_is_not_counted_again_after_its_restart() {
+    let mut fleet = Fleet::new(24);
+    fleet.crash_once(0);
+    fleet.sim.kill(CONTROLS);
+    fleet.run(Duration::from_millis(500));
+    fleet.sim.start(CONTROLS);
+    fleet.run(Duration::from_secs(5));
+    fleet.crash_once(1);
+    fleet.run(Duration::from_secs(3));
+    assert!(!fleet.refuses_crashing(2), "two crashes do not convict it");
+}
+
 /// Guards against reports that count twice because they arrive twice.
 #[test]
 fn repeated_crash_report_counts_once() {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -51,6 +51,10 @@
     /// Whether the daemon runs a control replica.
     #[prost(bool, tag = "15")]
     pub runs_replica: bool,
+    /// Requests that the upstream may have ended with, which is not certain yet: what would
+    /// be reported if it has.
+    #[prost(message, repeated, tag = "16")]
+    pub unconfirmed_crashes: Vec<crate::data::SuspectState>,
 }
 
 /// An upstream's announcement of itself to the daemon on its VM.
