--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -1,15 +1,17 @@
 //! The control leader's registry of the daemons and upstreams in the fleet.
 
+mod reported_start;
 mod service;
 
 use crate::checksums::{bucket_of, checksums};
 use crate::homes::{Candidate, Homes};
+use reported_start::ReportedStart;
 use service::{FIRST_VERSION, ServiceLog};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{
-    Announcement, ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId,
-    Subscription, UpstreamInfo, VIEW_BUCKETS,
+    ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId, Subscription,
+    UpstreamInfo, VIEW_BUCKETS,
 };
 
 /// Time between two checks of the leases from which this process must have been
@@ -55,52 +57,6 @@
     pub started: Duration,
 }
 
-/// An announcement of an upstream, as far as later ones are compared with it.
-#[derive(Clone, Debug)]
-struct ReportedStart {
-    boot: String,
-    target: String,
-    incarnation: u64,
-    sequence: u64,
-    leaving: bool,
-    deregistered: bool,
-}
-
-impl ReportedStart {
-    fn new(announcement: &Announcement) -> Self {
-        Self {
-            boot: announcement.boot.clone(),
-            target: announcement.target.clone(),
-            incarnation: announcement.incarnation,
-            sequence: announcement.sequence,
-            leaving: announcement.leaving,
-            deregistered: announcement.deregistered,
-        }
-    }
-
-    /// Returns the newer one of this announcement and another. Announcements of one start
-    /// are numbered, and none follows that of its deregistration; of two starts the one
-    /// that was reported later counts.
-    fn newer(mut self, other: &Announcement) -> Self {
-        let same_start = other.boot == self.boot;
-        if same_start && self.deregistered && self.incarnation > 0 {
-            return self;
-        }
-        // A daemon that has started again may not know which start deregistered.
-        let unnumbered = other.incarnation == 0 && other.target == self.target;
-        if other.deregistered && unnumbered && self.incarnation > 0 {
-            self.deregistered = true;
-            self.leaving = true;
-            return self;
-        }
-        // Daemons of earlier versions report 0 in place of the number.
-        if same_start && other.sequence > 0 && other.sequence < self.sequence {
-            return self;
-        }
-        Self::new(other)
-    }
-}
-
 /// Daemons registered under leases, and the version of each service.
 ///
 /// The registry is soft state of one term: it is not replicated, and a new leader
