--- a/crates/node/src/admission/crash_counts.rs
+++ b/crates/node/src/admission/crash_counts.rs
@@ -9,6 +9,10 @@
 /// Maximum number of requests that are counted, and sent in one report.
 const MAX_COUNTED: usize = 256;
 
+/// Maximum number of requests in a report of a crash that is not certain, which rides on
+/// heartbeats.
+const MAX_UNCONFIRMED: usize = 32;
+
 #[derive(Clone, Copy, Debug)]
 struct CrashCount {
     crashes: u32,
@@ -70,7 +74,7 @@
         now: Duration,
         in_flight: &[Fingerprint],
     ) -> Vec<SuspectState> {
-        let in_flight = in_flight.iter().take(MAX_COUNTED);
+        let in_flight = in_flight.iter().take(MAX_UNCONFIRMED);
         let states = in_flight.map(|fingerprint| {
             let count = self.counts.get(fingerprint);
             let first_at = count.map_or(now, |count| count.first_at);
