--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -63,6 +63,13 @@
     kind: LinkKind,
 }
 
+/// Returns the seeds of a longer run: as many as `SHUFFLE_SEEDS` states, or `default`.
+pub fn shuffle_seeds(first: u64, default: u64) -> std::ops::Range<u64> {
+    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
+    let seeds = seeds.and_then(|s| s.parse().ok()).unwrap_or(default);
+    first..first + seeds
+}
+
 /// A few daemons, the links between them and one clock.
 pub struct Simulation {
     pub now: Duration,
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -441,9 +441,7 @@
 
 #[test]
 fn shuffle_longer_run() {
-    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
-    let seeds: u64 = seeds.and_then(|s| s.parse().ok()).unwrap_or(2);
-    for seed in 100..100 + seeds {
+    for seed in common::shuffle_seeds(100, 2) {
         let (ran, responses) = shuffle(seed);
         println!("seed {seed}: {ran} keys ran, {responses} responses");
     }
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -285,7 +285,5 @@
 
 #[test]
 fn shuffle_longer_run() {
-    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
-    let seeds: u64 = seeds.and_then(|s| s.parse().ok()).unwrap_or(2);
-    (100..100 + seeds).for_each(shuffle);
+    common::shuffle_seeds(100, 2).for_each(shuffle);
 }
