--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -260,7 +260,7 @@
 #[test_case(2)]
 #[test_case(3)]
 #[test_case(4)]
-#[test_case(116; "daemon restarted before and after a change of the leader")]
+#[test_case(116; "daemon restarted right after a change of the leader")]
 fn shuffle_keeps_deregistered_upstreams_out_of_use(seed: u64) {
     shuffle(seed);
 }
