Try requests again that were convicted together with others

Cause: a count of crashes can't tell requests apart that were always in flight together, and a convicted request never runs, so nothing could acquit it.

Change: the leader offers requests that were convicted for the same crashes, one after the other, to one daemon that may run them once (only_at of a conviction in its heartbeat replies; earlier daemons ignore it). An offer holds for a second from the heartbeat, so that a suspended or cut off daemon uses no old one; the next one follows after the time in which a crash becomes known. One that completes is acquitted as before, one that crashes another upstream is not offered again.

Ruled out: an offer right after the conviction, which took away the time in which a run that is still in flight acquits (conviction_is_overturned_by_completion_in_flight failed); trying requests that were convicted alone, which costs an upstream and helps nobody.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -38,9 +38,10 @@
 use jobs::{Job, Jobs, Stage};
 use pick::MeasuringBudget;
 use recent_entries::RecentEntries;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible_upstreams};
-use wire::{RefuseReason, ServiceId, Suspect, Term, UpstreamId};
+use wire::{Fingerprint, RefuseReason, ServiceId, Suspect, Term, UpstreamId};
 
 /// Maximum number of requests that wait for exclusive execution.
 const MAX_AWAITING_EXCLUSIVE: usize = 8;
@@ -63,6 +64,8 @@
     breaks: Breaks,
     crash_counts: CrashCounts,
     completions: Completions,
+    /// Convicted requests that ran here once more.
+    retried: BTreeSet<Fingerprint>,
     evidence: Evidence,
     /// Term of the leader to which all crash counts were reported.
     counts_reported_in: Term,
@@ -107,6 +110,7 @@
             breaks: Breaks::default(),
             crash_counts: CrashCounts::default(),
             completions: Completions::default(),
+            retried: BTreeSet::new(),
             evidence: Evidence::default(),
             counts_reported_in: 0,
             measuring: MeasuringBudget::new(routing.probe_bytes, routing.probe_messages),
@@ -163,6 +167,7 @@
         self.suspects.tick(cx.now);
         self.breaks.tick(cx.now);
         self.crash_counts.tick(cx.now);
+        self.retried.retain(|f| cx.agent.convicted(*f));
         let classes = cx.agent.config.plans.classes.values();
         if let Some(longest) = classes.map(|class| class.deadline).max() {
             self.gate.set_longest_deadline(longest);
@@ -303,6 +308,10 @@
         if job.arrival.claim != 0 {
             self.dispatched.add(job.arrival.claim);
         }
+        let fingerprint = job.arrival.fingerprint;
+        if cx.agent.convicted(fingerprint) {
+            self.retried.insert(fingerprint);
+        }
         job.stage = Stage::Running;
         job.run = Some(self.begin_run(cx.now));
         self.jobs.insert(job);
--- a/crates/node/src/admission/check.rs
+++ b/crates/node/src/admission/check.rs
@@ -27,7 +27,8 @@
             return Err(RefuseReason::Deadline);
         }
         let fingerprint = arrival.fingerprint;
-        if cx.agent.convicted(fingerprint) || self.crash_counts.convicts(fingerprint) {
+        let convicted = cx.agent.convicted(fingerprint) && !self.may_retry_convicted(arrival, cx);
+        if convicted || self.crash_counts.convicts(fingerprint) {
             return Err(RefuseReason::Convicted);
         }
         if self.is_slower_than_assumed(arrival) {
@@ -48,6 +49,13 @@
 const MAX_SLOWNESS_RATIO: f64 = 1.5;
 
 impl Admission {
+    /// Returns whether a convicted request may run here once, to show whether it crashes
+    /// upstreams, and has not yet.
+    fn may_retry_convicted(&self, arrival: &Arrival, cx: &Cx<'_>) -> bool {
+        let retrial_at = cx.agent.retrial_at(cx.now, arrival.fingerprint);
+        retrial_at == Some(&cx.agent.name) && !self.retried.contains(&arrival.fingerprint)
+    }
+
     /// Returns whether the entry chose this upstream on an outdated slowness.
     fn is_slower_than_assumed(&self, arrival: &Arrival) -> bool {
         let assumed = arrival.believed_slow_percent;
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -112,11 +112,20 @@
 }
 
 /// A request that is refused because it crashes upstreams.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Conviction {
     expires_at: Duration,
     /// When the first crash happened, if the conviction follows from a count.
     first_crash_at: Option<Duration>,
+    /// Where it may run once all the same.
+    retrial: Option<Retrial>,
+}
+
+/// A daemon that may run a convicted request once, to show whether it crashes upstreams.
+#[derive(Clone, Debug)]
+struct Retrial {
+    daemon: UpstreamId,
+    until: Duration,
 }
 
 /// A request whose crashes the leader counts.
@@ -303,6 +312,16 @@
         conviction.is_some_and(|conviction| conviction.expires_at > self.last_tick)
     }
 
+    /// Returns the daemon that may run a convicted request once now.
+    pub(crate) fn retrial_at(
+        &self,
+        now: Duration,
+        fingerprint: Fingerprint,
+    ) -> Option<&UpstreamId> {
+        let retrial = self.convicted.get(&fingerprint)?.retrial.as_ref()?;
+        (now < retrial.until).then_some(&retrial.daemon)
+    }
+
     /// Returns the requests that the leader suspects or has convicted because of a
     /// count of crashes.
     pub(crate) fn counted_suspects(&self) -> &[CountedSuspect] {
@@ -379,7 +398,7 @@
         tx: &mut Vec<Effect>,
     ) {
         if let control_request::Kind::Suspect(suspect) = &kind {
-            self.convict(now, &suspect.states);
+            self.convict(now, now, &suspect.states);
         }
         self.requests.push(now, requester, kind);
         self.send_requests(now, tx);
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -2,7 +2,7 @@
 //! homes of customers, and convicted requests.
 
 use super::heartbeats::SentHeartbeat;
-use super::{Agent, Conviction, CountedSuspect, Requester};
+use super::{Agent, Conviction, CountedSuspect, Requester, Retrial};
 use crate::effect::{Effect, LogLine};
 use crate::millis::millis;
 use conf::{Configuration, PageOutcome, RouteTable};
@@ -18,6 +18,9 @@
 const MAX_CONVICTED: usize = 1_024;
 /// Maximum number of convictions reported to a new leader, as many as a reply lists.
 const MAX_REPORTED: usize = 64;
+/// Time after a heartbeat for which its reply lets a convicted request run once. A daemon
+/// that was suspended or cut off must not use an old offer.
+const RETRIAL_TIME: Duration = Duration::from_secs(1);
 
 impl Agent {
     /// Applies a confirmed reply. It renews the freshness only if the
@@ -40,7 +43,7 @@
             if !reply.deregistered_boot.is_empty() {
                 self.deregistered_boot = reply.deregistered_boot;
             }
-            self.apply_verdicts(now, &reply.convicted);
+            self.apply_verdicts(now, sent.at, &reply.convicted);
             if !reply.homes.is_empty() {
                 self.homes = reply.homes;
                 self.initial_homes = reply.initial_homes;
@@ -97,8 +100,8 @@
         }
     }
 
-    fn apply_verdicts(&mut self, now: Duration, states: &[SuspectState]) {
-        self.convict(now, states);
+    fn apply_verdicts(&mut self, now: Duration, asked_at: Duration, states: &[SuspectState]) {
+        self.convict(now, asked_at, states);
         let acquitted = states.iter().filter(|s| s.verdict() == Verdict::Acquitted);
         self.acquitted = acquitted.map(|s| s.fingerprint).collect();
         for fingerprint in &self.acquitted {
@@ -149,12 +152,17 @@
         self.request(now, Requester::Detached, kind, tx);
     }
 
-    pub(super) fn convict(&mut self, now: Duration, states: &[SuspectState]) {
+    /// Applies the convictions in the reply to a heartbeat that was sent at `asked_at`.
+    pub(super) fn convict(&mut self, now: Duration, asked_at: Duration, states: &[SuspectState]) {
         for state in states.iter().filter(|s| s.verdict() == Verdict::Convicted) {
             let since = state.since_ms.map(Duration::from_millis);
             let conviction = Conviction {
                 expires_at: now + Duration::from_millis(state.expires_ms),
                 first_crash_at: since.map(|since| now.saturating_sub(since)),
+                retrial: (!state.only_at.is_empty()).then(|| Retrial {
+                    daemon: state.only_at.as_str().into(),
+                    until: asked_at + RETRIAL_TIME,
+                }),
             };
             let known = self.convicted.contains_key(&state.fingerprint);
             if known || self.convicted.len() < MAX_CONVICTED {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod reads;
 mod replies;
+mod retrials;
 mod rollouts;
 mod state_machine;
 mod suspects;
@@ -33,6 +34,7 @@
 use replica::{DiskDone, Input, Replica};
 use rollouts::Rollouts;
 use state_machine::StateMachine;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use suspects::Suspects;
@@ -149,6 +151,7 @@
         self.registry.expire(now);
         self.suspects.expire(now);
         self.unconfirmed_crashes.expire(now);
+        self.review_retrials(now);
         let expired = self.reads.drop_expired(now, self.lease);
         expired
             .iter()
@@ -157,6 +160,17 @@
         self.drive(now, Input::Tick, tx);
     }
 
+    /// Offers requests that were convicted together to daemons that may run them once.
+    fn review_retrials(&mut self, now: Duration) {
+        let registry = &self.registry;
+        let daemons_of = |service: &str| {
+            let upstreams = registry.upstreams(service);
+            let names: BTreeSet<&str> = upstreams.map(|u| u.info.upstream.as_str()).collect();
+            names.into_iter().map(str::to_owned).collect()
+        };
+        self.suspects.review_retrials(now, daemons_of);
+    }
+
     /// Handles a message of another daemon.
     pub fn handle_message(
         &mut self,
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -6,6 +6,7 @@
 //! A report states a total, so that it may arrive twice or be repeated to a new
 //! leader.
 
+use super::retrials::{Candidate, Retrials};
 use crate::millis::millis;
 use crate::verdict::{CONVICTING_CRASHES, CRASH_COUNT_TTL, verdict_ttl};
 use std::collections::BTreeMap;
@@ -23,6 +24,9 @@
 /// ignored: several heartbeat intervals.
 const ACQUITTAL_TTL: Duration = Duration::from_secs(10);
 
+/// Longest time between the first crashes of requests that are convicted for the same ones.
+const CONVICTED_TOGETHER: Duration = Duration::from_secs(60);
+
 /// One start of a daemon, which counts from zero.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Reporter {
@@ -33,6 +37,8 @@
 /// The crashes at which a request was in flight.
 #[derive(Debug)]
 struct CrashCount {
+    /// Service whose upstreams crashed.
+    service: String,
     by_reporter: BTreeMap<Reporter, u32>,
     first_at: Duration,
     last_at: Duration,
@@ -74,6 +80,7 @@
     counts: BTreeMap<Fingerprint, CrashCount>,
     /// Acquitted requests, with the time at which each acquittal expires.
     acquitted: BTreeMap<Fingerprint, Duration>,
+    retrials: Retrials,
 }
 
 impl Suspects {
@@ -141,6 +148,7 @@
         let since = Duration::from_millis(state.since_ms.unwrap_or_default());
         let first_at = now.saturating_sub(since);
         let count = self.counts.entry(fingerprint).or_insert(CrashCount {
+            service: suspect.service.clone(),
             by_reporter: BTreeMap::new(),
             first_at,
             last_at: now,
@@ -172,17 +180,53 @@
             .retain(|_, count| count.last_at + CRASH_COUNT_TTL > now);
     }
 
+    /// Offers requests that were convicted together to the daemons of their service, which
+    /// `daemons_of` returns in a fixed order.
+    pub(super) fn review_retrials(
+        &mut self,
+        now: Duration,
+        daemons_of: impl Fn(&str) -> Vec<String>,
+    ) {
+        if self.retrials.is_pending(now) {
+            return;
+        }
+        let counted = self
+            .convicted
+            .iter()
+            .filter_map(|(fingerprint, conviction)| {
+                let first_at = conviction.first_crash_at?;
+                let count = self.counts.get(fingerprint)?;
+                Some((*fingerprint, first_at, count))
+            });
+        let counted: Vec<(Fingerprint, Duration, &CrashCount)> = counted.collect();
+        let convicted_together = counted.iter().filter(|(fingerprint, first_at, count)| {
+            counted.iter().any(|(other, other_first_at, other_count)| {
+                other != fingerprint
+                    && other_count.service == count.service
+                    && other_first_at.abs_diff(*first_at) < CONVICTED_TOGETHER
+            })
+        });
+        let candidates: Vec<Candidate> = convicted_together
+            .map(|(fingerprint, _, count)| Candidate {
+                fingerprint: *fingerprint,
+                crashes: count.total(),
+                daemons: daemons_of(&count.service),
+            })
+            .collect();
+        self.retrials.review(now, &candidates);
+    }
+
     /// Returns the verdicts for a heartbeat reply: convictions, requests that one more
     /// crash convicts, and acquittals.
     pub(super) fn published(&self, now: Duration) -> Vec<SuspectState> {
         let convicted = self.convicted.iter().map(|(fingerprint, conviction)| {
             let since = conviction.first_crash_at.map(|at| now.saturating_sub(at));
-            state(
-                *fingerprint,
-                Verdict::Convicted,
-                conviction.expires_at.saturating_sub(now),
-                since,
-            )
+            let expires = conviction.expires_at.saturating_sub(now);
+            let retrial = self.retrials.daemon(now, *fingerprint);
+            SuspectState {
+                only_at: retrial.unwrap_or_default().to_owned(),
+                ..state(*fingerprint, Verdict::Convicted, expires, since)
+            }
         });
         let is_nearly_convicted = |fingerprint: &Fingerprint, count: &CrashCount| {
             count.total() + 1 == CONVICTING_CRASHES && !self.convicted.contains_key(fingerprint)
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -40,7 +40,7 @@
 use std::time::Duration;
 use versions::Versions;
 use wait_estimate::WaitEstimator;
-use wire::{Fingerprint, LoadUpdate, RequestId, ServiceId};
+use wire::{Fingerprint, LoadUpdate, RequestId, ServiceId, UpstreamId};
 
 /// Time without a request after which a service's picker is dropped.
 const PICKER_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
@@ -273,14 +273,13 @@
         if !cx.agent.may_serve(cx.now) {
             return Err(Reason::Stale.into());
         }
-        if self.is_convicted(request.fingerprint, cx) {
-            return Err(Reason::Convicted.into());
-        }
+        let only_at = self.check_conviction(&request, cx)?;
         let credential = request.credential.clone();
         let prepared = request::prepare(request, &mut self.wait_estimator, cx);
         let mut active = prepared.inspect_err(|cause| {
             self.credentials.record_refused(&credential, cause.reason);
         })?;
+        active.only_at = only_at;
         if active.identity.is_some() {
             let identified = !active.request.customer.is_empty();
             self.credentials.record_accepted(identified);
@@ -301,6 +300,23 @@
         until.is_some_and(|until| *until > cx.now) || cx.agent.convicted(fingerprint)
     }
 
+    /// Refuses a request that crashes upstreams. Returns the only upstream that may run it,
+    /// if it may run once more.
+    fn check_conviction(
+        &self,
+        request: &Request,
+        cx: &Cx<'_>,
+    ) -> Result<Option<UpstreamId>, RefusalCause> {
+        if !self.is_convicted(request.fingerprint, cx) {
+            return Ok(None);
+        }
+        let retrial_at = cx.agent.retrial_at(cx.now, request.fingerprint);
+        match retrial_at {
+            Some(upstream) => Ok(Some(upstream.clone())),
+            None => Err(Reason::Convicted.into()),
+        }
+    }
+
     fn count_attempt(&mut self, purpose: Purpose) {
         let count = match purpose {
             Purpose::First => &mut self.attempts.first,
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -615,6 +615,24 @@
     assert!(late <= MAX_LATE, "sent {late} times after its third crash");
 }
 
+/// Guards against retrials that end upstream after upstream: a request that was convicted
+/// beside another one is tried once, one that was convicted alone not at all.
+#[test_case(true, 1; "beside another")]
+#[test_case(false, 0; "alone")]
+fn crashing_request_is_retried_once_at_most(beside_another: bool, most: usize) {
+    let mut fleet = Fleet::new(25);
+    for gate in 0..3 {
+        if beside_another {
+            fleet.send(gate, POPULAR);
+        }
+        fleet.crash_once(gate);
+    }
+    fleet.settle();
+    fleet.resend_crashing(Duration::from_secs(120));
+    let late = fleet.reached_late();
+    assert!(late <= most, "sent {late} times after its third crash");
+}
+
 /// Guards against crashes that are forgotten because the daemons that saw them are killed
 /// before they are certain (review/5): the request ended upstream after upstream.
 #[test_case(true; "upstreams start again")]
--- a/crates/wire/src/data.rs
+++ b/crates/wire/src/data.rs
@@ -356,7 +356,8 @@
     /// The verdict.
     #[prost(enumeration = "Verdict", tag = "2")]
     pub verdict: i32,
-    /// The only upstream that may run it while it is suspected.
+    /// The only upstream that may run it while it is suspected, or once although it is
+    /// convicted.
     #[prost(string, tag = "3")]
     pub only_at: String,
     /// Time for which the verdict is valid, in milliseconds from receipt.
