Keep running when a write exceeds the limit on file length

Cause: where a limit on the length of files is enforced, a write beyond it raises SIGXFSZ, whose default action ends the process. The daemon left it at that, so the handling of a full disk was never reached: a control process ended at its first write, and any process whose log goes to a file at its next line. The requests that it held were cut. The soak and the tests of full disks started the program through a shell that ignores SIGXFSZ, which nobody does in production, so neither could see it.

The handler is installed by signal-hook, whose registry tokio uses already.

Ruled out: tokio's own stream of the signal needs the runtime, and the log begins before it. ENOSPC needs no change; it raises no signal.

--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -18,6 +18,7 @@
 mod process;
 mod reload;
 mod runtime;
+mod signals;
 mod stop;
 mod task_messages;
 
--- a/crates/plumhitchd/src/options.rs
+++ b/crates/plumhitchd/src/options.rs
@@ -1,7 +1,7 @@
 //! Command line and exit codes.
 
 use crate::integration::{Integration, SettingsSource};
-use crate::{logging, process};
+use crate::{logging, process, signals};
 use argh::FromArgs;
 use conf::Settings;
 use std::path::{Path, PathBuf};
@@ -57,7 +57,7 @@
 pub fn run(cfg: Settings, integration: Integration) -> ExitCode {
     let _logging = logging::start();
     abort_on_panic();
-    match process::run(cfg, integration) {
+    match signals::survive().and_then(|()| process::run(cfg, integration)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("event=start_failed reason=\"{err}\"");
