Refuse new requests during a stop while an upload is still arriving

Cause: the stop waited for the bodies that were being buffered when it began before it told the reducer, so that one slow small upload let the daemon admit every new request until the end of the stop, and they were cut off with it.

Change: the reducer is told when the linger time has passed. Each request carries the time at which its head was received; one that was received before the stop is accepted after it, unless its latency objective ends after the stop would cut it off, in which case it is refused as not run.

Ruled out: refusing by the deadline; routes with long timeouts would get 503 for whatever was being uploaded, though nearly all of it ends in time.

--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -159,6 +159,7 @@
             }),
             body_bytes: class.request_bytes,
             body_buffered: true,
+            received_at: cx.now,
         };
         self.arrivals.insert(arrival.call, arrival);
         let event = Event::Entry(entry::Event::Arrived(request));
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,7 @@
 mod request;
 mod restrictions;
 mod route;
+mod stop;
 mod versions;
 mod wait_estimate;
 
@@ -38,6 +39,7 @@
 use restrictions::Restrictions;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use stop::Stop;
 use versions::Versions;
 use wait_estimate::WaitEstimator;
 use wire::{Fingerprint, LoadUpdate, RequestId, ServiceId};
@@ -92,7 +94,7 @@
     wait_estimator: WaitEstimator,
     attempts: AttemptCount,
     credentials: CredentialCounts,
-    stopping: bool,
+    stop: Option<Stop>,
 }
 
 impl Entry {
@@ -137,7 +139,7 @@
             wait_estimator: WaitEstimator::default(),
             attempts: AttemptCount::default(),
             credentials: CredentialCounts::default(),
-            stopping: false,
+            stop: None,
         }
     }
 
@@ -165,9 +167,10 @@
         budgets.map(|(service, budgets)| (service, budgets.hedges.count))
     }
 
-    /// Begins a graceful stop: new requests are refused.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Begins a graceful stop: requests received from now on are refused, and those in
+    /// progress are cut off at `until`.
+    pub fn stop(&mut self, now: Duration, until: Option<Duration>) {
+        self.stop = Some(Stop { since: now, until });
     }
 
     /// Handles an event.
@@ -267,7 +270,7 @@
     /// Checks a request before any work is done for it. The customer's
     /// allowance comes last, because the check consumes it.
     fn accept(&mut self, request: Request, cx: &mut Cx<'_>) -> Result<ActiveRequest, RefusalCause> {
-        if self.stopping {
+        if self.stop.is_some_and(|stop| stop.refuses(&request)) {
             return Err(Reason::Stopping.into());
         }
         if !cx.agent.may_serve(cx.now) {
@@ -281,6 +284,9 @@
         let mut active = prepared.inspect_err(|cause| {
             self.credentials.record_refused(&credential, cause.reason);
         })?;
+        if self.stop.is_some_and(|stop| stop.cuts(&active, cx.now)) {
+            return Err(Reason::Stopping.into());
+        }
         if active.identity.is_some() {
             let identified = !active.request.customer.is_empty();
             self.credentials.record_accepted(identified);
--- a/crates/node/src/entry/message.rs
+++ b/crates/node/src/entry/message.rs
@@ -42,6 +42,8 @@
     pub body_bytes: u64,
     /// Whether the complete body is buffered, so that it can be sent again.
     pub body_buffered: bool,
+    /// Time since the VM booted at which its head was received.
+    pub received_at: Duration,
 }
 
 /// What a request's route is looked up by.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -3,6 +3,7 @@
 use crate::{admission, entry};
 use compact_str::CompactString;
 use std::net::SocketAddr;
+use std::time::Duration;
 use wire::{Body, DaemonId, LinkKind, control_request};
 
 /// Id of an accepted connection, unique within one run of a daemon.
@@ -61,5 +62,8 @@
     /// The settings were reloaded and list these control replicas.
     Replicas(Vec<SocketAddr>),
     /// The daemon begins a graceful shutdown.
-    Stop,
+    Stop {
+        /// Time since the VM booted at which requests in progress are cut off, if any.
+        until: Option<Duration>,
+    },
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -110,9 +110,9 @@
                 control.set_configured_replicas(&replicas);
             }
         }
-        Event::Stop => {
+        Event::Stop { until } => {
             with_admission(node, now, tx, Admission::stop);
-            node.entry.stop();
+            node.entry.stop(now, until);
         }
     }
     deliver_decisions(node, now, tx);
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -151,7 +151,7 @@
 #[test]
 fn offered_request_is_refused_without_its_body_during_a_stop() {
     let mut node = gate();
-    run(&mut node, 10, Event::Stop);
+    run(&mut node, 10, Event::Stop { until: None });
     let effects = admit(&mut node, 20, admission::Event::Offered(arrival(1)));
     assert_eq!(refused(&effects), Some(RefuseReason::Stopping));
 }
--- a/crates/node/tests/allowance.rs
+++ b/crates/node/tests/allowance.rs
@@ -65,6 +65,7 @@
         retry_budget: None,
         depth: 1,
         body_buffered: true,
+        received_at: Duration::ZERO,
         route_key: None,
         body_bytes: 0,
     }
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -705,6 +705,7 @@
         retry_budget: None,
         depth: 1,
         body_buffered: true,
+        received_at: Duration::ZERO,
         route_key: None,
         body_bytes: 0,
     };
--- a/crates/node/tests/credentials.rs
+++ b/crates/node/tests/credentials.rs
@@ -165,6 +165,7 @@
         }),
         body_bytes: 0,
         body_buffered: true,
+        received_at: Duration::from_millis(at_ms),
     };
     run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
 }
--- a/crates/node/tests/decisions.rs
+++ b/crates/node/tests/decisions.rs
@@ -61,6 +61,7 @@
         retry_budget: args.lookup_parse("budget")?,
         depth: args.lookup_parse("depth")?.unwrap_or(1),
         body_buffered: args.lookup_parse("buffered")?.unwrap_or(true),
+        received_at: Duration::ZERO,
         route_key: None,
         body_bytes: 0,
     })
@@ -393,7 +394,7 @@
             }
             "stop" => {
                 let at = next_arg(&mut args)?;
-                self.fleet.event(&at, Event::Stop);
+                self.fleet.event(&at, Event::Stop { until: None });
             }
             "refused" | "unsent" | "responding" | "ended" | "broken" => {
                 self.entry_event(command)?;
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -230,7 +230,8 @@
         self.config += 1;
     }
 
-    pub(crate) fn arrive(&mut self, name: &str, request: entry::Request) {
+    pub(crate) fn arrive(&mut self, name: &str, mut request: entry::Request) {
+        request.received_at = self.now;
         self.requests.insert(request.id, request.clone());
         self.event(name, Event::Entry(entry::Event::Arrived(request)));
     }
@@ -251,6 +252,7 @@
             retry_budget: None,
             depth: 1,
             body_buffered: false,
+            received_at: Duration::ZERO,
             route_key: None,
             body_bytes: 0,
         };
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -154,6 +154,7 @@
             retry_budget: None,
             depth: 1,
             body_buffered: true,
+            received_at: Duration::ZERO,
             route_key: None,
             body_bytes: 0,
         };
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -119,6 +119,7 @@
         retry_budget: None,
         depth: 1,
         body_buffered: true,
+        received_at: Duration::ZERO,
         route_key: None,
         body_bytes: 0,
     }
--- a/crates/node/tests/rollout_daemons.rs
+++ b/crates/node/tests/rollout_daemons.rs
@@ -240,6 +240,7 @@
             }),
             body_bytes: 0,
             body_buffered: true,
+            received_at: Duration::ZERO,
         };
         (id, self.run(Event::Entry(entry::Event::Arrived(request))))
     }
--- a/crates/node/tests/routed_entry/mod.rs
+++ b/crates/node/tests/routed_entry/mod.rs
@@ -176,7 +176,8 @@
     (id, path): (u64, &str),
     left_ms: u64,
 ) -> Vec<Effect> {
-    let request = routed_request(id, path, left_ms);
+    let mut request = routed_request(id, path, left_ms);
+    request.received_at = Duration::from_millis(at_ms);
     run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
 }
 
@@ -200,6 +201,7 @@
         }),
         body_bytes: 0,
         body_buffered: true,
+        received_at: Duration::ZERO,
     }
 }
 
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -81,12 +81,10 @@
         Self { inner: Some(inner) }
     }
 
-    /// Records that the request was passed to the reducer, and the configuration
-    /// that decided it.
-    pub(super) fn mark_arrived(&mut self, basis: ConfigBasis) {
+    /// Records the configuration that decided the request.
+    pub(super) fn set_basis(&mut self, basis: ConfigBasis) {
         if let Some(inner) = &mut self.inner {
             inner.record.basis = basis;
-            inner.record.mark_arrived();
         }
     }
 
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -1,15 +1,16 @@
 //! Accounting of a caller's request: its metrics, and log lines for a sample.
 
 use super::refusal::{reason_name, run_name};
+use crate::clock;
 use crate::metrics::Outcome;
-use crate::runtime::{Daemon, lock};
+use crate::runtime::Daemon;
 use crate::task_messages::UploadError;
 use compact_str::CompactString;
 use node::agent::ConfigBasis;
 use node::entry::{self, Reason, Refusal};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use wire::{AttemptId, Fingerprint, RequestId};
 
 /// A request in progress. Dropping it updates the metrics and, for a sample of
@@ -18,6 +19,8 @@
 pub(super) struct RequestRecord {
     daemon: Arc<Daemon>,
     started_at: Instant,
+    /// Time since the VM booted at which the headers were received.
+    pub(super) received_at: Duration,
     /// Id of the request, unique in this run of the daemon.
     pub(super) id: RequestId,
     pub(super) customer: CompactString,
@@ -43,10 +46,10 @@
     pub(super) fn begin(daemon: &Arc<Daemon>) -> Self {
         let id = daemon.next_id();
         daemon.open_requests.fetch_add(1, Ordering::AcqRel);
-        lock(&daemon.buffering).insert(id);
         Self {
             daemon: daemon.clone(),
             started_at: Instant::now(),
+            received_at: clock::now(),
             id,
             customer: CompactString::default(),
             service: CompactString::default(),
@@ -64,11 +67,6 @@
         }
     }
 
-    /// Records that the request was passed to the reducer.
-    pub(super) fn mark_arrived(&self) {
-        lock(&self.daemon.buffering).remove(&self.id);
-    }
-
     /// Records that the complete response was passed on.
     pub(super) fn mark_answered(&mut self) {
         self.outcome = "answered";
@@ -159,7 +157,6 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
-        self.mark_arrived();
         self.daemon.metrics.record(&Outcome {
             customer: &self.customer,
             class: &self.class,
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -82,10 +82,11 @@
         route_key: inbound.route_key.clone(),
         body_bytes: inbound.body_len.unwrap_or(body.start.len() as u64),
         body_buffered: body.rest.is_none(),
+        received_at: record.received_at,
     };
     let outgoing = OutgoingRequest::new(inbound, body.start, fingerprint, request.body_buffered);
     let mut driver = Driver::new(daemon.clone(), record, (tx, rx), outgoing, body.rest);
     let basis = daemon.handle_arrival(request);
-    driver.mark_arrived(basis);
+    driver.set_basis(basis);
     driver
 }
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -15,7 +15,7 @@
 use node::agent::ConfigBasis;
 use node::{Effect, Event, Node, NodeOptions, Policy, admission, entry};
 use replica::Replica;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -59,9 +59,6 @@
     pub(crate) metrics: Metrics,
     /// Number of callers' requests whose responses are not yet completely sent.
     pub(crate) open_requests: AtomicUsize,
-    /// Requests whose bodies are being buffered and that have not been passed to
-    /// the reducer yet.
-    pub(crate) buffering: Mutex<BTreeSet<RequestId>>,
     /// Whether idle connections of callers are to be closed.
     pub(crate) closing: watch::Sender<bool>,
     /// Whether no more connections of callers are to be accepted.
@@ -111,7 +108,6 @@
             caller_connections: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
-            buffering: Mutex::default(),
             stopping: AtomicBool::new(false),
             disk,
             cfg,
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -1,5 +1,6 @@
 //! Graceful stop on `SIGTERM` or `SIGINT`.
 
+use crate::clock;
 use crate::runtime::{Daemon, lock};
 use node::Event;
 use std::io;
@@ -31,13 +32,14 @@
     }
     let drain_timeout = daemon.cfg.stop.drain_timeout;
     let deadline = drain_timeout.map(|timeout| Instant::now() + timeout);
+    let until = drain_timeout.map(|timeout| clock::now() + timeout);
     let bound_ms = drain_timeout.map_or("none".to_owned(), |t| t.as_millis().to_string());
     log::info!("event=stop_begun bound_ms={bound_ms}");
     daemon.closing.send_replace(true);
     daemon.stopping.store(true, Ordering::Relaxed);
-    tokio::time::sleep(daemon.cfg.stop.linger).await;
-    wait_for_buffered(daemon, deadline).await;
-    daemon.handle_event(Event::Stop);
+    let linger = daemon.cfg.stop.linger;
+    tokio::time::sleep(drain_timeout.map_or(linger, |timeout| timeout.min(linger))).await;
+    daemon.handle_event(Event::Stop { until });
     wait_until_idle(daemon, deadline).await;
     daemon.refusing.send_replace(true);
     wait_for_connections(daemon, deadline).await;
@@ -73,16 +75,6 @@
     deadline.is_some_and(|at| Instant::now() >= at)
 }
 
-/// Waits until the requests whose bodies were being buffered at the signal reach
-/// the reducer. They count as in progress, but the reducer, which has not received
-/// them yet, would refuse them after the stop event.
-async fn wait_for_buffered(daemon: &Arc<Daemon>, deadline: Option<Instant>) {
-    let before = lock(&daemon.buffering).clone();
-    while !lock(&daemon.buffering).is_disjoint(&before) && !has_passed(deadline) {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
 fn in_progress(daemon: &Daemon) -> usize {
     let entry = daemon.open_requests.load(Ordering::Acquire);
     entry.max(lock(&daemon.entry_tasks).len()) + lock(&daemon.gate_tasks).len()
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -134,3 +134,69 @@
     assert!(answered > CALLERS, "{answered} answered");
     assert!(cut <= MAX_RESET, "{cut} cut off, {answered} answered");
 }
+
+/// Settings of an entry that accepts requests for 0.3 s of a stop of at most 3.5 s, longer
+/// than two slow requests one after the other.
+const SHORT_LINGER: &str = "[stop]\nbound = 3500 ms\nlinger = 300 ms\n";
+/// Time between the bytes of an upload that outlasts the stop.
+const BYTE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sends a small upload, byte by byte, until the connection fails.
+async fn upload_without_end(callers: std::net::SocketAddr) -> Vec<u8> {
+    let head = "POST /echo HTTP/1.1\r\nhost: h\r\nplumhitch-customer: tc-utrecht\r\n\
+                plumhitch-service: booking\r\nplumhitch-class: page\r\ncontent-length: 2000\r\n\r\n";
+    let mut stream = tokio::net::TcpStream::connect(callers).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (mut read, mut write) = stream.into_split();
+    let sending = tokio::spawn(async move {
+        while write.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(BYTE_INTERVAL).await;
+        }
+    });
+    let mut received = Vec::new();
+    let _ = read.read_to_end(&mut received).await;
+    sending.abort();
+    received
+}
+
+/// Guards against an upload that is still arriving when a stop begins: until the end of the
+/// stop, new requests were passed on, and cut off at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_during_a_slow_upload_cuts_no_other_request() {
+    let mut pair = Pair::start(SHORT_LINGER, "").await;
+    let callers = pair.entry.callers;
+    let upload = tokio::spawn(upload_without_end(callers));
+    tokio::time::sleep(BYTE_INTERVAL).await;
+    let started = || pair.upstream_stats.started.load(Ordering::SeqCst);
+    let before = started();
+    pair.entry.signal("TERM");
+    let sending: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(send_until_closed(callers, "/slow")))
+        .collect();
+    let mut answered = 0;
+    for task in sending {
+        answered += task.await.unwrap();
+    }
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+    assert!(answered > 0, "none was accepted while the daemon lingers");
+    assert_eq!(started() - before, answered, "passed on, of which answered");
+    upload.await.unwrap();
+}
+
+/// Sends requests on new connections until the daemon accepts none. Returns how many got
+/// the upstream's response.
+async fn send_until_closed(callers: std::net::SocketAddr, path: &str) -> usize {
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: h\r\nplumhitch-customer: tc-utrecht\r\n\
+         plumhitch-service: booking\r\nplumhitch-class: page\r\nconnection: close\r\n\r\n"
+    );
+    let mut answered = 0;
+    while let Ok(mut stream) = tokio::net::TcpStream::connect(callers).await {
+        let mut received = Vec::new();
+        let _ = stream.write_all(request.as_bytes()).await;
+        let _ = stream.read_to_end(&mut received).await;
+        answered += usize::from(received.starts_with(b"HTTP/1.1 200 "));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    answered
+}
