Give callers a response when the end of a stop cuts their requests off

Cause: at the end of a stop the process exited with whatever was in progress, so that callers saw a closed connection and could not tell whether their request ran; stop_bound_met counted them but named none. Until the exit, connections went on reading requests.

Change: at the end the reducer refuses what is in progress (503 if it was not run, 502 if it may have run), and so does the task that still buffers a body; connections read nothing more, answer what they have read, and are closed in order within the time that is left for the last frames. Each request that is cut off is logged once, 100 at most.

Ruled out: waiting longer. The bound and the time for the last frames fill the grace period but for a margin; what is still running then may run on for long.

That no request is read in the last milliseconds was not shown by a test of its own.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -173,6 +173,18 @@
         self.stop = Some(Stop { since: now, until });
     }
 
+    /// Ends a graceful stop: refuses the requests in progress, and all others from now on.
+    pub fn cut_off(&mut self, cx: &mut Cx<'_>) {
+        self.stop = Some(Stop {
+            since: Duration::ZERO,
+            until: Some(cx.now),
+        });
+        let in_progress: Vec<RequestId> = self.active.keys().copied().collect();
+        for id in in_progress {
+            self.refuse(id, Reason::Stopping.into(), cx);
+        }
+    }
+
     /// Handles an event.
     pub fn step(&mut self, event: Event, cx: &mut Cx<'_>) {
         match event {
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -66,4 +66,7 @@
         /// Time since the VM booted at which requests in progress are cut off, if any.
         until: Option<Duration>,
     },
+    /// A graceful shutdown ends: callers whose requests are still in progress get a final
+    /// response.
+    CutOff,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -114,6 +114,7 @@
             with_admission(node, now, tx, Admission::stop);
             node.entry.stop(now, until);
         }
+        Event::CutOff => with_entry(node, now, tx, Entry::cut_off),
     }
     deliver_decisions(node, now, tx);
 }
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -122,6 +122,10 @@
         loop {
             let head = match self.read_head().await {
                 Ok(Some(head)) => head,
+                Ok(None) if self.daemon.is_ending() => {
+                    self.tx = None;
+                    return ReadEnd::NoMoreRequests;
+                }
                 Ok(None) => return ReadEnd::Disconnected,
                 Err(error) => {
                     self.refuse(error).await;
@@ -144,8 +148,8 @@
         }
     }
 
-    /// Reads the next request head. Returns `None` if the caller disconnects or
-    /// a time limit passes.
+    /// Reads the next request head. Returns `None` if the caller disconnects, a time
+    /// limit passes or a graceful stop ends.
     async fn read_head(&mut self) -> Result<Option<RequestHead>, HeadError> {
         let max = self.daemon.max_header_bytes();
         loop {
@@ -163,7 +167,7 @@
     /// Reads more bytes within the header timeout, or the idle timeout if the
     /// buffer is empty; returns whether any were received. During a graceful
     /// stop a connection that has served requests is closed once it is idle; a
-    /// new one may still send its first request.
+    /// new one may still send its first request. At its end nothing more is read.
     async fn read_more_of_head(&mut self) -> bool {
         let limit = match self.buf.is_empty() {
             true => self.daemon.idle_timeout(),
@@ -174,9 +178,10 @@
             let idle = self.has_received_request && self.buf.is_empty() && pending_responses == 0;
             let stopping = self.daemon.wait_until_closing();
             tokio::select! {
+                biased;
+                () = self.daemon.wait_until_ending() => return false,
                 // Received bytes are read before a stop may close the
                 // connection.
-                biased;
                 read = timeout(limit, fill(self.read, &mut self.buf)) => match read {
                     Ok(read) => return read.is_ok_and(|n| n > 0),
                     // A pending response keeps the connection open.
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -13,6 +13,9 @@
 use std::time::{Duration, Instant};
 use wire::{AttemptId, Fingerprint, RequestId};
 
+/// Maximum number of requests that the end of a stop logs.
+const MAX_CUT_LINES: usize = 100;
+
 /// A request in progress. Dropping it updates the metrics and, for a sample of
 /// the requests, writes the log line.
 #[derive(Debug)]
@@ -75,6 +78,7 @@
     /// Records that the response was cut off after its beginning was passed on.
     pub(super) fn mark_broken(&mut self) {
         self.outcome = "broken";
+        self.log_if_cut();
     }
 
     /// Records that the reducer refused the request.
@@ -89,6 +93,7 @@
             Reason::Stale,
         ];
         self.known = !unverified.contains(&refusal.reason);
+        self.log_if_cut();
     }
 
     /// Records that the request was not acceptable in itself.
@@ -106,6 +111,29 @@
         }
     }
 
+    /// Logs the request if the end of a stop cuts it off.
+    fn log_if_cut(&self) {
+        if !self.daemon.is_ending() {
+            return;
+        }
+        let earlier = self.daemon.cut_requests.fetch_add(1, Ordering::Relaxed);
+        if earlier >= MAX_CUT_LINES {
+            return;
+        }
+        log::warn!(
+            "event=request_cut id={} attempt_id={} class={:?} outcome={} run={} attempts={} \
+             upstream={} took_us={}",
+            self.id,
+            self.attempt_id,
+            self.class,
+            self.outcome,
+            self.run,
+            self.attempts,
+            self.upstream,
+            self.started_at.elapsed().as_micros(),
+        );
+    }
+
     /// Logs which upstream was chosen, with the inputs of the choice.
     pub(super) fn log_attempt(&self, attempt: &entry::Attempt) {
         log::info!(
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::OutgoingRequest;
 use super::body::BodyRx;
-use super::body_buffer::{self, BufferedBody};
+use super::body_buffer::{BufferedBody, buffer_body};
 use super::driver::{Driver, FinalHead};
 use super::inbound::{self, Inbound};
 use super::record::RequestRecord;
@@ -10,7 +10,7 @@
 use super::response::{self, Response};
 use crate::runtime::{Daemon, lock};
 use http1::RequestHead;
-use node::entry::{Request as NodeRequest, RunState};
+use node::entry::{Reason, Refusal, Request as NodeRequest, RunState};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -29,16 +29,23 @@
     record.service = inbound.service.clone();
     record.class = inbound.class.clone().unwrap_or_default();
     record.attempt_id = inbound.attempt_id.clone();
-    let body =
-        match body_buffer::buffer_body(body, limits.buffered_body_bytes, daemon.max_body_bytes())
-            .await
-        {
-            Ok(body) => body,
-            Err(err) => {
-                record.mark_upload_failed(err);
-                return refusal::upload_error(&daemon, err, RunState::NotRun);
-            }
-        };
+    let max_buffered = limits.buffered_body_bytes;
+    let buffered = tokio::select! {
+        biased;
+        buffered = buffer_body(body, max_buffered, daemon.max_body_bytes()) => buffered,
+        () = daemon.wait_until_ending() => {
+            let refusal = cut_off(&daemon);
+            record.mark_refused(&refusal);
+            return refusal::from_refusal(&daemon, &refusal);
+        }
+    };
+    let body = match buffered {
+        Ok(body) => body,
+        Err(err) => {
+            record.mark_upload_failed(err);
+            return refusal::upload_error(&daemon, err, RunState::NotRun);
+        }
+    };
     let mut driver = start(&daemon, inbound, body, record);
     match driver.response_head().await {
         FinalHead::Response(head) => response::from_upstream(head, driver),
@@ -47,6 +54,16 @@
     }
 }
 
+/// Returns the refusal of a request whose body is incomplete when a stop ends.
+fn cut_off(daemon: &Daemon) -> Refusal {
+    Refusal {
+        reason: Reason::Stopping,
+        run: RunState::NotRun,
+        retry_after: Some(daemon.cfg.routing.retry_after),
+        status: None,
+    }
+}
+
 /// Registers the request's task and passes the request to the reducer.
 fn start(
     daemon: &Arc<Daemon>,
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -63,6 +63,10 @@
     pub(crate) closing: watch::Sender<bool>,
     /// Whether no more connections of callers are to be accepted.
     pub(crate) refusing: watch::Sender<bool>,
+    /// Whether a graceful stop ends: no more requests are read from connections.
+    pub(crate) ending: watch::Sender<bool>,
+    /// Number of requests in progress that the end of a stop has cut off.
+    pub(crate) cut_requests: AtomicUsize,
     /// Number of callers' connections that are open.
     pub(crate) caller_connections: AtomicUsize,
     /// Whether a graceful stop has begun.
@@ -105,6 +109,8 @@
             integration,
             closing: watch::Sender::new(false),
             refusing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
+            cut_requests: AtomicUsize::new(0),
             caller_connections: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
@@ -174,6 +180,17 @@
         let _ = refusing.wait_for(|refusing| *refusing).await;
     }
 
+    /// Returns whether a graceful stop ends.
+    pub(crate) fn is_ending(&self) -> bool {
+        *self.ending.borrow()
+    }
+
+    /// Waits until a graceful stop ends.
+    pub(crate) async fn wait_until_ending(&self) {
+        let mut ending = self.ending.subscribe();
+        let _ = ending.wait_for(|ending| *ending).await;
+    }
+
     /// Waits until idle connections of callers are to be closed.
     pub(crate) async fn wait_until_closing(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Time for the last frames to reach the peers. A connection that is closed with
-/// unread data is reset, and the peer may lose frames that were already sent.
+/// Time for the last frames to reach the peers, and the last responses the callers. A
+/// connection that is closed with unread data is reset, and the peer may lose what was
+/// already sent.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 /// Maximum time for callers to send their requests on connections that were accepted.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
@@ -44,7 +45,14 @@
     daemon.refusing.send_replace(true);
     wait_for_connections(daemon, deadline).await;
     wait_until_idle(daemon, deadline).await;
+    cut_off(daemon);
     tokio::time::sleep(FLUSH_TIME).await;
+    Ok(())
+}
+
+/// Lets connections read no more requests, and gives the callers of those that are still in
+/// progress a final response.
+fn cut_off(daemon: &Arc<Daemon>) {
     if in_progress(daemon) > 0 {
         log::warn!(
             "event=stop_bound_met cut_entry={} cut_gate={}",
@@ -52,7 +60,8 @@
             lock(&daemon.gate_tasks).len()
         );
     }
-    Ok(())
+    daemon.ending.send_replace(true);
+    daemon.handle_event(Event::CutOff);
 }
 
 async fn wait_until_idle(daemon: &Daemon, deadline: Option<Instant>) {
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -87,7 +87,31 @@
     .await;
     pair.entry.signal("TERM");
     assert!(wait_for_exit(&mut pair.entry).await.success());
-    assert!(upload.await.unwrap().is_err());
+    let res = upload.await.unwrap().unwrap();
+    assert_eq!(res.status(), 502);
+    assert_eq!(res.headers()["plumhitch-run"], "may-have-run");
+}
+
+/// Guards against callers whose requests are in progress at the time limit, and who were
+/// told nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_at_the_time_limit_tells_callers_whether_requests_ran() {
+    let mut pair = Pair::start("[stop]\nbound = 700 ms\n", "").await;
+    let upload = tokio::spawn(upload_without_end(pair.entry.callers));
+    let started = pair.upstream_stats.started.load(Ordering::SeqCst);
+    let slow = tokio::spawn(pair.request("GET", "/slow").send());
+    wait_until("the upstream works on the request", async || {
+        pair.upstream_stats.started.load(Ordering::SeqCst) > started
+    })
+    .await;
+    pair.entry.signal("TERM");
+    let res = slow.await.unwrap().unwrap();
+    assert_eq!(res.status(), 502);
+    assert_eq!(res.headers()["plumhitch-run"], "may-have-run");
+    let received = String::from_utf8(upload.await.unwrap()).unwrap();
+    assert!(received.starts_with("HTTP/1.1 503 "), "{received}");
+    assert!(received.contains("plumhitch-run: not-run"), "{received}");
+    assert!(wait_for_exit(&mut pair.entry).await.success());
 }
 
 /// Connections that the kernel may still establish between the last look at its queue and
