--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -15,7 +15,7 @@
 use node::agent::ConfigBasis;
 use node::{Effect, Event, Node, NodeOptions, Policy, admission, entry};
 use replica::Replica;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -59,13 +59,14 @@
     pub(crate) metrics: Metrics,
     /// Number of callers' requests whose responses are not yet completely sent.
     pub(crate) open_requests: AtomicUsize,
-    /// Requests whose bodies are being buffered and that have not been passed to
-    /// the reducer yet.
-    pub(crate) buffering: Mutex<BTreeSet<RequestId>>,
     /// Whether idle connections of callers are to be closed.
     pub(crate) closing: watch::Sender<bool>,
     /// Whether no more connections of callers are to be accepted.
     pub(crate) refusing: watch::Sender<bool>,
+    /// Whether a graceful stop ends: no more requests are read from connections.
+    pub(crate) ending: watch::Sender<bool>,
+    /// Number of requests in progress that the end of a stop has cut off.
+    pub(crate) cut_requests: AtomicUsize,
     /// Number of callers' connections that are open.
     pub(crate) caller_connections: AtomicUsize,
     /// Whether a graceful stop has begun.
@@ -108,10 +109,11 @@
             integration,
             closing: watch::Sender::new(false),
             refusing: watch::Sender::new(false),
+            ending: watch::Sender::new(false),
+            cut_requests: AtomicUsize::new(0),
             caller_connections: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
-            buffering: Mutex::default(),
             stopping: AtomicBool::new(false),
             disk,
             cfg,
@@ -178,6 +180,17 @@
         let _ = refusing.wait_for(|refusing| *refusing).await;
     }
 
+    /// Returns whether a graceful stop ends.
+    pub(crate) fn is_ending(&self) -> bool {
+        *self.ending.borrow()
+    }
+
+    /// Waits until a graceful stop ends.
+    pub(crate) async fn wait_until_ending(&self) {
+        let mut ending = self.ending.subscribe();
+        let _ = ending.wait_for(|ending| *ending).await;
+    }
+
     /// Waits until idle connections of callers are to be closed.
     pub(crate) async fn wait_until_closing(&self) {
         let mut closing = self.closing.subscribe();
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -1,5 +1,6 @@
 //! Graceful stop on `SIGTERM` or `SIGINT`.
 
+use crate::clock;
 use crate::runtime::{Daemon, lock};
 use node::Event;
 use std::io;
@@ -8,8 +9,9 @@
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{SignalKind, signal};
 
-/// Time for the last frames to reach the peers. A connection that is closed with
-/// unread data is reset, and the peer may lose frames that were already sent.
+/// Time for the last frames to reach the peers, and the last responses the callers. A
+/// connection that is closed with unread data is reset, and the peer may lose what was
+/// already sent.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 /// Maximum time for callers to send their requests on connections that were accepted.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
@@ -31,18 +33,26 @@
     }
     let drain_timeout = daemon.cfg.stop.drain_timeout;
     let deadline = drain_timeout.map(|timeout| Instant::now() + timeout);
+    let until = drain_timeout.map(|timeout| clock::now() + timeout);
     let bound_ms = drain_timeout.map_or("none".to_owned(), |t| t.as_millis().to_string());
     log::info!("event=stop_begun bound_ms={bound_ms}");
     daemon.closing.send_replace(true);
     daemon.stopping.store(true, Ordering::Relaxed);
-    tokio::time::sleep(daemon.cfg.stop.linger).await;
-    wait_for_buffered(daemon, deadline).await;
-    daemon.handle_event(Event::Stop);
+    let linger = daemon.cfg.stop.linger;
+    tokio::time::sleep(drain_timeout.map_or(linger, |timeout| timeout.min(linger))).await;
+    daemon.handle_event(Event::Stop { until });
     wait_until_idle(daemon, deadline).await;
     daemon.refusing.send_replace(true);
     wait_for_connections(daemon, deadline).await;
     wait_until_idle(daemon, deadline).await;
+    cut_off(daemon);
     tokio::time::sleep(FLUSH_TIME).await;
+    Ok(())
+}
+
+/// Lets connections read no more requests, and gives the callers of those that are still in
+/// progress a final response.
+fn cut_off(daemon: &Arc<Daemon>) {
     if in_progress(daemon) > 0 {
         log::warn!(
             "event=stop_bound_met cut_entry={} cut_gate={}",
@@ -50,7 +60,8 @@
             lock(&daemon.gate_tasks).len()
         );
     }
-    Ok(())
+    daemon.ending.send_replace(true);
+    daemon.handle_event(Event::CutOff);
 }
 
 async fn wait_until_idle(daemon: &Daemon, deadline: Option<Instant>) {
@@ -73,16 +84,6 @@
     deadline.is_some_and(|at| Instant::now() >= at)
 }
 
-/// Waits until the requests whose bodies were being buffered at the signal reach
-/// the reducer. They count as in progress, but the reducer, which has not received
-/// them yet, would refuse them after the stop event.
-async fn wait_for_buffered(daemon: &Arc<Daemon>, deadline: Option<Instant>) {
-    let before = lock(&daemon.buffering).clone();
-    while !lock(&daemon.buffering).is_disjoint(&before) && !has_passed(deadline) {
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
 fn in_progress(daemon: &Daemon) -> usize {
     let entry = daemon.open_requests.load(Ordering::Acquire);
     entry.max(lock(&daemon.entry_tasks).len()) + lock(&daemon.gate_tasks).len()
