Log and count requests that are cut on their connection

A request whose connection ended before its complete response was sent left nothing in the log unless the sample drew its line, and that line could not tell a caller that left from a connection that the daemon closed itself.

The connection keeps the attempt ids of the requests that it has read and not answered, in place of a count, and writes request_cut with the attempt id and the reason for each when it ends. plumhitch_cut_requests_total counts them by reason.

--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -15,6 +15,7 @@
 mod refusal;
 mod request;
 mod response;
+mod unanswered;
 mod upload;
 
 use crate::runtime::Daemon;
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -4,14 +4,14 @@
 use super::body::{BodyTx, channel};
 use super::request;
 use super::response::{Response, ResponseBody};
+use super::unanswered::{CutReason, Unanswered};
 use crate::runtime::Daemon;
 use crate::task_messages::UploadError;
 use bytes::BytesMut;
+use compact_str::CompactString;
 use http::Method;
 use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
-use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -38,11 +38,19 @@
 /// Why reading from the connection ended.
 enum ReadEnd {
     /// The caller disconnected, or the connection cannot be read further.
-    Disconnected,
+    Disconnected(CutReason),
     /// No further request is accepted; earlier ones still get their responses.
     NoMoreRequests,
 }
 
+/// Why no request head was read.
+enum HeadEnd {
+    /// The connection ended or is to be closed.
+    Cut(CutReason),
+    /// The head is not acceptable.
+    Rejected(HeadError),
+}
+
 /// An entry in the queue of responses.
 enum QueuedWrite {
     /// `100 Continue`.
@@ -74,26 +82,28 @@
     }
     let (mut read, write) = stream.into_split();
     let (tx, rx) = mpsc::channel(MAX_PIPELINED);
-    let pending_responses = AtomicUsize::new(0);
+    let unanswered = Unanswered::default();
     let mut reader = Reader {
         daemon,
         read: &mut read,
         buf: BytesMut::new(),
-        pending_responses: &pending_responses,
+        unanswered: &unanswered,
         tx: Some(tx),
         has_received_request: false,
     };
     let reading = async {
         match reader.run().await {
-            ReadEnd::Disconnected => {}
+            ReadEnd::Disconnected(reason) => reason,
             ReadEnd::NoMoreRequests => reader.wait_for_disconnect().await,
         }
     };
-    let writing = write_responses(daemon, write, rx, &pending_responses);
+    let writing = write_responses(daemon, write, rx, &unanswered);
     let written = tokio::select! {
-        () = reading => return,
+        reason = reading => return unanswered.record_cut(daemon, reason),
         written = writing => written,
     };
+    let reason = written.as_ref().err().copied();
+    unanswered.record_cut(daemon, reason.unwrap_or(CutReason::EarlierClosed));
     if let Ok(mut write) = written
         && write.shutdown().await.is_ok()
     {
@@ -102,16 +112,22 @@
 }
 
 /// Reads and discards bytes until the caller closes the connection.
-async fn drain(read: &mut OwnedReadHalf) {
+async fn drain(read: &mut OwnedReadHalf) -> CutReason {
     let mut buf = vec![0; READ_BYTES];
-    while read.read(&mut buf).await.is_ok_and(|n| n > 0) {}
+    loop {
+        match read.read(&mut buf).await {
+            Ok(0) => return CutReason::CallerClosed,
+            Ok(_) => {}
+            Err(_) => return CutReason::ReadFailed,
+        }
+    }
 }
 
 struct Reader<'a> {
     daemon: &'a Arc<Daemon>,
     read: &'a mut OwnedReadHalf,
     buf: BytesMut,
-    pending_responses: &'a AtomicUsize,
+    unanswered: &'a Unanswered,
     tx: Option<mpsc::Sender<QueuedWrite>>,
     /// Whether a request was received on this connection.
     has_received_request: bool,
@@ -121,9 +137,9 @@
     async fn run(&mut self) -> ReadEnd {
         loop {
             let head = match self.read_head().await {
-                Ok(Some(head)) => head,
-                Ok(None) => return ReadEnd::Disconnected,
-                Err(error) => {
+                Ok(head) => head,
+                Err(HeadEnd::Cut(reason)) => return ReadEnd::Disconnected(reason),
+                Err(HeadEnd::Rejected(error)) => {
                     self.refuse(error).await;
                     return ReadEnd::NoMoreRequests;
                 }
@@ -132,10 +148,12 @@
             let keep_alive = head.keep_alive;
             let framing = head.framing;
             let Some(body_tx) = self.start_request(head).await else {
-                return ReadEnd::Disconnected;
+                return ReadEnd::Disconnected(CutReason::WriteFailed);
             };
-            if framing != Framing::Empty && !self.read_body(framing, body_tx).await {
-                return ReadEnd::Disconnected;
+            if framing != Framing::Empty
+                && let Err(reason) = self.read_body(framing, body_tx).await
+            {
+                return ReadEnd::Disconnected(reason);
             }
             if !keep_alive {
                 self.tx = None;
@@ -144,46 +162,44 @@
         }
     }
 
-    /// Reads the next request head. Returns `None` if the caller disconnects or
-    /// a time limit passes.
-    async fn read_head(&mut self) -> Result<Option<RequestHead>, HeadError> {
+    /// Reads the next request head.
+    async fn read_head(&mut self) -> Result<RequestHead, HeadEnd> {
         let max = self.daemon.max_header_bytes();
         loop {
             if !self.buf.is_empty()
-                && let Some(head) = http1::parse_request(&mut self.buf, max)?
+                && let Some(head) =
+                    http1::parse_request(&mut self.buf, max).map_err(HeadEnd::Rejected)?
             {
-                return Ok(Some(head));
-            }
-            if !self.read_more_of_head().await {
-                return Ok(None);
+                return Ok(head);
             }
+            self.read_more_of_head().await.map_err(HeadEnd::Cut)?;
         }
     }
 
     /// Reads more bytes within the header timeout, or the idle timeout if the
-    /// buffer is empty; returns whether any were received. During a graceful
+    /// buffer is empty. During a graceful
     /// stop a connection that has served requests is closed once it is idle; a
     /// new one may still send its first request.
-    async fn read_more_of_head(&mut self) -> bool {
-        let limit = match self.buf.is_empty() {
-            true => self.daemon.idle_timeout(),
-            false => self.daemon.header_timeout(),
+    async fn read_more_of_head(&mut self) -> Result<(), CutReason> {
+        let (limit, on_timeout) = match self.buf.is_empty() {
+            true => (self.daemon.idle_timeout(), CutReason::IdleTimeout),
+            false => (self.daemon.header_timeout(), CutReason::HeaderTimeout),
         };
         loop {
-            let pending_responses = self.pending_responses.load(Ordering::Acquire);
-            let idle = self.has_received_request && self.buf.is_empty() && pending_responses == 0;
+            let is_unused = self.buf.is_empty() && self.unanswered.is_empty();
+            let idle = self.has_received_request && is_unused;
             let stopping = self.daemon.wait_until_closing();
             tokio::select! {
                 // Received bytes are read before a stop may close the
                 // connection.
                 biased;
                 read = timeout(limit, fill(self.read, &mut self.buf)) => match read {
-                    Ok(read) => return read.is_ok_and(|n| n > 0),
+                    Ok(read) => return read,
                     // A pending response keeps the connection open.
-                    Err(_) if self.buf.is_empty() && self.pending_responses.load(Ordering::Acquire) > 0 => {}
-                    Err(_) => return false,
+                    Err(_) if self.buf.is_empty() && !self.unanswered.is_empty() => {}
+                    Err(_) => return Err(on_timeout),
                 },
-                () = stopping, if idle => return false,
+                () = stopping, if idle => return Err(CutReason::Stopping),
             }
         }
     }
@@ -197,6 +213,7 @@
         let reads_chunks = head.reads_chunks;
         let method = head.method.clone();
         let expects_continue = head.expects_continue;
+        self.unanswered.push(self.attempt_id(&head));
         let handled = request::handle(self.daemon.clone(), head, body);
         let task = tokio::spawn(async move {
             let _ = response_tx.send(handled.await);
@@ -208,7 +225,6 @@
             method,
             reads_chunks,
         };
-        self.pending_responses.fetch_add(1, Ordering::AcqRel);
         let tx = self.tx.as_ref()?;
         if expects_continue {
             tx.send(QueuedWrite::Continue).await.ok()?;
@@ -219,9 +235,16 @@
         Some(body_tx)
     }
 
-    /// Reads a request body and passes it to the request's task. Returns
-    /// whether the connection can be read further.
-    async fn read_body(&mut self, framing: Framing, tx: BodyTx) -> bool {
+    /// Returns the caller's id of its attempt, or an empty string if it has none.
+    fn attempt_id(&self, head: &RequestHead) -> CompactString {
+        let name = self.daemon.integration.headers.attempt_id.as_ref();
+        let value = name.and_then(|name| head.headers.get(name));
+        let id = value.and_then(|value| value.to_str().ok());
+        id.unwrap_or_default().into()
+    }
+
+    /// Reads a request body and passes it to the request's task.
+    async fn read_body(&mut self, framing: Framing, tx: BodyTx) -> Result<(), CutReason> {
         let mut reader = BodyReader::new(framing);
         loop {
             match reader.next(&mut self.buf) {
@@ -230,19 +253,18 @@
                     // of the body is then discarded.
                     let _ = tx.send(Ok(bytes)).await;
                 }
-                Ok(Piece::End) => return true,
+                Ok(Piece::End) => return Ok(()),
                 Ok(Piece::NeedMore) => {
-                    if !fill(self.read, &mut self.buf).await.is_ok_and(|n| n > 0) {
+                    if let Err(reason) = fill(self.read, &mut self.buf).await {
                         let _ = tx.send(Err(UploadError::Aborted)).await;
-                        return false;
+                        return Err(reason);
                     }
                 }
                 Err(error) => {
                     log::debug!("event=body_malformed reason=\"{error}\"");
                     let _ = tx.send(Err(UploadError::Aborted)).await;
                     self.tx = None;
-                    self.wait_for_disconnect().await;
-                    return false;
+                    return Err(self.wait_for_disconnect().await);
                 }
             }
         }
@@ -260,41 +282,56 @@
             method: Method::GET,
             reads_chunks: true,
         };
+        self.unanswered.push(CompactString::default());
         if let Some(tx) = self.tx.take() {
             let _ = tx.send(QueuedWrite::Response(Box::new(queued))).await;
         }
     }
 
     /// Waits until the caller disconnects, discarding what it still sends.
-    async fn wait_for_disconnect(&mut self) {
-        drain(self.read).await;
+    async fn wait_for_disconnect(&mut self) -> CutReason {
+        drain(self.read).await
     }
 }
 
-async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> io::Result<usize> {
+/// Reads more bytes.
+///
+/// # Errors
+///
+/// Returns an error if there are none, because the connection ended.
+async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> Result<(), CutReason> {
     buf.reserve(READ_BYTES);
-    read.read_buf(buf).await
+    match read.read_buf(buf).await {
+        Ok(0) => Err(CutReason::CallerClosed),
+        Ok(_) => Ok(()),
+        Err(_) => Err(CutReason::ReadFailed),
+    }
 }
 
 /// Writes the responses in the order of their requests. Returns the write half
 /// for an orderly shutdown after the last response.
+///
+/// # Errors
+///
+/// Returns why a response is not written, or not completely.
 async fn write_responses(
     daemon: &Arc<Daemon>,
     mut write: OwnedWriteHalf,
     mut rx: mpsc::Receiver<QueuedWrite>,
-    pending_responses: &AtomicUsize,
-) -> io::Result<OwnedWriteHalf> {
+    unanswered: &Unanswered,
+) -> Result<OwnedWriteHalf, CutReason> {
     let mut buf = BytesMut::new();
     while let Some(next) = rx.recv().await {
         let mut queued = match next {
             QueuedWrite::Response(queued) => queued,
             QueuedWrite::Continue => {
-                write.write_all(CONTINUE_RESPONSE).await?;
+                let written = write.write_all(CONTINUE_RESPONSE).await;
+                written.map_err(|_| CutReason::WriteFailed)?;
                 continue;
             }
         };
         let response = (&mut queued.response).await;
-        let response = response.map_err(|_| io::Error::from(io::ErrorKind::ConnectionAborted))?;
+        let response = response.map_err(|_| CutReason::TaskEnded)?;
         let until_close = !queued.reads_chunks && response.has_unknown_length();
         let close =
             !queued.keep_alive || until_close || daemon.is_closing_connections() && rx.is_empty();
@@ -309,14 +346,14 @@
             keep_alive_s,
         };
         let written = write_response(&mut write, &mut buf, format, response).await;
-        if let Err(err) = written {
+        if let Err(reason) = written {
             if until_close {
                 // An orderly close would make the part that was sent look complete.
                 reset_on_close(write);
             }
-            return Err(err);
+            return Err(reason);
         }
-        pending_responses.fetch_sub(1, Ordering::AcqRel);
+        unanswered.pop();
         if close {
             return Ok(write);
         }
@@ -355,7 +392,7 @@
     buf: &mut BytesMut,
     format: ResponseFormat<'_>,
     response: Response,
-) -> io::Result<()> {
+) -> Result<(), CutReason> {
     let ResponseFormat {
         method,
         unknown_length,
@@ -381,25 +418,30 @@
             if !bodyless {
                 buf.extend_from_slice(&bytes);
             }
-            write.write_all_buf(buf).await
+            write_out(write, buf).await
         }
         ResponseBody::Stream(len, mut driver) => {
             let framing = len.map_or(unknown_length, Framing::Length);
             http1::write_response(buf, status, &headers, framing, keep_alive_s);
             while let Some(piece) = driver.next_chunk().await {
-                let piece = piece?;
+                let piece = piece.map_err(|_| CutReason::ResponseBroken)?;
                 match framing {
                     Framing::Chunked => http1::write_chunk(buf, &piece),
                     _ => buf.extend_from_slice(&piece),
                 }
                 if buf.len() >= FLUSH_THRESHOLD_BYTES || framing != Framing::Chunked {
-                    write.write_all_buf(buf).await?;
+                    write_out(write, buf).await?;
                 }
             }
             if framing == Framing::Chunked {
                 http1::write_last_chunk(buf);
             }
-            write.write_all_buf(buf).await
+            write_out(write, buf).await
         }
     }
 }
+
+async fn write_out(write: &mut OwnedWriteHalf, buf: &mut BytesMut) -> Result<(), CutReason> {
+    let written = write.write_all_buf(buf).await;
+    written.map_err(|_| CutReason::WriteFailed)
+}
--- /dev/null
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -0,0 +1,79 @@
+//! The requests of a connection that still wait for their complete responses.
+
+use crate::runtime::{Daemon, lock};
+use compact_str::CompactString;
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+/// Why a connection ended before a request had its complete response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CutReason {
+    /// The caller closed its side.
+    CallerClosed,
+    /// Reading from the connection failed.
+    ReadFailed,
+    /// The next request's head did not arrive in time.
+    HeaderTimeout,
+    /// No request arrived in time.
+    IdleTimeout,
+    /// The daemon is stopping.
+    Stopping,
+    /// Writing to the connection failed.
+    WriteFailed,
+    /// The response broke off after its beginning was sent.
+    ResponseBroken,
+    /// The request's task ended without a response.
+    TaskEnded,
+    /// An earlier response closed the connection.
+    EarlierClosed,
+}
+
+impl CutReason {
+    /// Returns the name for logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::CallerClosed => "caller-closed",
+            Self::ReadFailed => "read-failed",
+            Self::HeaderTimeout => "header-timeout",
+            Self::IdleTimeout => "idle-timeout",
+            Self::Stopping => "stopping",
+            Self::WriteFailed => "write-failed",
+            Self::ResponseBroken => "response-broken",
+            Self::TaskEnded => "task-ended",
+            Self::EarlierClosed => "earlier-closed",
+        }
+    }
+}
+
+/// The callers' ids of the attempts that were read and have no complete response yet,
+/// in the order of the requests.
+#[derive(Debug, Default)]
+pub(super) struct Unanswered {
+    attempt_ids: Mutex<VecDeque<CompactString>>,
+}
+
+impl Unanswered {
+    /// Adds a request whose head was read.
+    pub(super) fn push(&self, attempt_id: CompactString) {
+        lock(&self.attempt_ids).push_back(attempt_id);
+    }
+
+    /// Removes the earliest request, whose response was written.
+    pub(super) fn pop(&self) {
+        lock(&self.attempt_ids).pop_front();
+    }
+
+    /// Returns whether every request has its response.
+    pub(super) fn is_empty(&self) -> bool {
+        lock(&self.attempt_ids).is_empty()
+    }
+
+    /// Logs and counts the requests that the end of the connection leaves unanswered.
+    pub(super) fn record_cut(&self, daemon: &Arc<Daemon>, reason: CutReason) {
+        for attempt_id in lock(&self.attempt_ids).drain(..) {
+            let reason = reason.name();
+            log::info!("event=request_cut attempt_id={attempt_id} reason={reason}");
+            daemon.metrics.record_cut(reason);
+        }
+    }
+}
--- a/crates/plumhitchd/src/metrics.rs
+++ b/crates/plumhitchd/src/metrics.rs
@@ -43,6 +43,7 @@
     customer_latency: HistogramVec,
     class_outcomes: IntCounterVec,
     customer_outcomes: IntCounterVec,
+    cut_requests: IntCounterVec,
     gauges: Gauges,
     customers: Mutex<Labels>,
     classes: Mutex<Labels>,
@@ -71,6 +72,7 @@
                 "plumhitch_customer_requests_total",
                 "customer",
             )?,
+            cut_requests: cut_counter(&registry)?,
             gauges: Gauges::new(&registry)?,
             customers: Mutex::new(Labels::new(MAX_CUSTOMERS)),
             classes: Mutex::new(Labels::new(MAX_CLASSES)),
@@ -98,6 +100,11 @@
             .inc();
     }
 
+    /// Counts a request whose connection ended before its complete response was sent.
+    pub(crate) fn record_cut(&self, reason: &str) {
+        self.cut_requests.with_label_values(&[reason]).inc();
+    }
+
     /// Updates the gauges and returns all metrics in the text format.
     ///
     /// # Errors
@@ -127,3 +134,11 @@
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
+
+fn cut_counter(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Requests whose connection ended before their complete response was sent.";
+    let opts = Opts::new("plumhitch_cut_requests_total", help);
+    let metric = IntCounterVec::new(opts, &["reason"])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
