Announce the close after a request body that is not valid

A caller whose chunked body could not be read got its 400 with a keep-alive header, although the daemon reads no further request from that connection: it discards what comes until the connection is closed. A request that the caller sent next was received and never answered.

Cause: only the request's own connection header, a response until close and a stop made a response the last one. Now the last queued response also announces the close once nothing more is queued, and the queue is closed before the request's task learns of the bad body, so that its response is written after.

Test: kept_connections, response_to_a_malformed_body_announces_the_close; on the code before it failed with 'keep-alive: timeout=15' in the 400.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -262,8 +262,8 @@
                 }
                 Err(error) => {
                     log::debug!("event=body_malformed reason=\"{error}\"");
-                    let _ = tx.send(Err(UploadError::Aborted)).await;
                     self.tx = None;
+                    let _ = tx.send(Err(UploadError::Aborted)).await;
                     return Err(self.wait_for_disconnect().await);
                 }
             }
@@ -333,8 +333,8 @@
         let response = (&mut queued.response).await;
         let response = response.map_err(|_| CutReason::TaskEnded)?;
         let until_close = !queued.reads_chunks && response.has_unknown_length();
-        let close =
-            !queued.keep_alive || until_close || daemon.is_closing_connections() && rx.is_empty();
+        let is_last = rx.is_empty() && (rx.is_closed() || daemon.is_closing_connections());
+        let close = !queued.keep_alive || until_close || is_last;
         let keep_alive_s = (!close).then(|| daemon.idle_timeout().as_secs());
         let unknown_length = match queued.reads_chunks {
             true => Framing::Chunked,
