Answer the requests before a head that does not arrive in time

A caller that pipelines got no response to a request that an instance was running when the rest of the next request's head did not arrive within header_timeout: the connection was closed and the request cancelled, also a non-idempotent one.

Cause: the header timeout ended the connection as if the caller had left, which drops the pending responses. The idle timeout waits for them; this one did not. Now the daemon only stops reading: what was read before is answered, the last response announces the close, and the connection is closed in order.

Ruled out as a cause of the same cut: the idle timeout (it is put off while a response is pending), and a rejected head (its response is queued behind).

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -47,6 +47,8 @@
 enum HeadEnd {
     /// The connection ended or is to be closed.
     Cut(CutReason),
+    /// The rest of the head did not arrive in time.
+    TimedOut,
     /// The head is not acceptable.
     Rejected(HeadError),
 }
@@ -139,6 +141,10 @@
             let head = match self.read_head().await {
                 Ok(head) => head,
                 Err(HeadEnd::Cut(reason)) => return ReadEnd::Disconnected(reason),
+                Err(HeadEnd::TimedOut) => {
+                    self.tx = None;
+                    return ReadEnd::NoMoreRequests;
+                }
                 Err(HeadEnd::Rejected(error)) => {
                     self.refuse(error).await;
                     return ReadEnd::NoMoreRequests;
@@ -172,7 +178,7 @@
             {
                 return Ok(head);
             }
-            self.read_more_of_head().await.map_err(HeadEnd::Cut)?;
+            self.read_more_of_head().await?;
         }
     }
 
@@ -180,10 +186,13 @@
     /// buffer is empty. During a graceful
     /// stop a connection that has served requests is closed once it is idle; a
     /// new one may still send its first request.
-    async fn read_more_of_head(&mut self) -> Result<(), CutReason> {
+    async fn read_more_of_head(&mut self) -> Result<(), HeadEnd> {
         let (limit, on_timeout) = match self.buf.is_empty() {
-            true => (self.daemon.idle_timeout(), CutReason::IdleTimeout),
-            false => (self.daemon.header_timeout(), CutReason::HeaderTimeout),
+            true => {
+                let on_timeout = HeadEnd::Cut(CutReason::IdleTimeout);
+                (self.daemon.idle_timeout(), on_timeout)
+            }
+            false => (self.daemon.header_timeout(), HeadEnd::TimedOut),
         };
         loop {
             let is_unused = self.buf.is_empty() && self.unanswered.is_empty();
@@ -194,12 +203,12 @@
                 // connection.
                 biased;
                 read = timeout(limit, fill(self.read, &mut self.buf)) => match read {
-                    Ok(read) => return read,
+                    Ok(read) => return read.map_err(HeadEnd::Cut),
                     // A pending response keeps the connection open.
                     Err(_) if self.buf.is_empty() && !self.unanswered.is_empty() => {}
                     Err(_) => return Err(on_timeout),
                 },
-                () = stopping, if idle => return Err(CutReason::Stopping),
+                () = stopping, if idle => return Err(HeadEnd::Cut(CutReason::Stopping)),
             }
         }
     }
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -12,8 +12,6 @@
     CallerClosed,
     /// Reading from the connection failed.
     ReadFailed,
-    /// The next request's head did not arrive in time.
-    HeaderTimeout,
     /// No request arrived in time.
     IdleTimeout,
     /// The daemon is stopping.
@@ -34,7 +32,6 @@
         match self {
             Self::CallerClosed => "caller-closed",
             Self::ReadFailed => "read-failed",
-            Self::HeaderTimeout => "header-timeout",
             Self::IdleTimeout => "idle-timeout",
             Self::Stopping => "stopping",
             Self::WriteFailed => "write-failed",
