Count the idle time of a caller's connection from its last response

A kept connection was closed before the idle time that its last response had stated in keep-alive. A caller that came back within that time met the close.

Cause: the timer began when the previous request had been read, so that the time of its work counted as idle, and an expiry during the work started it anew at that moment. It begins now when the last pending response has been written, with the limit that is in force then.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -18,7 +18,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Maximum number of queued responses of a connection; no further request is
 /// read while the queue is full.
@@ -183,31 +183,30 @@
     }
 
     /// Reads more bytes within the header timeout, or the idle timeout if the
-    /// buffer is empty. During a graceful
-    /// stop a connection that has served requests is closed once it is idle; a
-    /// new one may still send its first request.
+    /// buffer is empty. The idle time begins with the end of the last response, as
+    /// the caller counts it. During a graceful stop a connection that has served
+    /// requests is closed once it is idle; a new one may still send its first
+    /// request.
     async fn read_more_of_head(&mut self) -> Result<(), HeadEnd> {
-        let (limit, on_timeout) = match self.buf.is_empty() {
-            true => {
-                let on_timeout = HeadEnd::Cut(CutReason::IdleTimeout);
-                (self.daemon.idle_timeout(), on_timeout)
-            }
-            false => (self.daemon.header_timeout(), HeadEnd::TimedOut),
-        };
+        let has_begun = !self.buf.is_empty();
+        let idle = self.has_received_request && !has_begun && self.unanswered.is_empty();
         loop {
-            let is_unused = self.buf.is_empty() && self.unanswered.is_empty();
-            let idle = self.has_received_request && is_unused;
+            let limit = match has_begun {
+                true => self.daemon.header_timeout(),
+                false => self.daemon.idle_timeout(),
+            };
+            let has_limit = has_begun || self.unanswered.is_empty();
             let stopping = self.daemon.wait_until_closing();
             tokio::select! {
-                // Received bytes are read before a stop may close the
-                // connection.
+                // Received bytes are read before a stop or a time limit may close
+                // the connection.
                 biased;
-                read = timeout(limit, fill(self.read, &mut self.buf)) => match read {
-                    Ok(read) => return read.map_err(HeadEnd::Cut),
-                    // A pending response keeps the connection open.
-                    Err(_) if self.buf.is_empty() && !self.unanswered.is_empty() => {}
-                    Err(_) => return Err(on_timeout),
-                },
+                read = fill(self.read, &mut self.buf) => return read.map_err(HeadEnd::Cut),
+                () = sleep(limit), if has_limit => return Err(match has_begun {
+                    true => HeadEnd::TimedOut,
+                    false => HeadEnd::Cut(CutReason::IdleTimeout),
+                }),
+                () = self.unanswered.answered(), if !has_limit => {}
                 () = stopping, if idle => return Err(HeadEnd::Cut(CutReason::Stopping)),
             }
         }
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -4,6 +4,7 @@
 use compact_str::CompactString;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
+use tokio::sync::Notify;
 
 /// Why a connection ended before a request had its complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +48,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Unanswered {
     attempt_ids: Mutex<VecDeque<CompactString>>,
+    all_answered: Notify,
 }
 
 impl Unanswered {
@@ -57,7 +59,17 @@
 
     /// Removes the earliest request, whose response was written.
     pub(super) fn pop(&self) {
-        lock(&self.attempt_ids).pop_front();
+        let mut attempt_ids = lock(&self.attempt_ids);
+        attempt_ids.pop_front();
+        if attempt_ids.is_empty() {
+            self.all_answered.notify_one();
+        }
+    }
+
+    /// Waits until every request has its response. May also return once without need,
+    /// if they had theirs before.
+    pub(super) async fn answered(&self) {
+        self.all_answered.notified().await;
     }
 
     /// Returns whether every request has its response.
