--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -1,23 +1,29 @@
 //! Accounting of a caller's request: its metrics, and log lines for a sample.
 
 use super::refusal::{reason_name, run_name};
+use crate::clock;
 use crate::metrics::Outcome;
-use crate::runtime::{Daemon, lock};
+use crate::runtime::Daemon;
 use crate::task_messages::UploadError;
 use compact_str::CompactString;
 use node::agent::ConfigBasis;
 use node::entry::{self, Reason, Refusal};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use wire::{AttemptId, Fingerprint, RequestId};
 
+/// Maximum number of requests that the end of a stop logs.
+const MAX_CUT_LINES: usize = 100;
+
 /// A request in progress. Dropping it updates the metrics and, for a sample of
 /// the requests, writes the log line.
 #[derive(Debug)]
 pub(super) struct RequestRecord {
     daemon: Arc<Daemon>,
     started_at: Instant,
+    /// Time since the VM booted at which the headers were received.
+    pub(super) received_at: Duration,
     /// Id of the request, unique in this run of the daemon.
     pub(super) id: RequestId,
     pub(super) customer: CompactString,
@@ -43,10 +49,10 @@
     pub(super) fn begin(daemon: &Arc<Daemon>) -> Self {
         let id = daemon.next_id();
         daemon.open_requests.fetch_add(1, Ordering::AcqRel);
-        lock(&daemon.buffering).insert(id);
         Self {
             daemon: daemon.clone(),
             started_at: Instant::now(),
+            received_at: clock::now(),
             id,
             customer: CompactString::default(),
             service: CompactString::default(),
@@ -64,11 +70,6 @@
         }
     }
 
-    /// Records that the request was passed to the reducer.
-    pub(super) fn mark_arrived(&self) {
-        lock(&self.daemon.buffering).remove(&self.id);
-    }
-
     /// Records that the complete response was passed on.
     pub(super) fn mark_answered(&mut self) {
         self.outcome = "answered";
@@ -77,6 +78,7 @@
     /// Records that the response was cut off after its beginning was passed on.
     pub(super) fn mark_broken(&mut self) {
         self.outcome = "broken";
+        self.log_if_cut();
     }
 
     /// Records that the reducer refused the request.
@@ -91,6 +93,7 @@
             Reason::Stale,
         ];
         self.known = !unverified.contains(&refusal.reason);
+        self.log_if_cut();
     }
 
     /// Records that the request was not acceptable in itself.
@@ -108,6 +111,29 @@
         }
     }
 
+    /// Logs the request if the end of a stop cuts it off.
+    fn log_if_cut(&self) {
+        if !self.daemon.is_ending() {
+            return;
+        }
+        let earlier = self.daemon.cut_requests.fetch_add(1, Ordering::Relaxed);
+        if earlier >= MAX_CUT_LINES {
+            return;
+        }
+        log::warn!(
+            "event=request_cut id={} attempt_id={} class={:?} outcome={} run={} attempts={} \
+             upstream={} took_us={}",
+            self.id,
+            self.attempt_id,
+            self.class,
+            self.outcome,
+            self.run,
+            self.attempts,
+            self.upstream,
+            self.started_at.elapsed().as_micros(),
+        );
+    }
+
     /// Logs which upstream was chosen, with the inputs of the choice.
     pub(super) fn log_attempt(&self, attempt: &entry::Attempt) {
         log::info!(
@@ -159,7 +185,6 @@
 
 impl Drop for RequestRecord {
     fn drop(&mut self) {
-        self.mark_arrived();
         self.daemon.metrics.record(&Outcome {
             customer: &self.customer,
             class: &self.class,
