Handle signals from the beginning of the program on

Cause: the handler of SIGHUP was installed when the settings had been read and the runtime was built, those of SIGTERM and SIGINT only when the data folder had been recovered and the listeners accepted already. Until then a signal had its default effect: the process ended by that signal and cut what it had accepted. SIGUSR1 and SIGUSR2 did so at any time.

Change: main installs the handlers first, before the command line and the settings are read. They record what arrives until the runtime has its streams of the signals; then a reload or a stop takes effect. Tools send SIGUSR1 and SIGUSR2 to reopen logs or to print a state, so they have no effect now. SIGQUIT and the others keep theirs, since they ask for the end of the process.

Ruled out: tokio's streams alone need the runtime, whose threads are created first.

--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -30,3 +30,4 @@
 };
 pub use links::dial_with_retries;
 pub use options::{main, run};
+pub use signals::Signals;
--- a/crates/plumhitchd/src/options.rs
+++ b/crates/plumhitchd/src/options.rs
@@ -1,7 +1,8 @@
 //! Command line and exit codes.
 
 use crate::integration::{Integration, SettingsSource};
-use crate::{logging, process, signals};
+use crate::signals::Signals;
+use crate::{logging, process};
 use argh::FromArgs;
 use conf::Settings;
 use std::path::{Path, PathBuf};
@@ -28,6 +29,13 @@
 /// exit code.
 #[must_use]
 pub fn main() -> ExitCode {
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(err) => {
+            eprintln!("cannot handle signals: {err}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     let options: Options = argh::from_env();
     let cfg = match Settings::load(&options.settings) {
         Ok(cfg) => cfg,
@@ -48,16 +56,16 @@
         }),
         ..Integration::default()
     };
-    run(cfg, integration)
+    run(signals, cfg, integration)
 }
 
 /// Runs a daemon with validated settings until it is stopped, for a program that
 /// embeds it; returns the exit code.
 #[must_use]
-pub fn run(cfg: Settings, integration: Integration) -> ExitCode {
+pub fn run(signals: Signals, cfg: Settings, integration: Integration) -> ExitCode {
     let _logging = logging::start();
     abort_on_panic();
-    match signals::survive().and_then(|()| process::run(cfg, integration)) {
+    match process::run(cfg, integration, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("event=start_failed reason=\"{err}\"");
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -3,6 +3,7 @@
 use crate::integration::{Endpoint, Integration};
 use crate::operators_http::Token;
 use crate::runtime::{self, Daemon};
+use crate::signals::Signals;
 use crate::{disk, endpoints, entry_http, gate_http, links, operators_http, reload, stop};
 use conf::Settings;
 use std::io;
@@ -21,12 +22,12 @@
 /// # Errors
 ///
 /// Returns an error if the daemon cannot start.
-pub(crate) fn run(cfg: Settings, integration: Integration) -> io::Result<()> {
+pub(crate) fn run(cfg: Settings, integration: Integration, signals: Signals) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(cfg, integration))
+    runtime.block_on(serve(cfg, integration, signals))
 }
 
 /// Creates the daemon, with a control replica if a data folder is configured.
@@ -59,8 +60,8 @@
     socket.listen(BACKLOG).map_err(with_address)
 }
 
-async fn serve(cfg: Settings, integration: Integration) -> io::Result<()> {
-    let reload_signals = reload::signals()?;
+async fn serve(cfg: Settings, integration: Integration, signals: Signals) -> io::Result<()> {
+    let (reload_signals, mut stop_signals) = signals.into_streams()?;
     let peers = listen(cfg.listen.peers)?;
     let callers = cfg.listen.callers.map(listen).transpose()?;
     let operators = listen(cfg.listen.operators)?;
@@ -81,7 +82,7 @@
     for (endpoint, listener) in endpoints {
         endpoints::serve(&daemon, endpoint, listener)?;
     }
-    stop::wait(&daemon).await?;
+    stop::wait(&daemon, &mut stop_signals).await;
     log::info!("event=stopped");
     Ok(())
 }
--- a/crates/plumhitchd/src/reload.rs
+++ b/crates/plumhitchd/src/reload.rs
@@ -2,30 +2,19 @@
 
 use crate::integration::SettingsSource;
 use crate::runtime::Daemon;
+use crate::signals::ReloadSignals;
 use conf::Settings;
 use node::Event;
 use std::fs;
-use std::io;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Interval between checks of the file's modification time.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Creates the stream of `SIGHUP` signals. It must exist before the first such
-/// signal arrives, which would terminate the process otherwise.
-///
-/// # Errors
-///
-/// Returns an error if the signal handler cannot be installed.
-pub(crate) fn signals() -> io::Result<Signal> {
-    signal(SignalKind::hangup())
-}
-
 /// Reloads on every signal and whenever the file's modification time changes.
-pub(crate) async fn watch(daemon: Arc<Daemon>, mut signals: Signal) {
+pub(crate) async fn watch(daemon: Arc<Daemon>, mut signals: ReloadSignals) {
     let Some(source) = daemon.integration.settings_source.clone() else {
         while signals.recv().await.is_some() {
             log::warn!("event=reload_ignored reason=\"this process has no settings file\"");
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -1,12 +1,11 @@
 //! Graceful stop on `SIGTERM` or `SIGINT`.
 
 use crate::runtime::{Daemon, lock};
+use crate::signals::StopSignals;
 use node::Event;
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Time for the last frames to reach the peers. A connection that is closed with
 /// unread data is reset, and the peer may lose frames that were already sent.
@@ -18,17 +17,8 @@
 
 /// Waits for the stop signal, then until no request is in progress or the
 /// configured time limit has passed.
-///
-/// # Errors
-///
-/// Returns an error if the signal handlers cannot be installed.
-pub(crate) async fn wait(daemon: &Arc<Daemon>) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+pub(crate) async fn wait(daemon: &Arc<Daemon>, signals: &mut StopSignals) {
+    signals.recv().await;
     let drain_timeout = daemon.cfg.stop.drain_timeout;
     let deadline = drain_timeout.map(|timeout| Instant::now() + timeout);
     let bound_ms = drain_timeout.map_or("none".to_owned(), |t| t.as_millis().to_string());
@@ -50,7 +40,6 @@
             lock(&daemon.gate_tasks).len()
         );
     }
-    Ok(())
 }
 
 async fn wait_until_idle(daemon: &Daemon, deadline: Option<Instant>) {
