--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -2,12 +2,11 @@
 
 use crate::clock;
 use crate::runtime::{Daemon, lock};
+use crate::signals::StopSignals;
 use node::Event;
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Time for the last frames to reach the peers, and the last responses the callers. A
 /// connection that is closed with unread data is reset, and the peer may lose what was
@@ -20,17 +19,8 @@
 
 /// Waits for the stop signal, then until no request is in progress or the
 /// configured time limit has passed.
-///
-/// # Errors
-///
-/// Returns an error if the signal handlers cannot be installed.
-pub(crate) async fn wait(daemon: &Arc<Daemon>) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+pub(crate) async fn wait(daemon: &Arc<Daemon>, signals: &mut StopSignals) {
+    signals.recv().await;
     let drain_timeout = daemon.cfg.stop.drain_timeout;
     let deadline = drain_timeout.map(|timeout| Instant::now() + timeout);
     let until = drain_timeout.map(|timeout| clock::now() + timeout);
@@ -47,7 +37,6 @@
     wait_until_idle(daemon, deadline).await;
     cut_off(daemon);
     tokio::time::sleep(FLUSH_TIME).await;
-    Ok(())
 }
 
 /// Lets connections read no more requests, and gives the callers of those that are still in
