Keep a replica whose full disk also refuses to undo a write

Cause: after a write for which the disk had no space, the replica cut off or removed at once what the write had left, and lost track of it when that was refused too, as file systems that copy on write do while they are full. A segment that could not be started was then found to exist, which ended the replica's part in the cluster until its process restarted; the next frame followed a torn one, so that the folder could not be opened after a restart; and covered segments that could not be removed left a gap in the sequence, with the same effect. With disks full in turn, the group loses its majority for good although all processes run. Callers would have seen changes refused with 503.

Change: a segment that is started replaces what an earlier attempt has left. The active segment remembers a torn tail and cuts it off before the next frame.

Proof: disk_faults draws refused file operations and kills between any two of them, through the real disk code, and compares what is recovered with the model.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -27,6 +27,7 @@
 //! the cluster, because the other replicas' disks may fill up next. Any other error
 //! does, since what a failed sync has left on the disk is unknown.
 
+mod active_segment;
 mod error;
 mod file;
 mod format;
@@ -34,10 +35,12 @@
 mod term_index;
 
 pub use error::DiskError;
+pub use file::{FaultInjector, FileOp};
 
 use crate::io::{DiskDone, DiskOp, DiskWrite};
 use crate::stored::{HardState, Recovered, Snapshot};
-use file::{append, create, create_folder, lock, remove, replace, sync_folder};
+use active_segment::ActiveSegment;
+use file::Files;
 use format::{
     Batch, FORMAT_VERSION, LOCK_NAME, STATE_NAME, SegmentHeader, encode_frame, segment_name,
     snapshot_name,
@@ -58,12 +61,13 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: PathBuf,
+    files: Files,
     segments: Vec<Segment>,
     /// The segment being written; `None` until the first write after the start.
-    active: Option<File>,
-    active_bytes: usize,
+    active: Option<ActiveSegment>,
     term_index: TermIndex,
-    snapshot: Option<u64>,
+    /// Indexes of the snapshots in the folder. All but the newest are outdated.
+    snapshots: Vec<u64>,
     failed: bool,
     _lock: File,
 }
@@ -76,20 +80,36 @@
     /// Returns an error if the folder is already open, cannot be read or
     /// written, or contains corrupt data.
     pub fn open(path: &Path) -> Result<(Self, Recovered), DiskError> {
-        create_folder(path)?;
-        let lock = lock(&path.join(LOCK_NAME))?;
+        Self::open_with(path, Files::default())
+    }
+
+    /// Opens a data folder whose file operations can be made to fail, for tests.
+    ///
+    /// # Errors
+    ///
+    /// As [`Disk::open`].
+    pub fn open_with_faults(
+        path: &Path,
+        inject_fault: FaultInjector,
+    ) -> Result<(Self, Recovered), DiskError> {
+        Self::open_with(path, Files::with_faults(inject_fault))
+    }
+
+    fn open_with(path: &Path, mut files: Files) -> Result<(Self, Recovered), DiskError> {
+        files.create_folder(path)?;
+        let lock = files.lock(&path.join(LOCK_NAME))?;
         let FolderContents {
             recovered,
             segments,
-        } = recover(path)?;
+        } = recover(&mut files, path)?;
         let snapshot = recovered.snapshot.as_ref();
         let disk = Self {
             folder: path.to_owned(),
+            files,
             segments,
             active: None,
-            active_bytes: 0,
             term_index: TermIndex::new(snapshot, &recovered.entries),
-            snapshot: snapshot.map(|s| s.index),
+            snapshots: snapshot.map(|s| s.index).into_iter().collect(),
             failed: false,
             _lock: lock,
         };
@@ -171,7 +191,11 @@
     }
 
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), DiskError> {
-        if self.active_bytes >= SEGMENT_BYTES {
+        if self
+            .active
+            .as_ref()
+            .is_some_and(|a| a.len() >= SEGMENT_BYTES)
+        {
             self.start_segment()?;
         }
         let batch = Batch {
@@ -181,9 +205,7 @@
         let (Some(segment), Some(active)) = (self.segments.last_mut(), &mut self.active) else {
             return Err(DiskError::Stopped);
         };
-        let path = self.folder.join(segment_name(segment.sequence));
-        append(active, &path, self.active_bytes, &frame)?;
-        self.active_bytes += frame.len();
+        active.append(&mut self.files, &frame)?;
         for entry in entries {
             segment.max_index = segment.max_index.max(entry.index);
             self.term_index.push(entry);
@@ -193,72 +215,73 @@
 
     fn save_state(&mut self, state: &HardState) -> Result<(), DiskError> {
         let frame = encode_frame(state).ok_or(DiskError::TooLong)?;
-        replace(&self.folder, STATE_NAME, &frame)
+        self.files.replace(&self.folder, STATE_NAME, &frame)
     }
 
     fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), DiskError> {
-        let frame = encode_frame(snapshot).ok_or(DiskError::TooLong)?;
-        replace(&self.folder, &snapshot_name(snapshot.index), &frame)?;
-        if !self.term_index.contains(snapshot.index, snapshot.term) {
-            self.term_index = TermIndex::at(snapshot.index, snapshot.term);
-        }
-        self.start_segment()?;
-        let outdated = self.snapshot.replace(snapshot.index);
-        if let Some(index) = outdated.filter(|i| *i != snapshot.index) {
-            remove(&self.folder.join(snapshot_name(index)))?;
+        if self.snapshots.last() != Some(&snapshot.index) {
+            let frame = encode_frame(snapshot).ok_or(DiskError::TooLong)?;
+            let name = snapshot_name(snapshot.index);
+            self.files.replace(&self.folder, &name, &frame)?;
+            if !self.term_index.contains(snapshot.index, snapshot.term) {
+                self.term_index = TermIndex::at(snapshot.index, snapshot.term);
+            }
+            self.start_segment()?;
+            self.snapshots.push(snapshot.index);
         }
+        self.remove_outdated_snapshots()?;
         self.remove_covered_segments()
     }
 
+    /// Starts a segment at the end of the log.
     fn start_segment(&mut self) -> Result<(), DiskError> {
-        let started = start_segment(&self.folder, &mut self.segments, &self.term_index)?;
-        let (active, len) = started;
-        self.active = Some(active);
-        self.active_bytes = len;
+        let (prev_index, prev_term) = self.term_index.last();
+        let header = SegmentHeader {
+            version: FORMAT_VERSION,
+            prev_index,
+            prev_term,
+        };
+        let frame = encode_frame(&header).ok_or(DiskError::TooLong)?;
+        let sequence = self.segments.last().map_or(1, |s| s.sequence + 1);
+        let path = self.folder.join(segment_name(sequence));
+        self.active = Some(ActiveSegment::create(&mut self.files, path, &frame)?);
+        self.segments.push(Segment {
+            sequence,
+            max_index: 0,
+        });
+        Ok(())
+    }
+
+    fn remove_outdated_snapshots(&mut self) -> Result<(), DiskError> {
+        while let [outdated, _, ..] = self.snapshots[..] {
+            let path = self.folder.join(snapshot_name(outdated));
+            self.files.remove(&path)?;
+            self.snapshots.remove(0);
+        }
         Ok(())
     }
 
     /// Removes the oldest segments whose entries are all covered by the
     /// snapshot.
     fn remove_covered_segments(&mut self) -> Result<(), DiskError> {
-        let base = self.snapshot.unwrap_or(0);
+        let base = self.snapshots.last().copied().unwrap_or(0);
         let older = self.segments.len().saturating_sub(1);
         let covered = self.segments[..older]
             .iter()
             .take_while(|s| s.max_index <= base)
             .count();
-        for segment in self.segments.drain(..covered) {
-            remove(&self.folder.join(segment_name(segment.sequence)))?;
+        for _ in 0..covered {
+            let path = self.folder.join(segment_name(self.segments[0].sequence));
+            self.files.remove(&path)?;
+            self.segments.remove(0);
         }
         if covered > 0 {
-            sync_folder(&self.folder)?;
+            self.files.sync_folder(&self.folder)?;
         }
         Ok(())
     }
 }
 
-/// Starts a segment at the end of the log. Returns its file and length.
-fn start_segment(
-    folder: &Path,
-    segments: &mut Vec<Segment>,
-    term_index: &TermIndex,
-) -> Result<(File, usize), DiskError> {
-    let (prev_index, prev_term) = term_index.last();
-    let header = SegmentHeader {
-        version: FORMAT_VERSION,
-        prev_index,
-        prev_term,
-    };
-    let frame = encode_frame(&header).ok_or(DiskError::TooLong)?;
-    let sequence = segments.last().map_or(1, |s| s.sequence + 1);
-    let f = create(&folder.join(segment_name(sequence)), &frame)?;
-    segments.push(Segment {
-        sequence,
-        max_index: 0,
-    });
-    Ok((f, frame.len()))
-}
-
 fn entries_of(write: DiskWrite) -> Vec<LogEntry> {
     match write {
         DiskWrite::Append(entries) => entries,
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -4,10 +4,188 @@
 use super::format::TEMPORARY_SUFFIX;
 use rustix::fs::{FlockOperation, flock};
 use rustix::io::Errno;
+use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
 use std::path::Path;
 
+/// Kind of a file operation that changes the folder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FileOp {
+    /// Opening a file for writing, which may create it.
+    Open,
+    /// Writing to a file.
+    Write,
+    /// Syncing a file or a folder.
+    Sync,
+    /// Setting the length of a file.
+    SetLen,
+    /// Renaming a file.
+    Rename,
+    /// Removing a file.
+    Remove,
+}
+
+/// Called before each file operation in tests. The operation fails with the returned
+/// error; of a write, the first half of the bytes is written.
+pub type FaultInjector = Box<dyn FnMut(FileOp) -> io::Result<()> + Send>;
+
+/// The operations on the files of a folder.
+#[derive(Default)]
+pub(super) struct Files {
+    inject_fault: Option<FaultInjector>,
+}
+
+impl fmt::Debug for Files {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Files").finish_non_exhaustive()
+    }
+}
+
+impl Files {
+    pub(super) fn with_faults(inject_fault: FaultInjector) -> Self {
+        Self {
+            inject_fault: Some(inject_fault),
+        }
+    }
+
+    fn check(&mut self, op: FileOp) -> io::Result<()> {
+        self.inject_fault.as_mut().map_or(Ok(()), |f| f(op))
+    }
+
+    /// Creates a folder if it does not exist.
+    pub(super) fn create_folder(&mut self, path: &Path) -> Result<(), DiskError> {
+        if path.is_dir() {
+            return Ok(());
+        }
+        let created = self.check(FileOp::Open);
+        let created = created.and_then(|()| fs::create_dir_all(path));
+        created.map_err(|e| io_error(path, &e))?;
+        path.parent()
+            .map_or(Ok(()), |parent| self.sync_folder(parent))
+    }
+
+    /// Syncs a folder, so that created, renamed and removed files survive a crash.
+    pub(super) fn sync_folder(&mut self, path: &Path) -> Result<(), DiskError> {
+        let path = if path.as_os_str().is_empty() {
+            Path::new(".")
+        } else {
+            path
+        };
+        let synced = self.check(FileOp::Sync);
+        let synced = synced.and_then(|()| File::open(path)?.sync_all());
+        synced.map_err(|e| io_error(path, &e))
+    }
+
+    pub(super) fn remove(&mut self, path: &Path) -> Result<(), DiskError> {
+        let removed = self.check(FileOp::Remove);
+        let removed = removed.and_then(|()| fs::remove_file(path));
+        removed.map_err(|e| io_error(path, &e))
+    }
+
+    /// Truncates a file and syncs it.
+    pub(super) fn truncate(&mut self, path: &Path, len: usize) -> Result<(), DiskError> {
+        let f = OpenOptions::new().write(true).open(path);
+        let f = f.map_err(|e| io_error(path, &e))?;
+        self.set_len(&f, path, len)?;
+        self.check(FileOp::Sync)
+            .and_then(|()| f.sync_all())
+            .map_err(|e| io_error(path, &e))
+    }
+
+    pub(super) fn set_len(&mut self, f: &File, path: &Path, len: usize) -> Result<(), DiskError> {
+        let set = self.check(FileOp::SetLen);
+        let set = set.and_then(|()| f.set_len(len as u64));
+        set.map_err(|e| io_error(path, &e))
+    }
+
+    /// Creates a file with the given contents and syncs the file and its folder. After
+    /// an error it can be tried again: what the first attempt has left is replaced.
+    pub(super) fn create(&mut self, path: &Path, bytes: &[u8]) -> Result<File, DiskError> {
+        let f = self
+            .check(FileOp::Open)
+            .and_then(|()| OpenOptions::new().append(true).create(true).open(path));
+        let mut f = f.map_err(|e| io_error(path, &e))?;
+        self.set_len(&f, path, 0)?;
+        let written = self.write_and_sync(&mut f, bytes);
+        written.map_err(|e| io_error(path, &e))?;
+        path.parent()
+            .map_or(Ok(()), |folder| self.sync_folder(folder))?;
+        Ok(f)
+    }
+
+    /// Appends to a file and syncs it. If that fails, any part may have been written.
+    pub(super) fn append(
+        &mut self,
+        f: &mut File,
+        path: &Path,
+        bytes: &[u8],
+    ) -> Result<(), DiskError> {
+        let written = self.write(f, bytes);
+        let synced = written.and_then(|()| {
+            self.check(FileOp::Sync)?;
+            f.sync_data()
+        });
+        synced.map_err(|e| io_error(path, &e))
+    }
+
+    /// Replaces a file atomically: writes a temporary file, syncs it, renames it
+    /// and syncs the folder.
+    pub(super) fn replace(
+        &mut self,
+        folder: &Path,
+        name: &str,
+        bytes: &[u8],
+    ) -> Result<(), DiskError> {
+        let path = folder.join(name);
+        let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
+        let f = self.check(FileOp::Open);
+        let written = f.and_then(|()| {
+            let mut f = File::create(&temporary)?;
+            self.write_and_sync(&mut f, bytes)
+        });
+        written.map_err(|e| io_error(&temporary, &e))?;
+        let renamed = self.check(FileOp::Rename);
+        let renamed = renamed.and_then(|()| fs::rename(&temporary, &path));
+        renamed.map_err(|e| io_error(&path, &e))?;
+        self.sync_folder(folder)
+    }
+
+    /// Opens a file and holds an exclusive lock on it until it is closed.
+    pub(super) fn lock(&mut self, path: &Path) -> Result<File, DiskError> {
+        let f = self.check(FileOp::Open).and_then(|()| {
+            OpenOptions::new()
+                .write(true)
+                .create(true)
+                .truncate(false)
+                .open(path)
+        });
+        let f = f.map_err(|e| io_error(path, &e))?;
+        let locked = flock(&f, FlockOperation::NonBlockingLockExclusive);
+        match locked {
+            Ok(()) => Ok(f),
+            Err(Errno::WOULDBLOCK) => Err(DiskError::Locked {
+                path: path.display().to_string(),
+            }),
+            Err(error) => Err(io_error(path, &error.into())),
+        }
+    }
+
+    fn write(&mut self, f: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if let Err(error) = self.check(FileOp::Write) {
+            f.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(error);
+        }
+        f.write_all(bytes)
+    }
+
+    fn write_and_sync(&mut self, f: &mut File, bytes: &[u8]) -> io::Result<()> {
+        self.write(f, bytes)?;
+        self.check(FileOp::Sync)?;
+        f.sync_all()
+    }
+}
+
 /// Converts an I/O error into a [`DiskError`].
 pub(super) fn io_error(path: &Path, error: &io::Error) -> DiskError {
     match error.kind() {
@@ -29,26 +207,6 @@
     }
 }
 
-/// Creates a folder if it does not exist.
-pub(super) fn create_folder(path: &Path) -> Result<(), DiskError> {
-    if path.is_dir() {
-        return Ok(());
-    }
-    fs::create_dir_all(path).map_err(|e| io_error(path, &e))?;
-    path.parent().map_or(Ok(()), sync_folder)
-}
-
-/// Syncs a folder, so that created, renamed and removed files survive a crash.
-pub(super) fn sync_folder(path: &Path) -> Result<(), DiskError> {
-    let path = if path.as_os_str().is_empty() {
-        Path::new(".")
-    } else {
-        path
-    };
-    let synced = File::open(path).and_then(|f| f.sync_all());
-    synced.map_err(|e| io_error(path, &e))
-}
-
 /// Returns the names of the files in a folder.
 pub(super) fn list(path: &Path) -> Result<Vec<String>, DiskError> {
     let entries = fs::read_dir(path).map_err(|e| io_error(path, &e))?;
@@ -61,77 +219,3 @@
 pub(super) fn read(path: &Path) -> Result<Vec<u8>, DiskError> {
     fs::read(path).map_err(|e| io_error(path, &e))
 }
-
-pub(super) fn remove(path: &Path) -> Result<(), DiskError> {
-    fs::remove_file(path).map_err(|e| io_error(path, &e))
-}
-
-/// Truncates a file and syncs it.
-pub(super) fn truncate(path: &Path, len: usize) -> Result<(), DiskError> {
-    let f = OpenOptions::new().write(true).open(path);
-    let truncated = f.and_then(|f| {
-        f.set_len(len as u64)?;
-        f.sync_all()
-    });
-    truncated.map_err(|e| io_error(path, &e))
-}
-
-/// Creates a new file with the given contents and syncs the file and its
-/// folder. Removes the file if that fails, so that it can be tried again.
-pub(super) fn create(path: &Path, bytes: &[u8]) -> Result<File, DiskError> {
-    let f = OpenOptions::new().append(true).create_new(true).open(path);
-    let mut f = f.map_err(|e| io_error(path, &e))?;
-    let written = f.write_all(bytes).and_then(|()| f.sync_all());
-    let written = written.map_err(|e| io_error(path, &e));
-    let synced = written.and_then(|()| path.parent().map_or(Ok(()), sync_folder));
-    match synced {
-        Ok(()) => Ok(f),
-        Err(error) => {
-            remove(path)?;
-            Err(error)
-        }
-    }
-}
-
-/// Appends to a file of `len` bytes and syncs it. If that fails, cuts off what was
-/// written, so that it can be tried again.
-pub(super) fn append(f: &mut File, path: &Path, len: usize, bytes: &[u8]) -> Result<(), DiskError> {
-    let written = f.write_all(bytes).and_then(|()| f.sync_data());
-    let Err(error) = written else {
-        return Ok(());
-    };
-    f.set_len(len as u64).map_err(|e| io_error(path, &e))?;
-    Err(io_error(path, &error))
-}
-
-/// Replaces a file atomically: writes a temporary file, syncs it, renames it
-/// and syncs the folder.
-pub(super) fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
-    let path = folder.join(name);
-    let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
-    let written = File::create(&temporary).and_then(|mut f| {
-        f.write_all(bytes)?;
-        f.sync_all()
-    });
-    written.map_err(|e| io_error(&temporary, &e))?;
-    fs::rename(&temporary, &path).map_err(|e| io_error(&path, &e))?;
-    sync_folder(folder)
-}
-
-/// Opens a file and holds an exclusive lock on it until it is closed.
-pub(super) fn lock(path: &Path) -> Result<File, DiskError> {
-    let f = OpenOptions::new()
-        .write(true)
-        .create(true)
-        .truncate(false)
-        .open(path)
-        .map_err(|e| io_error(path, &e))?;
-    let locked = flock(&f, FlockOperation::NonBlockingLockExclusive);
-    match locked {
-        Ok(()) => Ok(f),
-        Err(Errno::WOULDBLOCK) => Err(DiskError::Locked {
-            path: path.display().to_string(),
-        }),
-        Err(error) => Err(io_error(path, &error.into())),
-    }
-}
--- a/crates/replica/src/disk/recovery.rs
+++ b/crates/replica/src/disk/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery of a replica's state from its data folder at start.
 
 use super::error::DiskError;
-use super::file::{corrupt, list, read, remove, sync_folder, truncate};
+use super::file::{Files, corrupt, list, read};
 use super::format::{
     Batch, FORMAT_VERSION, Frame, STATE_NAME, SegmentHeader, TEMPORARY_SUFFIX, parse_segment_name,
     parse_snapshot_name, read_frame, segment_name, snapshot_name,
@@ -28,18 +28,24 @@
 
 /// Reads all files of the folder, removes temporary files and outdated
 /// snapshots, and truncates a torn tail.
-pub(super) fn recover(folder: &Path) -> Result<FolderContents, DiskError> {
+pub(super) fn recover(files: &mut Files, folder: &Path) -> Result<FolderContents, DiskError> {
     let names = list(folder)?;
-    remove_temporary_files(folder, &names)?;
+    remove_temporary_files(files, folder, &names)?;
     let hard_state = read_state(folder, &names)?;
-    let snapshot = read_snapshot(folder, &names)?;
+    let snapshot = read_snapshot(files, folder, &names)?;
     let sequences = segment_sequences(folder, &names)?;
     let mut replay = Replay::new(snapshot.as_ref());
     let mut segments = Vec::new();
     let newest = sequences.last().copied();
     for sequence in sequences {
         let is_newest = Some(sequence) == newest;
-        segments.extend(read_segment(folder, sequence, is_newest, &mut replay)?);
+        segments.extend(read_segment(
+            files,
+            folder,
+            sequence,
+            is_newest,
+            &mut replay,
+        )?);
     }
     let has_log = snapshot.is_some() || !replay.entries.is_empty();
     check_required_files(folder, hard_state.is_some(), has_log, &segments)?;
@@ -73,10 +79,14 @@
     Ok(())
 }
 
-fn remove_temporary_files(folder: &Path, names: &[String]) -> Result<(), DiskError> {
+fn remove_temporary_files(
+    files: &mut Files,
+    folder: &Path,
+    names: &[String],
+) -> Result<(), DiskError> {
     let temporary = names.iter().filter(|n| n.ends_with(TEMPORARY_SUFFIX));
     for name in temporary {
-        remove(&folder.join(name))?;
+        files.remove(&folder.join(name))?;
     }
     Ok(())
 }
@@ -88,7 +98,11 @@
     read_single_frame::<HardState>(&folder.join(STATE_NAME)).map(Some)
 }
 
-fn read_snapshot(folder: &Path, names: &[String]) -> Result<Option<Snapshot>, DiskError> {
+fn read_snapshot(
+    files: &mut Files,
+    folder: &Path,
+    names: &[String],
+) -> Result<Option<Snapshot>, DiskError> {
     let mut indexes: Vec<LogIndex> = names
         .iter()
         .filter_map(|n| parse_snapshot_name(n))
@@ -99,7 +113,7 @@
     };
     let snapshot = read_single_frame::<Snapshot>(&folder.join(snapshot_name(newest)))?;
     for index in indexes {
-        remove(&folder.join(snapshot_name(index)))?;
+        files.remove(&folder.join(snapshot_name(index)))?;
     }
     Ok(Some(snapshot))
 }
@@ -140,6 +154,7 @@
 /// Replays a segment. Returns `None` if the segment was removed because its
 /// header was incomplete.
 fn read_segment(
+    files: &mut Files,
     folder: &Path,
     sequence: u64,
     is_newest: bool,
@@ -160,7 +175,7 @@
             }
             Frame::End if offset > 0 => return Ok(Some(segment)),
             Frame::End | Frame::Torn if is_newest => {
-                let has_header = truncate_torn_tail(folder, &path, offset)?;
+                let has_header = truncate_torn_tail(files, folder, &path, offset)?;
                 return Ok(has_header.then_some(segment));
             }
             Frame::End | Frame::Torn => {
@@ -198,14 +213,19 @@
 
 /// Truncates a torn write, or removes the segment if its header is incomplete.
 /// Returns whether the segment still exists.
-fn truncate_torn_tail(folder: &Path, path: &Path, offset: usize) -> Result<bool, DiskError> {
+fn truncate_torn_tail(
+    files: &mut Files,
+    folder: &Path,
+    path: &Path,
+    offset: usize,
+) -> Result<bool, DiskError> {
     log::warn!("event=log_tail_cut file={} at={offset}", path.display());
     if offset > 0 {
-        truncate(path, offset)?;
+        files.truncate(path, offset)?;
         return Ok(true);
     }
-    remove(path)?;
-    sync_folder(folder)?;
+    files.remove(path)?;
+    files.sync_folder(folder)?;
     Ok(false)
 }
 
--- a/crates/replica/tests/shuffle.rs
+++ b/crates/replica/tests/shuffle.rs
@@ -8,6 +8,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod seeds;
 mod simulation;
 
 use rand::rngs::SmallRng;
@@ -219,11 +220,7 @@
 
 #[test]
 fn random_faults_preserve_invariants() {
-    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
-    let seeds = seeds.map_or(CI_SEEDS, |s| s.parse().unwrap());
-    let first = std::env::var("SHUFFLE_FIRST").ok();
-    let first = first.map_or(1, |s| s.parse().unwrap());
-    for seed in first..first + seeds {
+    for seed in seeds::shuffle_seeds(1, CI_SEEDS) {
         println!("seed {seed}");
         FaultInjection::new(seed).run();
     }
