Keep a replica that has no descriptor left to save a vote

With all descriptors in use (EMFILE, ENFILE) this was treated like a failed sync: the replica ended its part in the cluster until its process restarted, although nothing had been written. Callers would have seen changes refused for good once that had happened to a majority, while all processes run.

Change: DiskError::TooManyFiles is a temporary error like Full; the write is undone and tried again. The log event disk_full states the reason.

Not shown: that a daemon gets that far in production; its limit of connections was not looked into.

--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -4,7 +4,7 @@
 use crate::runtime::Daemon;
 use conf::Settings;
 use node::Event;
-use replica::{DiskOp, Recovered, Replica, ReplicaOptions};
+use replica::{DiskError, DiskOp, Recovered, Replica, ReplicaOptions};
 use std::io;
 use std::path::Path;
 use std::sync::{Arc, mpsc};
@@ -15,8 +15,8 @@
 /// Heartbeats of a leader per minimum election timeout.
 const HEARTBEATS_PER_ELECTION: u32 = 4;
 
-/// Time after which a write is tried again for which the disk had no space.
-const SPACE_RETRY: Duration = Duration::from_millis(200);
+/// Time after which a disk operation is tried again that met a temporary error.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Queue of disk operations.
 pub(crate) type DiskTx = mpsc::Sender<DiskOp>;
@@ -71,7 +71,7 @@
             let mut ops = vec![first];
             ops.extend(rx.try_iter());
             let mut full_since = None;
-            let done = disk.perform_batch(ops, || wait_for_space(&mut full_since));
+            let done = disk.perform_batch(ops, |reason| wait_to_retry(reason, &mut full_since));
             if let Some(since) = full_since {
                 let ms = clock::now().saturating_sub(since).as_millis();
                 log::info!("event=disk_writable full_ms={ms}");
@@ -85,11 +85,12 @@
     Ok(())
 }
 
-/// Waits before a write is tried again for which the disk had no space.
-fn wait_for_space(full_since: &mut Option<Duration>) {
+/// Waits before a disk operation is tried again after a temporary error.
+fn wait_to_retry(reason: &DiskError, full_since: &mut Option<Duration>) {
     if full_since.is_none() {
-        log::error!("event=disk_full retry_ms={}", SPACE_RETRY.as_millis());
+        let ms = RETRY_INTERVAL.as_millis();
+        log::error!("event=disk_full retry_ms={ms} reason=\"{reason}\"");
         *full_since = Some(clock::now());
     }
-    thread::sleep(SPACE_RETRY);
+    thread::sleep(RETRY_INTERVAL);
 }
--- a/crates/replica/examples/log_rate.rs
+++ b/crates/replica/examples/log_rate.rs
@@ -78,7 +78,7 @@
             }
             let done = self
                 .disk
-                .perform_batch(ops, || std::thread::sleep(FULL_DISK_WAIT));
+                .perform_batch(ops, |_| std::thread::sleep(FULL_DISK_WAIT));
             inputs.extend(done.into_iter().map(Input::DiskDone));
         }
     }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -22,8 +22,8 @@
 //! corruption. A changed byte in the last frame cannot be distinguished from a
 //! torn write.
 //!
-//! A write for which the disk has no space is undone and tried again until there is
-//! space. To the replica this is a disk that takes long: it must not end its part in
+//! A write for which the disk has no space, or the process no descriptor, is undone and
+//! tried again until there is one. To the replica this is a disk that takes long: it must not end its part in
 //! the cluster, because the other replicas' disks may fill up next. Any other error
 //! does, since what a failed sync has left on the disk is unknown.
 
@@ -116,22 +116,22 @@
         Ok((disk, recovered))
     }
 
-    /// Performs one operation and syncs it. Calls `wait_for_space` before it tries a
-    /// write again for which the disk had no space.
-    pub fn perform(&mut self, op: DiskOp, wait_for_space: impl FnMut()) -> DiskDone {
+    /// Performs one operation and syncs it. Calls `wait` with the reason before it tries
+    /// again after a temporary error.
+    pub fn perform(&mut self, op: DiskOp, wait: impl FnMut(&DiskError)) -> DiskDone {
         let id = op.id;
-        let result = self.perform_writes(vec![op.write], wait_for_space);
+        let result = self.perform_writes(vec![op.write], wait);
         DiskDone { id, result }
     }
 
     /// Performs operations in order with as few syncs as possible. Consecutive
     /// appends share a sync, and only the last of consecutive state updates is
-    /// written. Calls `wait_for_space` before it tries a write again for which the
-    /// disk had no space. Nothing more is written after any other error.
+    /// written. Calls `wait` with the reason before it tries again after a temporary
+    /// error. Nothing more is written after any other error.
     pub fn perform_batch(
         &mut self,
         ops: Vec<DiskOp>,
-        mut wait_for_space: impl FnMut(),
+        mut wait: impl FnMut(&DiskError),
     ) -> Vec<DiskDone> {
         let mut ops = VecDeque::from(ops);
         let mut done = Vec::with_capacity(ops.len());
@@ -139,7 +139,7 @@
             let (ids, writes): (Vec<u64>, Vec<DiskWrite>) = take_sync_group(&mut ops)
                 .map(|op| (op.id, op.write))
                 .unzip();
-            let result = self.perform_writes(writes, &mut wait_for_space);
+            let result = self.perform_writes(writes, &mut wait);
             done.extend(ids.into_iter().map(|id| DiskDone {
                 id,
                 result: result.clone(),
@@ -153,7 +153,7 @@
     fn perform_writes(
         &mut self,
         mut writes: Vec<DiskWrite>,
-        mut wait_for_space: impl FnMut(),
+        mut wait: impl FnMut(&DiskError),
     ) -> Result<(), DiskError> {
         if self.failed {
             return Err(DiskError::Stopped);
@@ -168,7 +168,7 @@
         };
         loop {
             match self.write(&write) {
-                Err(DiskError::Full) => wait_for_space(),
+                Err(reason) if reason.is_temporary() => wait(&reason),
                 result => {
                     self.failed = result.is_err();
                     return result;
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Performs a write. After [`DiskError::Full`] it can be tried again.
+    /// Performs a write. After a temporary error it can be tried again.
     fn write(&mut self, write: &DiskWrite) -> Result<(), DiskError> {
         if self.active.is_none() {
             self.start_segment()?;
--- a/crates/replica/src/disk/active_segment.rs
+++ b/crates/replica/src/disk/active_segment.rs
@@ -36,12 +36,12 @@
         self.len
     }
 
-    /// Appends a frame and syncs it. After [`DiskError::Full`] it can be tried again.
+    /// Appends a frame and syncs it. After a temporary error it can be tried again.
     pub(super) fn append(&mut self, files: &mut Files, frame: &[u8]) -> Result<(), DiskError> {
         self.cut_torn_tail(files)?;
         self.torn = true;
         let appended = files.append(&mut self.f, &self.path, frame);
-        if appended == Err(DiskError::Full) {
+        if appended.as_ref().is_err_and(DiskError::is_temporary) {
             self.cut_torn_tail(files)?;
         }
         appended?;
--- a/crates/replica/src/disk/error.rs
+++ b/crates/replica/src/disk/error.rs
@@ -8,6 +8,8 @@
 pub enum DiskError {
     /// The disk has no space, or a quota or a limit on the length of files is exceeded.
     Full,
+    /// The process or the VM has no descriptor left to open a file.
+    TooManyFiles,
     /// The data is too long for a frame.
     TooLong,
     /// Reading, writing or syncing failed.
@@ -35,10 +37,19 @@
     Stopped,
 }
 
+impl DiskError {
+    /// Returns whether the operation was undone and can be tried again later.
+    #[must_use]
+    pub fn is_temporary(&self) -> bool {
+        matches!(self, Self::Full | Self::TooManyFiles)
+    }
+}
+
 impl fmt::Display for DiskError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Full => write!(f, "disk full or quota exceeded"),
+            Self::TooManyFiles => write!(f, "too many open files"),
             Self::TooLong => write!(f, "data too long for one frame"),
             Self::Io { path, kind } => write!(f, "I/O error on {path}: {kind}"),
             Self::Locked { path } => write!(f, "{path} is locked by another process"),
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -188,6 +188,12 @@
 
 /// Converts an I/O error into a [`DiskError`].
 pub(super) fn io_error(path: &Path, error: &io::Error) -> DiskError {
+    if matches!(
+        Errno::from_io_error(error),
+        Some(Errno::MFILE | Errno::NFILE)
+    ) {
+        return DiskError::TooManyFiles;
+    }
     match error.kind() {
         ErrorKind::StorageFull | ErrorKind::QuotaExceeded | ErrorKind::FileTooLarge => {
             DiskError::Full
--- a/crates/replica/tests/disk.rs
+++ b/crates/replica/tests/disk.rs
@@ -47,8 +47,8 @@
     }
 }
 
-fn disk_is_full() {
-    panic!("the disk is full");
+fn disk_is_full(reason: &DiskError) {
+    panic!("{reason}");
 }
 
 fn open(folder: &Path) -> (Disk, Recovered) {
@@ -370,7 +370,7 @@
         id: 1,
         write: write.clone(),
     };
-    let done = disk.perform(op, || {
+    let done = disk.perform(op, |_| {
         waits += 1;
         if waits == 3 {
             fs::remove_file(&path).unwrap();
--- a/crates/replica/tests/disk_faults.rs
+++ b/crates/replica/tests/disk_faults.rs
@@ -118,7 +118,7 @@
         let mut waits = 0;
         let space_after = self.rng.random_range(1..6);
         let faults = self.faults.clone();
-        let done = self.disk.perform_batch(ops.clone(), || {
+        let done = self.disk.perform_batch(ops.clone(), |_| {
             waits += 1;
             faults.lock().unwrap().full &= waits < space_after;
         });
