Pass on nothing that is read behind a connection's last response

Cause: whether a connection closes after a response is decided when the response begins. While a long one was being written during a stop, the reading half went on to read a further request and passed it on; the connection was then closed, and the request cut off without a response.

Change: the writing half tells the reading half that it writes the last response, and what is read after that is not passed on. The same holds for responses that end with their connection.

Ruled out: keeping the connection open for the further request; the response has already stated that the connection closes.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -11,7 +11,7 @@
 use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -74,12 +74,12 @@
     }
     let (mut read, write) = stream.into_split();
     let (tx, rx) = mpsc::channel(MAX_PIPELINED);
-    let pending_responses = AtomicUsize::new(0);
+    let state = ConnectionState::default();
     let mut reader = Reader {
         daemon,
         read: &mut read,
         buf: BytesMut::new(),
-        pending_responses: &pending_responses,
+        state: &state,
         tx: Some(tx),
         has_received_request: false,
     };
@@ -89,7 +89,7 @@
             ReadEnd::NoMoreRequests => reader.wait_for_disconnect().await,
         }
     };
-    let writing = write_responses(daemon, write, rx, &pending_responses);
+    let writing = write_responses(daemon, write, rx, &state);
     let written = tokio::select! {
         () = reading => return,
         written = writing => written,
@@ -107,11 +107,30 @@
     while read.read(&mut buf).await.is_ok_and(|n| n > 0) {}
 }
 
+/// What the two halves of a connection know of each other.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    /// Number of requests whose responses are not written yet.
+    pending_responses: AtomicUsize,
+    /// Whether the connection closes after the response that is being written.
+    writes_last_response: AtomicBool,
+}
+
+impl ConnectionState {
+    fn has_pending_responses(&self) -> bool {
+        self.pending_responses.load(Ordering::Acquire) > 0
+    }
+
+    fn writes_last_response(&self) -> bool {
+        self.writes_last_response.load(Ordering::Acquire)
+    }
+}
+
 struct Reader<'a> {
     daemon: &'a Arc<Daemon>,
     read: &'a mut OwnedReadHalf,
     buf: BytesMut,
-    pending_responses: &'a AtomicUsize,
+    state: &'a ConnectionState,
     tx: Option<mpsc::Sender<QueuedWrite>>,
     /// Whether a request was received on this connection.
     has_received_request: bool,
@@ -132,6 +151,9 @@
                     return ReadEnd::NoMoreRequests;
                 }
             };
+            if self.state.writes_last_response() {
+                return ReadEnd::NoMoreRequests;
+            }
             self.has_received_request = true;
             let keep_alive = head.keep_alive;
             let framing = head.framing;
@@ -174,8 +196,8 @@
             false => self.daemon.header_timeout(),
         };
         loop {
-            let pending_responses = self.pending_responses.load(Ordering::Acquire);
-            let idle = self.has_received_request && self.buf.is_empty() && pending_responses == 0;
+            let is_pending = self.state.has_pending_responses();
+            let idle = self.has_received_request && self.buf.is_empty() && !is_pending;
             let stopping = self.daemon.wait_until_closing();
             tokio::select! {
                 biased;
@@ -185,7 +207,7 @@
                 read = timeout(limit, fill(self.read, &mut self.buf)) => match read {
                     Ok(read) => return read.is_ok_and(|n| n > 0),
                     // A pending response keeps the connection open.
-                    Err(_) if self.buf.is_empty() && self.pending_responses.load(Ordering::Acquire) > 0 => {}
+                    Err(_) if self.buf.is_empty() && self.state.has_pending_responses() => {}
                     Err(_) => return false,
                 },
                 () = stopping, if idle => return false,
@@ -213,7 +235,7 @@
             method,
             reads_chunks,
         };
-        self.pending_responses.fetch_add(1, Ordering::AcqRel);
+        self.state.pending_responses.fetch_add(1, Ordering::AcqRel);
         let tx = self.tx.as_ref()?;
         if expects_continue {
             tx.send(QueuedWrite::Continue).await.ok()?;
@@ -287,7 +309,7 @@
     daemon: &Arc<Daemon>,
     mut write: OwnedWriteHalf,
     mut rx: mpsc::Receiver<QueuedWrite>,
-    pending_responses: &AtomicUsize,
+    state: &ConnectionState,
 ) -> io::Result<OwnedWriteHalf> {
     let mut buf = BytesMut::new();
     while let Some(next) = rx.recv().await {
@@ -303,6 +325,7 @@
         let until_close = !queued.reads_chunks && response.has_unknown_length();
         let close =
             !queued.keep_alive || until_close || daemon.is_closing_connections() && rx.is_empty();
+        state.writes_last_response.store(close, Ordering::Release);
         let keep_alive_s = (!close).then(|| daemon.idle_timeout().as_secs());
         let unknown_length = match queued.reads_chunks {
             true => Framing::Chunked,
@@ -321,7 +344,7 @@
             }
             return Err(err);
         }
-        pending_responses.fetch_sub(1, Ordering::AcqRel);
+        state.pending_responses.fetch_sub(1, Ordering::AcqRel);
         if close {
             return Ok(write);
         }
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -224,3 +224,41 @@
     }
     answered
 }
+
+/// Length of a response that the buffers of sockets do not hold.
+const LONG_BYTES: usize = 30_000_000;
+
+fn request_head(path: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: h\r\nplumhitch-customer: tc-utrecht\r\n\
+         plumhitch-service: booking\r\nplumhitch-class: page\r\n\r\n"
+    )
+}
+
+/// Guards against a request that is read behind the last response of a connection while this
+/// is being written, passed on and cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_passes_nothing_on_behind_the_last_response() {
+    let mut pair = Pair::start("[stop]\nlinger = 3 s\n", "[gate]\ncold-slots = 4\n").await;
+    let started = || pair.upstream_stats.started.load(Ordering::SeqCst);
+    let before = started();
+    pair.entry.signal("TERM");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut stream = tokio::net::TcpStream::connect(pair.entry.callers)
+        .await
+        .unwrap();
+    let long = request_head(&format!("/big?len={LONG_BYTES}&content_length=true"));
+    stream.write_all(long.as_bytes()).await.unwrap();
+    // Until the response is stuck in the buffers of the sockets.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    stream
+        .write_all(request_head("/ready").as_bytes())
+        .await
+        .unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received).await;
+    assert!(received.len() > LONG_BYTES, "{}", received.len());
+    assert_eq!(started() - before, 1, "passed on");
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+}
