--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -150,6 +150,9 @@
                     return ReadEnd::NoMoreRequests;
                 }
             };
+            if self.unanswered.writes_last_response() {
+                return ReadEnd::NoMoreRequests;
+            }
             self.has_received_request = true;
             let keep_alive = head.keep_alive;
             let framing = head.framing;
@@ -344,6 +347,9 @@
         let until_close = !queued.reads_chunks && response.has_unknown_length();
         let is_last = rx.is_empty() && (rx.is_closed() || daemon.is_closing_connections());
         let close = !queued.keep_alive || until_close || is_last;
+        if close {
+            unanswered.begin_last_response();
+        }
         let keep_alive_s = (!close).then(|| daemon.idle_timeout().as_secs());
         let unknown_length = match queued.reads_chunks {
             true => Framing::Chunked,
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -121,7 +121,7 @@
             return;
         }
         log::warn!(
-            "event=request_cut id={} attempt_id={} class={:?} outcome={} run={} attempts={} \
+            "event=stop_cut_request id={} attempt_id={} class={:?} outcome={} run={} attempts={} \
              upstream={} took_us={}",
             self.id,
             self.attempt_id,
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -3,6 +3,7 @@
 use crate::runtime::{Daemon, lock};
 use compact_str::CompactString;
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
@@ -44,11 +45,12 @@
 }
 
 /// The callers' ids of the attempts that were read and have no complete response yet,
-/// in the order of the requests.
+/// in the order of the requests, and whether the connection takes no more.
 #[derive(Debug, Default)]
 pub(super) struct Unanswered {
     attempt_ids: Mutex<VecDeque<CompactString>>,
     all_answered: Notify,
+    writes_last_response: AtomicBool,
 }
 
 impl Unanswered {
@@ -72,6 +74,16 @@
         self.all_answered.notified().await;
     }
 
+    /// Records that the connection closes after the response that is written now.
+    pub(super) fn begin_last_response(&self) {
+        self.writes_last_response.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the connection closes after the response that is written now.
+    pub(super) fn writes_last_response(&self) -> bool {
+        self.writes_last_response.load(Ordering::Acquire)
+    }
+
     /// Returns whether every request has its response.
     pub(super) fn is_empty(&self) -> bool {
         lock(&self.attempt_ids).is_empty()
