Send the rest of an upload whose gate was silent for a moment

A caller that was sending a long body got 502 at the end, or nothing until its deadline, when the process beside the instance did not respond for 0.75 s, though it went on right after. The instance waited for bytes that never came.

Cause: a connection whose peer does not respond took no more body frames, and dropped those that were queued, so that a request reported as not run is never completed there. That also hit the requests that were not reported: an upload that may have run stays open and is sent nowhere else.

Frames are now dropped by what they belong to: a frame that opens a request or carries its body is left out when it is about to be written and its stream has been closed. This is decided under the lock under which a stream is reported as not run; before, an Open frame that was taken from the queue at that very moment was still written (found by reading, not seen in a run).

Test: path, upload_that_a_gate_froze_during_is_completed, 60 pieces of 64 KiB over 3.6 s, gate stopped for 1.5 s: 502 after 12 s on the code before, 200 with the whole body now. In one of two runs of all of path with this change alone, upload_beside_a_running_request_never_runs_after_it_was_refused got 502 for 503; not traced. 18 runs of it alone passed.

--- a/crates/plumhitchd/src/links.rs
+++ b/crates/plumhitchd/src/links.rs
@@ -26,6 +26,8 @@
 use std::time::Duration;
 use wire::LinkKind;
 
+/// Id shared by all connections that this daemon dialled.
+const DIALLED: LinkId = 0;
 /// Time without frames and streams after which a dialled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum time to establish a connection.
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -5,7 +5,7 @@
 use super::retry::dial_with_retries;
 use super::socket::configure;
 use super::{
-    DATA_DIAL_TIMEOUT, DIAL_ATTEMPT_TIMEOUT, DIAL_TIMEOUT, IDLE_TIMEOUT, LIVENESS_INTERVAL,
+    DATA_DIAL_TIMEOUT, DIAL_ATTEMPT_TIMEOUT, DIAL_TIMEOUT, DIALLED, IDLE_TIMEOUT, LIVENESS_INTERVAL,
 };
 use crate::runtime::{Daemon, lock};
 use compact_str::CompactString;
@@ -19,8 +19,6 @@
 
 /// Maximum time for which replies are awaited from a peer that does not respond.
 const MAX_SILENCE: Duration = Duration::from_secs(10);
-/// Id shared by all connections that this daemon dialled.
-const DIALLED: node::LinkId = 0;
 
 type Key = (CompactString, LinkKind);
 
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -1,5 +1,6 @@
 //! Handle to one connection to another daemon.
 
+use super::DIALLED;
 use super::stream::{SendProgress, StreamHandle, Streams};
 use crate::clock;
 use crate::runtime::lock;
@@ -32,14 +33,6 @@
     /// Time of the latest bytes in either direction.
     used_at: Duration,
     closed: bool,
-    /// Whether the peer does not respond, so that only replies are awaited.
-    retired: bool,
-}
-
-/// Returns whether a frame may be sent to a peer that does not respond: it neither begins
-/// nor completes a request, which may run elsewhere by then.
-fn may_follow_silence(body: &Body) -> bool {
-    matches!(body, Body::Cancel(_) | Body::Credit(_))
 }
 
 impl Link {
@@ -51,7 +44,6 @@
             liveness: Liveness::new(now),
             used_at: now,
             closed: false,
-            retired: false,
         };
         Arc::new(Self {
             id,
@@ -71,7 +63,7 @@
     /// Queues a frame; it is dropped if the connection is closed.
     pub(crate) fn send(&self, body: Body) {
         let mut state = lock(&self.state);
-        if state.closed || state.retired && !may_follow_silence(&body) {
+        if state.closed {
             return;
         }
         state.queue.push(clock::now(), body);
@@ -101,23 +93,36 @@
 
     /// Returns the next frame to write and records in its stream that it is about to
     /// be written. Returns `None` if no frame is queued.
+    ///
+    /// Frames of a request whose stream was closed meanwhile are dropped: it may have been
+    /// reported as not run, and would run if they arrived.
     pub(super) fn next_frame(&self) -> Option<Body> {
-        let body = lock(&self.state).queue.pop(clock::now())?;
-        match &body {
+        loop {
+            let body = lock(&self.state).queue.pop(clock::now())?;
+            if self.id != DIALLED || self.record_written(&body) {
+                return Some(body);
+            }
+        }
+    }
+
+    /// Records how much of a request is written once a frame is. Returns false if the
+    /// frame carries a part of a request whose stream is closed.
+    fn record_written(&self, body: &Body) -> bool {
+        match body {
             Body::Open(open) => {
                 let progress = match open.hold_body {
                     true => SendProgress::Incomplete,
                     false => SendProgress::MayRun,
                 };
-                self.streams.record_written(open.stream, progress);
+                self.streams.record_written(open.stream, progress)
             }
             Body::Data(data) if data.end => {
-                self.streams
-                    .record_written(data.stream, SendProgress::MayRun);
+                let progress = SendProgress::MayRun;
+                self.streams.record_written(data.stream, progress)
             }
-            _ => {}
+            Body::Data(data) => self.streams.contains(data.stream),
+            _ => true,
         }
-        Some(body)
     }
 
     /// Waits until a frame is queued.
@@ -192,13 +197,9 @@
         self.failed.notified().await;
     }
 
-    /// Drops what is queued and notifies the streams that the peer does not respond.
-    /// Returns whether any stays open. What is reported as not run is not sent later.
+    /// Notifies the streams that the peer does not respond. Returns whether any stays open:
+    /// those whose request may have run, the rest of which is still sent.
     pub(super) fn report_silence(&self) -> bool {
-        let mut state = lock(&self.state);
-        state.retired = true;
-        state.queue = SendQueue::default();
-        drop(state);
         self.streams.report_silence(self.peer_holds_bodies())
     }
 
--- a/crates/plumhitchd/src/links/stream.rs
+++ b/crates/plumhitchd/src/links/stream.rs
@@ -91,11 +91,20 @@
         lock(&self.table).handles.remove(&id);
     }
 
-    /// Records how much of a request is about to be written.
-    pub(crate) fn record_written(&self, id: StreamId, progress: SendProgress) {
-        if let Some(handle) = lock(&self.table).handles.get_mut(&id) {
-            handle.progress = progress;
-        }
+    /// Records how much of a request is about to be written. Returns whether its stream is
+    /// open.
+    pub(crate) fn record_written(&self, id: StreamId, progress: SendProgress) -> bool {
+        let mut table = lock(&self.table);
+        let Some(handle) = table.handles.get_mut(&id) else {
+            return false;
+        };
+        handle.progress = progress;
+        true
+    }
+
+    /// Returns whether a stream is open.
+    pub(crate) fn contains(&self, id: StreamId) -> bool {
+        lock(&self.table).handles.contains_key(&id)
     }
 
     /// Passes a frame to its stream's task; frames of unknown streams are dropped.
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -281,6 +281,34 @@
     assert_eq!(runs, 1);
 }
 
+/// Guards against an upload whose rest is dropped because its gate was silent for a moment:
+/// its upstream waits for it in vain.
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_that_a_gate_froze_during_is_completed() {
+    let pair = Pair::start("", "").await;
+    let (pieces, piece) = (60, Bytes::from(vec![7; 64 * 1024]));
+    let expected = format!("{} ", pieces * piece.len());
+    let body = stream::iter(0..pieces).then(move |_| {
+        let piece = piece.clone();
+        async {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            Ok::<_, std::io::Error>(piece)
+        }
+    });
+    let body = reqwest::Body::wrap_stream(body);
+    let call = tokio::spawn(pair.request("POST", "/echo").body(body).send());
+    wait_until("the upstream reads the body", async || {
+        pair.upstream_stats.body_bytes_read.load(Ordering::SeqCst) > 0
+    })
+    .await;
+    pair.gate.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    pair.gate.signal("CONT");
+    let response = call.await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+    assert!(response.text().await.unwrap().starts_with(&expected));
+}
+
 /// Guards against an upload that was reported as not run and is completed at the gate
 /// later, because its connection stays open for another request that runs there.
 #[tokio::test(flavor = "multi_thread")]
