Let the upstream that answers at an address hold it

Cause: one entry of another writer, under another id with the address and start time of the sound upstream, had a higher number and was accepted. Numbers of announcements were compared whatever upstream they were of, so that those of the sound one were refused for good. A later start always won too, so that a writer that went on kept the sound upstream out.

Change: numbers and starts are compared between announcements of one id only. Between ids, the upstream that answers a health request under its own id, sent since the other one took the address, takes it with its next announcement. One that has answered within 5 s loses it only to a start after that answer, or once a connection is refused. Without answers a later start counts, and any once the holder has been silent for 5 s. The gate remembers what upstreams that held the address announced and stated, so that late announcements and those after a deregistration count no more than before. A displaced upstream can leave.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -4,6 +4,7 @@
 //! refused. Requests that may crash the upstream run exclusively, with no other
 //! request beside them.
 
+mod address;
 mod announcements;
 mod breaks;
 mod check;
@@ -28,6 +29,7 @@
 use crate::agent::Agent;
 use crate::context::Cx;
 use crate::effect::LogLine;
+use address::Address;
 use breaks::Breaks;
 use check::customer_share;
 use completions::{Completions, is_completion};
@@ -76,6 +78,7 @@
     unconfirmed_reported_at: Option<Duration>,
     /// Time of the latest announcement.
     announced_at: Duration,
+    address: Address,
     was_out: bool,
     stopping: bool,
 }
@@ -117,6 +120,7 @@
             last_break_at: None,
             unconfirmed_reported_at: None,
             announced_at: Duration::ZERO,
+            address: Address::default(),
             was_out: false,
             stopping: false,
         }
@@ -148,7 +152,11 @@
                 self.gate.record_report(cx.now, report);
                 self.notify_entries(cx);
             }
-            Event::ConnectionRefused => self.connection_refused(cx),
+            Event::Answered { target, sent_at } => self.address.record_answer(target, sent_at),
+            Event::ConnectionRefused => {
+                self.address.record_refusal();
+                self.connection_refused(cx);
+            }
         }
         self.run_waiting(cx);
         self.run_exclusive(cx);
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -64,6 +64,13 @@
     Announced(Announcement),
     /// A load report of the upstream was read.
     Reported(LoadReport),
+    /// A response to a health request names the upstream that answers at the address.
+    Answered {
+        /// Its id.
+        target: String,
+        /// When the request was sent.
+        sent_at: Duration,
+    },
     /// The upstream refused a connection for a load report.
     ConnectionRefused,
 }
--- a/crates/node/src/admission/statements.rs
+++ b/crates/node/src/admission/statements.rs
@@ -123,7 +123,7 @@
         may_send
     }
 
-    fn on_statement_changed(&mut self, source: &'static str, cx: &mut Cx<'_>) {
+    pub(super) fn on_statement_changed(&mut self, source: &'static str, cx: &mut Cx<'_>) {
         let Statement {
             rate_milli,
             leaving,
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -2,6 +2,7 @@
 
 use super::exchange::{self, Echo, ExchangeError, UpstreamRequest};
 use super::statement;
+use crate::clock;
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use gate::LoadReport;
@@ -50,16 +51,19 @@
 }
 
 /// Returns the path of the report from the settings, or else the health path
-/// from the routing of the service that the upstream announced.
+/// from the routing of the service that the upstream announced, or that one before it did.
 fn report_path(daemon: &Daemon) -> Option<String> {
     let configured = daemon.cfg.upstream.as_ref()?.load_path.clone();
     if configured.is_some() {
         return configured;
     }
     daemon.read(|node| {
-        let service = &node.admission.announced()?.service;
-        let rules = node.agent.config.routing.service(service)?;
-        Some(rules.health_path.clone()).filter(|path| path.starts_with('/'))
+        let routing = &node.agent.config.routing;
+        let mut services = node.admission.services_at_address();
+        services.find_map(|service| {
+            let path = routing.service(service)?.health_path.clone();
+            Some(path).filter(|path| path.starts_with('/'))
+        })
     })
 }
 
@@ -78,9 +82,15 @@
         body_start: Bytes::new(),
         echo,
     };
+    let sent_at = clock::now();
     let sent = exchange::send(daemon.clone(), request, None).await;
     let mut response = sent.inspect_err(|err| handle_failure(daemon, err)).ok()?;
-    if !is_announced(daemon, &response.headers) {
+    let target = stated_target(daemon, &response.headers);
+    if let Some(target) = target.clone() {
+        let answered = admission::Event::Answered { target, sent_at };
+        daemon.handle_event(Event::Admission(answered));
+    }
+    if !is_announced(daemon, target.as_deref()) {
         log::info!("event=report_ignored reason=\"another upstream has the address\"");
         return None;
     }
@@ -101,16 +111,18 @@
     })
 }
 
+/// Returns the id of the upstream that a health response states.
+fn stated_target(daemon: &Daemon, headers: &HeaderMap) -> Option<String> {
+    let name = daemon.integration.headers.upstream_id.as_ref()?;
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
 /// Returns whether a health response is of the upstream that is announced, as far as it
 /// says so: the address may be used by another one since.
-fn is_announced(daemon: &Daemon, headers: &HeaderMap) -> bool {
-    let name = daemon.integration.headers.upstream_id.as_ref();
-    let Some(stated) = name.and_then(|name| headers.get(name)) else {
-        return true;
-    };
+fn is_announced(daemon: &Daemon, target: Option<&str>) -> bool {
     daemon.read(|node| {
         let announced = node.admission.announced();
-        announced.is_none_or(|a| a.target.as_bytes() == stated.as_bytes())
+        announced.is_none_or(|a| target.is_none_or(|target| a.target == target))
     })
 }
 
--- a/crates/plumhitchd/src/handle.rs
+++ b/crates/plumhitchd/src/handle.rs
@@ -83,6 +83,17 @@
         tokio::time::timeout(limit, reported).await.is_ok()
     }
 
+    /// Returns the latest announcement of an upstream that holds or held the address beside
+    /// the daemon, or else that of the upstream which holds it.
+    #[must_use]
+    pub fn announced_by(&self, target: &str) -> Option<Announcement> {
+        self.daemon.read(|node| {
+            let admission = &node.admission;
+            let announced = admission.announced_by(target);
+            announced.or(admission.announced()).cloned()
+        })
+    }
+
     /// Returns the latest announcement of the upstream beside the daemon.
     #[must_use]
     pub fn announced(&self) -> Option<Announcement> {
