Remember starts that another one at their address displaced at control

Cause: the registry kept the newest announcement of one start for each daemon. One entry of another writer replaced it, so that what a start had announced before, that it drains or has deregistered, was forgotten, and a late announcement of it counted as new. The daemon was no longer told of the deregistration either.

It keeps nothing over its restart.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -1,11 +1,11 @@
 //! The control leader's registry of the daemons and upstreams in the fleet.
 
-mod reported_start;
+mod reported_starts;
 mod service;
 
 use crate::checksums::{bucket_of, checksums};
 use crate::homes::{Candidate, Homes};
-use reported_start::ReportedStart;
+use reported_starts::ReportedStarts;
 use service::{FIRST_VERSION, ServiceLog};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -35,8 +35,8 @@
     runs_replica: bool,
     service: Option<ServiceId>,
     info: UpstreamInfo,
-    /// Newest announcement of the upstream that was reported.
-    newest: Option<ReportedStart>,
+    /// Announcements that were reported.
+    reported: ReportedStarts,
     /// When the upstream started, as far as known: when the daemon did, or when another
     /// start of the upstream was first reported.
     upstream_started: Duration,
@@ -270,11 +270,11 @@
             && registration.is_some_and(|r| r.superseded.is_empty())
     }
 
-    /// Returns the boot of the upstream beside a daemon if that start has deregistered.
+    /// Returns the boot of the start beside a daemon that has deregistered, the one that was
+    /// reported last, if any is remembered.
     #[must_use]
     pub fn deregistered_boot(&self, daemon: &str) -> Option<&str> {
-        let newest = self.daemons.get(daemon)?.newest.as_ref()?;
-        newest.deregistered.then_some(newest.boot.as_str())
+        self.daemons.get(daemon)?.reported.deregistered_boot()
     }
 
     /// Returns the number of registered daemons.
@@ -422,15 +422,14 @@
     }
     let upstream = heartbeat.upstream.as_ref();
     // A daemon that has started again may be reached by a delayed announcement first.
-    let newest = match (old.and_then(|o| o.newest.clone()), upstream) {
-        (Some(known), Some(upstream)) => Some(known.newer(upstream)),
-        (known, None) => known,
-        (None, Some(upstream)) => Some(ReportedStart::new(upstream)),
-    };
+    let mut reported = old.map_or_else(ReportedStarts::default, |o| o.reported.clone());
+    if let Some(upstream) = upstream {
+        reported.record(upstream);
+    }
     let same_start = old.filter(|o| o.incarnation == heartbeat.incarnation);
     let age = Duration::from_millis(heartbeat.age_ms);
     let started = same_start.map_or(now.saturating_sub(age), |o| o.started);
-    let boot = |r: &Registration| r.newest.as_ref().map(|n| n.boot.clone());
+    let boot = |r: &Registration| r.reported.newest().map(|n| n.boot.clone());
     let upstream_started = match (same_start, upstream) {
         (Some(old), Some(upstream)) if boot(old).as_ref() == Some(&upstream.boot) => {
             old.upstream_started
@@ -454,9 +453,9 @@
             address: heartbeat.address.clone(),
             data_centre: heartbeat.data_centre.clone(),
             slots: upstream.map_or(0, |u| u.slots),
-            leaving: upstream.is_some() && newest.as_ref().is_some_and(|n| n.leaving),
+            leaving: upstream.is_some() && reported.newest().is_some_and(|n| n.leaving),
             version: upstream.map(|u| u.version.clone()).unwrap_or_default(),
         },
-        newest,
+        reported,
     })
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -440,6 +440,30 @@
     assert!(!is_leaving(&registry), "another start counts");
 }
 
+/// Guards against an upstream that has left and is brought back by a delayed announcement,
+/// because another one at its address was reported in between.
+#[test_case(true, 8; "deregistered")]
+#[test_case(false, 6; "draining")]
+fn upstream_that_has_left_is_not_brought_back_after_another_one(deregistered: bool, late: u64) {
+    let announced = |sequence, boot: &str, number, leaving| {
+        let mut heartbeat = heartbeat("a", 1, sequence, 6);
+        let upstream = heartbeat.upstream.as_mut().unwrap();
+        upstream.boot = boot.to_owned();
+        upstream.incarnation = 1;
+        upstream.sequence = number;
+        upstream.leaving = leaving;
+        upstream.deregistered = leaving && deregistered;
+        heartbeat
+    };
+    let mut registry = Registry::new(1, LEASE, secs(0));
+    registry.handle_heartbeat(secs(1), &announced(1, "b1", 7, true));
+    registry.handle_heartbeat(secs(2), &announced(2, "other", 1, false));
+    let known = deregistered.then_some("b1");
+    assert_eq!(registry.deregistered_boot("a"), known);
+    registry.handle_heartbeat(secs(3), &announced(3, "b1", late, false));
+    assert!(registry.services()[0].upstreams[0].leaving);
+}
+
 /// Guards against an upstream that counts as cold again with each heartbeat, or not at all
 /// after it has started anew beside a running daemon.
 #[test]
