Let a replica take part once its data folder can be opened

Cause: a daemon that started while its disk had no space to create the folder or its lock, or while it had no descriptor left, marked its replica as faulty until its process restarted. Such starts on two of three machines, also one after the other, leave changes refused to the end although all processes run.

Change: after a temporary error the disk thread tries to open the folder again, and a new event hands the recovered replica to the control role, which replaces the faulty one; the seeds of a reload in between are kept. Waiting in the start itself was ruled out: the daemon's other roles would not serve meanwhile.

Proof: node/tests/control_disks replica_takes_part_once_its_folder_can_be_opened, red with the event ignored (left: Faulty, right: Follower). A real disk without space for a new file was not tried: that needs a file system of its own.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -30,7 +30,7 @@
 use held_heartbeats::{HeldHeartbeat, HeldHeartbeats};
 use leadership::Leadership;
 use reads::{PendingRead, Reads};
-use replica::{DiskDone, Input, Replica};
+use replica::{DiskDone, Input, Replica, Role};
 use rollouts::Rollouts;
 use state_machine::StateMachine;
 use std::net::SocketAddr;
@@ -138,6 +138,18 @@
         self.held.link_closed(link);
     }
 
+    /// Replaces a replica whose data folder could not be opened. It has neither led nor
+    /// applied anything.
+    pub fn replace_replica(&mut self, now: Duration, mut replica: Replica, tx: &mut Vec<Effect>) {
+        if self.replica.role() == Role::Faulty {
+            // The settings may have been reloaded since the start.
+            let configured = self.replica.configured_replicas().to_vec();
+            replica.set_configured_replicas(configured);
+            self.replica = replica;
+            self.drive(now, Input::Tick, tx);
+        }
+    }
+
     /// Handles a completed disk operation.
     pub fn disk_done(&mut self, now: Duration, done: DiskDone, tx: &mut Vec<Effect>) {
         self.drive(now, Input::DiskDone(done), tx);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -56,6 +56,9 @@
     },
     /// An operator initialises a new cluster with this daemon's empty replica.
     Initialise,
+    /// The data folder of a control replica could be opened after all. The replica with
+    /// the recovered state replaces the faulty one.
+    ReplicaRecovered(replica::Replica),
     /// A disk operation of the control replica completed.
     DiskDone(replica::DiskDone),
     /// The settings were reloaded and list these control replicas.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -99,6 +99,11 @@
                 control.initialise(now, tx);
             }
         }
+        Event::ReplicaRecovered(replica) => {
+            if let Some(control) = &mut node.control {
+                control.replace_replica(now, replica, tx);
+            }
+        }
         Event::DiskDone(done) => {
             if let Some(control) = &mut node.control {
                 control.disk_done(now, done, tx);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use node::{Effect, Event, LinkId, LogLine, Node, NodeOptions, admission, entry, step};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use replica::{MemoryDisk, Replica, ReplicaOptions};
+use replica::{DiskError, MemoryDisk, Replica, ReplicaOptions};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -63,11 +63,12 @@
     kind: LinkKind,
 }
 
-/// Returns the seeds of a longer run: as many as `SHUFFLE_SEEDS` states, or `default`.
+/// Returns the seeds of a longer run: as many as `SHUFFLE_SEEDS` states, or `default`,
+/// from `SHUFFLE_FIRST` or `first` on.
 pub fn shuffle_seeds(first: u64, default: u64) -> std::ops::Range<u64> {
-    let seeds = std::env::var("SHUFFLE_SEEDS").ok();
-    let seeds = seeds.and_then(|s| s.parse().ok()).unwrap_or(default);
-    first..first + seeds
+    let variable = |name| std::env::var(name).ok().and_then(|s| s.parse().ok());
+    let first = variable("SHUFFLE_FIRST").unwrap_or(first);
+    first..first + variable("SHUFFLE_SEEDS").unwrap_or(default)
 }
 
 /// A few daemons, the links between them and one clock.
@@ -161,6 +162,21 @@
         }));
     }
 
+    /// Starts a control daemon whose data folder cannot be opened yet.
+    pub fn start_without_space(&mut self, i: usize) {
+        let stored = std::mem::take(&mut self.daemons[i].disk);
+        self.daemons[i].disk = MemoryDisk::unusable(DiskError::Full);
+        self.start(i);
+        self.daemons[i].disk = stored;
+    }
+
+    /// Lets the data folder of such a daemon be opened.
+    pub fn open_disk(&mut self, i: usize) {
+        let seed = self.rng.random();
+        let replica = replica(&self.daemons[i], seed, self.now);
+        self.event(i, Event::ReplicaRecovered(replica));
+    }
+
     /// Kills a daemon. Its connections break; frames that it has sent arrive.
     pub fn kill(&mut self, i: usize) {
         let d = &mut self.daemons[i];
--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -4,6 +4,7 @@
 use crate::runtime::Daemon;
 use conf::Settings;
 use node::Event;
+use replica::disk::Disk;
 use replica::{DiskError, DiskOp, Recovered, Replica, ReplicaOptions};
 use std::io;
 use std::path::Path;
@@ -23,15 +24,15 @@
 
 /// Opens the data folder. If that fails, the replica is marked faulty and the
 /// daemon's other roles keep working.
-pub(crate) fn open(path: &Path) -> (Option<replica::disk::Disk>, Recovered) {
-    match replica::disk::Disk::open(path) {
-        Ok((disk, recovered)) => (Some(disk), recovered),
+pub(crate) fn open(path: &Path) -> (Result<Disk, DiskError>, Recovered) {
+    match Disk::open(path) {
+        Ok((disk, recovered)) => (Ok(disk), recovered),
         Err(err) => {
             log::error!(
                 "event=data_folder_unusable path={} reason=\"{err}\"",
                 path.display()
             );
-            (None, Recovered::faulty(err))
+            (Err(err.clone()), Recovered::faulty(err))
         }
     }
 }
@@ -52,14 +53,15 @@
     Replica::new(options, recovered, clock::now())
 }
 
-/// Starts the disk thread. Operations that queue up meanwhile share one sync.
+/// Starts the disk thread. It opens the data folder if a temporary error has prevented
+/// that so far.
 ///
 /// # Errors
 ///
 /// Returns an error if the thread cannot be spawned.
 pub(crate) fn start(
     daemon: Arc<Daemon>,
-    mut disk: replica::disk::Disk,
+    opened: Result<Disk, DiskError>,
     rx: mpsc::Receiver<DiskOp>,
 ) -> io::Result<()> {
     // Effects of a completed operation may open connections, which needs the
@@ -67,24 +69,67 @@
     let runtime = Handle::current();
     let run = move || {
         let _guard = runtime.enter();
-        while let Ok(first) = rx.recv() {
-            let mut ops = vec![first];
-            ops.extend(rx.try_iter());
-            let mut full_since = None;
-            let done = disk.perform_batch(ops, |reason| wait_to_retry(reason, &mut full_since));
-            if let Some(since) = full_since {
-                let ms = clock::now().saturating_sub(since).as_millis();
-                log::info!("event=disk_writable full_ms={ms}");
-            }
-            for done in done {
-                daemon.handle_event(Event::DiskDone(done));
-            }
+        let disk = match opened {
+            Err(reason) if reason.is_temporary() => open_later(&daemon, &reason),
+            opened => opened.ok(),
+        };
+        if let Some(disk) = disk {
+            perform_ops(&daemon, disk, &rx);
         }
     };
     thread::Builder::new().name("disk".into()).spawn(run)?;
     Ok(())
 }
 
+/// Tries to open the data folder until there is no temporary error, and passes the
+/// recovered replica on.
+fn open_later(daemon: &Arc<Daemon>, reason: &DiskError) -> Option<Disk> {
+    let path = daemon.cfg.control.data_dir.as_deref()?;
+    let mut full_since = None;
+    wait_to_retry(reason, &mut full_since);
+    let opened = loop {
+        match Disk::open(path) {
+            Err(reason) if reason.is_temporary() => wait_to_retry(&reason, &mut full_since),
+            opened => break opened,
+        }
+    };
+    log_writable(full_since);
+    match opened {
+        Ok((disk, recovered)) => {
+            let replica = replica(&daemon.cfg, recovered);
+            daemon.handle_event(Event::ReplicaRecovered(replica));
+            Some(disk)
+        }
+        Err(err) => {
+            let path = path.display();
+            log::error!("event=data_folder_unusable path={path} reason=\"{err}\"");
+            None
+        }
+    }
+}
+
+/// Performs operations until the daemon ends. Those that queue up meanwhile share one
+/// sync.
+fn perform_ops(daemon: &Arc<Daemon>, mut disk: Disk, rx: &mpsc::Receiver<DiskOp>) {
+    while let Ok(first) = rx.recv() {
+        let mut ops = vec![first];
+        ops.extend(rx.try_iter());
+        let mut full_since = None;
+        let done = disk.perform_batch(ops, |reason| wait_to_retry(reason, &mut full_since));
+        log_writable(full_since);
+        for done in done {
+            daemon.handle_event(Event::DiskDone(done));
+        }
+    }
+}
+
+fn log_writable(full_since: Option<Duration>) {
+    if let Some(since) = full_since {
+        let ms = clock::now().saturating_sub(since).as_millis();
+        log::info!("event=disk_writable full_ms={ms}");
+    }
+}
+
 /// Waits before a disk operation is tried again after a temporary error.
 fn wait_to_retry(reason: &DiskError, full_since: &mut Option<Duration>) {
     if full_since.is_none() {
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -38,9 +38,7 @@
     let replica = disk::replica(&cfg, recovered);
     let (tx, rx) = mpsc::channel();
     let daemon = Daemon::new(cfg, integration, Some(replica), Some(tx))?;
-    if let Some(opened) = opened {
-        disk::start(daemon.clone(), opened, rx)?;
-    }
+    disk::start(daemon.clone(), opened, rx)?;
     Ok(daemon)
 }
 
--- a/crates/replica/src/memory_disk.rs
+++ b/crates/replica/src/memory_disk.rs
@@ -22,6 +22,15 @@
         Self::default()
     }
 
+    /// Creates a disk whose recovery reports an error.
+    #[must_use]
+    pub fn unusable(error: DiskError) -> Self {
+        Self {
+            synced: Recovered::faulty(error),
+            ..Self::default()
+        }
+    }
+
     /// Writes and syncs an operation. No other operation may be pending.
     pub fn perform(&mut self, op: DiskOp) -> DiskDone {
         let id = op.id;
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -111,6 +111,12 @@
         self.options.configured_replicas = addresses;
     }
 
+    /// Returns the addresses of the other configured replicas.
+    #[must_use]
+    pub fn configured_replicas(&self) -> &[String] {
+        &self.options.configured_replicas
+    }
+
     /// Returns the replica's role.
     #[must_use]
     pub fn role(&self) -> Role {
