Wait at the start for addresses that are in use

Cause: an address that the process before still held, or that the machine did not have yet, made main return an error: the process ended by itself with exit code 1. The address of the metrics, which is not required, was given up for good.

A stop ends the wait with exit code 0. The others are tried in the background until they are free.

Ruled out: to start without an address that is needed, since the daemon would then say that it is ready.

--- a/crates/plumhitchd/src/endpoints.rs
+++ b/crates/plumhitchd/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use crate::handle::Handle;
 use crate::integration::{ApiRequest, Endpoint};
+use crate::listeners;
 use crate::runtime::Daemon;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::header::CONTENT_TYPE;
@@ -11,6 +12,16 @@
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
+/// Serves an endpoint of the embedding program as soon as its address is available.
+pub(crate) async fn serve_when_available(daemon: Arc<Daemon>, endpoint: Endpoint) {
+    let address = endpoint.address;
+    let listener = listeners::listen(address, None).await;
+    let served = listener.and_then(|listener| serve(&daemon, endpoint, listener));
+    if let Err(err) = served {
+        log::error!("event=endpoint_unavailable address={address} reason=\"{err}\"");
+    }
+}
+
 /// Serves an endpoint of the embedding program on a listener.
 ///
 /// # Errors
--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -123,8 +123,8 @@
 pub struct Endpoint {
     /// Address to listen on.
     pub address: SocketAddr,
-    /// Whether the process exits if it cannot listen on the address; otherwise it
-    /// logs the reason and runs without this endpoint.
+    /// Whether the daemon starts only once it listens on the address, and exits if that
+    /// takes too long; otherwise it runs without this endpoint meanwhile.
     pub required: bool,
     /// Maximum length of a request body, in bytes.
     pub max_body_bytes: usize,
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -11,6 +11,7 @@
 mod http_headers;
 mod integration;
 mod links;
+mod listeners;
 mod logging;
 mod metrics;
 mod operators_http;
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -4,18 +4,29 @@
 use crate::operators_http::Token;
 use crate::runtime::{self, Daemon};
 use crate::signals::Signals;
-use crate::{disk, endpoints, entry_http, gate_http, links, operators_http, reload, stop};
+use crate::{
+    disk, endpoints, entry_http, gate_http, links, listeners, operators_http, reload, stop,
+};
 use conf::Settings;
 use std::io;
-use std::net::SocketAddr;
 use std::sync::{Arc, mpsc};
-use tokio::net::{TcpListener, TcpSocket};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 
 /// Threads that serve requests. Each transfer of a request between threads costs
 /// a wake-up, and one thread handles many times the request rate of one VM.
 const WORKER_THREADS: usize = 1;
-/// Maximum number of connections waiting to be accepted on a listener.
-const BACKLOG: u32 = 1024;
+/// Longest time to wait for the addresses that the daemon needs. The process before may be
+/// in its graceful stop.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Listeners that the daemon needs.
+struct Listeners {
+    peers: TcpListener,
+    operators: TcpListener,
+    endpoints: Vec<(Endpoint, TcpListener)>,
+    callers: Option<TcpListener>,
+}
 
 /// Runs a daemon until it is stopped.
 ///
@@ -45,60 +56,61 @@
     Ok(daemon)
 }
 
-/// Listens on an address. Accepted connections inherit `TCP_NODELAY` from the
-/// listener.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address.is_ipv4() {
-        true => TcpSocket::new_v4()?,
-        false => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    let with_address =
-        |err: io::Error| io::Error::new(err.kind(), format!("cannot listen on {address}: {err}"));
-    socket.bind(address).map_err(with_address)?;
-    socket.listen(BACKLOG).map_err(with_address)
-}
-
 async fn serve(cfg: Settings, integration: Integration, signals: Signals) -> io::Result<()> {
     let (reload_signals, mut stop_signals) = signals.into_streams()?;
-    let peers = listen(cfg.listen.peers)?;
-    let callers = cfg.listen.callers.map(listen).transpose()?;
-    let operators = listen(cfg.listen.operators)?;
     let token = cfg.operators.token_file.as_deref();
     let token = token.map(Token::read).transpose()?;
-    let endpoints = listen_all(&integration.endpoints)?;
+    let listeners = tokio::select! {
+        listeners = listen(&cfg, &integration.endpoints) => listeners?,
+        () = stop_signals.recv() => {
+            log::info!("event=stopped");
+            return Ok(());
+        }
+    };
     let daemon = create_daemon(cfg, integration)?;
     log_start(&daemon);
-    tokio::spawn(links::serve(daemon.clone(), peers));
+    tokio::spawn(links::serve(daemon.clone(), listeners.peers));
     tokio::spawn(links::monitor(daemon.clone()));
     tokio::spawn(runtime::tick(daemon.clone()));
     tokio::spawn(gate_http::poll_load_report(daemon.clone()));
     tokio::spawn(reload::watch(daemon.clone(), reload_signals));
-    if let Some(callers) = callers {
+    if let Some(callers) = listeners.callers {
         tokio::spawn(entry_http::serve(daemon.clone(), callers));
     }
-    operators_http::serve(&daemon, operators, token)?;
-    for (endpoint, listener) in endpoints {
+    operators_http::serve(&daemon, listeners.operators, token)?;
+    for (endpoint, listener) in listeners.endpoints {
         endpoints::serve(&daemon, endpoint, listener)?;
     }
+    let optional = daemon.integration.endpoints.iter().filter(|e| !e.required);
+    for endpoint in optional.cloned() {
+        tokio::spawn(endpoints::serve_when_available(daemon.clone(), endpoint));
+    }
     stop::wait(&daemon, &mut stop_signals).await;
     log::info!("event=stopped");
     Ok(())
 }
 
-/// Listens on the address of each endpoint. Logs and skips an endpoint that is
-/// not required if its address is unavailable.
-fn listen_all(endpoints: &[Endpoint]) -> io::Result<Vec<(Endpoint, TcpListener)>> {
+/// Listens on the addresses that the daemon needs, last on that for callers, since from
+/// then on they expect responses.
+async fn listen(cfg: &Settings, endpoints: &[Endpoint]) -> io::Result<Listeners> {
+    let deadline = Some(Instant::now() + ADDRESS_TIMEOUT);
+    let peers = listeners::listen(cfg.listen.peers, deadline).await?;
+    let operators = listeners::listen(cfg.listen.operators, deadline).await?;
     let mut listening = Vec::new();
-    for endpoint in endpoints {
-        match listen(endpoint.address) {
-            Ok(listener) => listening.push((endpoint.clone(), listener)),
-            Err(err) if endpoint.required => return Err(err),
-            Err(err) => log::warn!("event=listener_unavailable reason=\"{err}\""),
-        }
+    for endpoint in endpoints.iter().filter(|e| e.required) {
+        let listener = listeners::listen(endpoint.address, deadline).await?;
+        listening.push((endpoint.clone(), listener));
     }
-    Ok(listening)
+    let callers = match cfg.listen.callers {
+        Some(address) => Some(listeners::listen(address, deadline).await?),
+        None => None,
+    };
+    Ok(Listeners {
+        peers,
+        operators,
+        endpoints: listening,
+        callers,
+    })
 }
 
 fn log_start(daemon: &Daemon) {
