Wait at the start for a usable settings file

Cause: the settings were read once. A file that was missing, empty or half written at that moment, as when it is replaced while the process restarts, ended the process with exit code 2. A change that was written after the reading and before the file was watched was never applied, since the watch took the newer modification time as its first one.

The revision of the file (modification time and length) is taken before it is read and given to the watch. The embedding program passes one reader of the file, used for the start and for reloads, in place of two.

Ruled out: to wait for good, since settings that nobody corrects need a clear error. Not covered: a file that is cut off where it happens to be valid.

--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -132,10 +132,11 @@
     pub handler: RequestHandler,
 }
 
-/// Reads and validates the settings; the error says why they are not usable.
-pub type ReadSettings = Arc<dyn Fn(&Path) -> Result<Settings, String> + Send + Sync>;
+/// Reads and validates the settings, and how the daemon is integrated; the error says why
+/// they are not usable.
+pub type ReadSettings = Arc<dyn Fn(&Path) -> Result<(Settings, Integration), String> + Send + Sync>;
 
-/// A settings file and its parser.
+/// A settings file, which is read again when it changes, and its parser.
 #[derive(Clone)]
 pub struct SettingsSource {
     /// Path of the file.
@@ -163,8 +164,6 @@
     pub convicted_status: Option<StatusCode>,
     /// Additional endpoints.
     pub endpoints: Vec<Endpoint>,
-    /// Source of the settings, which are reloaded when it changes.
-    pub settings_source: Option<SettingsSource>,
 }
 
 impl std::fmt::Debug for Integration {
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -19,6 +19,7 @@
 mod process;
 mod reload;
 mod runtime;
+mod settings_file;
 mod signals;
 mod stop;
 mod task_messages;
--- a/crates/plumhitchd/src/options.rs
+++ b/crates/plumhitchd/src/options.rs
@@ -2,7 +2,7 @@
 
 use crate::integration::{Integration, SettingsSource};
 use crate::signals::Signals;
-use crate::{logging, process};
+use crate::{logging, process, settings_file};
 use argh::FromArgs;
 use conf::Settings;
 use std::path::{Path, PathBuf};
@@ -37,35 +37,47 @@
         }
     };
     let options: Options = argh::from_env();
-    let cfg = match Settings::load(&options.settings) {
-        Ok(cfg) => cfg,
-        Err(findings) => {
-            eprint!("{}", findings.report());
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
+    let findings = Settings::load(&options.settings).err();
+    if let Some(findings) = &findings {
+        eprint!("{}", findings.report());
+    }
     if options.check {
-        println!("{}: no findings", options.settings.display());
-        return ExitCode::SUCCESS;
+        return check_result(&options.settings, findings.is_none());
     }
-    let read = |path: &Path| Settings::load(path).map_err(|f| f.lines().join("; "));
-    let integration = Integration {
-        settings_source: Some(SettingsSource {
-            path: options.settings,
-            read: Arc::new(read),
-        }),
-        ..Integration::default()
+    let read = |path: &Path| {
+        let settings = Settings::load(path).map_err(|f| f.lines().join("; "))?;
+        Ok((settings, Integration::default()))
+    };
+    let source = SettingsSource {
+        path: options.settings,
+        read: Arc::new(read),
     };
-    run(signals, cfg, integration)
+    run(signals, source)
 }
 
-/// Runs a daemon with validated settings until it is stopped, for a program that
-/// embeds it; returns the exit code.
+fn check_result(path: &Path, is_valid: bool) -> ExitCode {
+    if !is_valid {
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    println!("{}: no findings", path.display());
+    ExitCode::SUCCESS
+}
+
+/// Runs a daemon until it is stopped, for a program that embeds it; returns the exit code.
+/// Settings that are not usable yet are waited for, as are addresses that are in use.
 #[must_use]
-pub fn run(signals: Signals, cfg: Settings, integration: Integration) -> ExitCode {
+pub fn run(signals: Signals, source: SettingsSource) -> ExitCode {
     let _logging = logging::start();
     abort_on_panic();
-    match process::run(cfg, integration, signals) {
+    let loaded = match settings_file::load(&source, &signals) {
+        Ok(Some(loaded)) => loaded,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(reason) => {
+            log::error!("event=start_failed reason={reason:?}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match process::run(loaded, source, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("event=start_failed reason=\"{err}\"");
--- a/crates/plumhitchd/src/process.rs
+++ b/crates/plumhitchd/src/process.rs
@@ -1,8 +1,9 @@
 //! Lifecycle of the daemon process, from start to graceful stop.
 
-use crate::integration::{Endpoint, Integration};
+use crate::integration::{Endpoint, Integration, SettingsSource};
 use crate::operators_http::Token;
 use crate::runtime::{self, Daemon};
+use crate::settings_file::Loaded;
 use crate::signals::Signals;
 use crate::{
     disk, endpoints, entry_http, gate_http, links, listeners, operators_http, reload, stop,
@@ -33,12 +34,12 @@
 /// # Errors
 ///
 /// Returns an error if the daemon cannot start.
-pub(crate) fn run(cfg: Settings, integration: Integration, signals: Signals) -> io::Result<()> {
+pub(crate) fn run(loaded: Loaded, source: SettingsSource, signals: Signals) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(cfg, integration, signals))
+    runtime.block_on(serve(loaded, source, signals))
 }
 
 /// Creates the daemon, with a control replica if a data folder is configured.
@@ -56,8 +57,13 @@
     Ok(daemon)
 }
 
-async fn serve(cfg: Settings, integration: Integration, signals: Signals) -> io::Result<()> {
+async fn serve(loaded: Loaded, source: SettingsSource, signals: Signals) -> io::Result<()> {
     let (reload_signals, mut stop_signals) = signals.into_streams()?;
+    let Loaded {
+        cfg,
+        integration,
+        revision,
+    } = loaded;
     let token = cfg.operators.token_file.as_deref();
     let token = token.map(Token::read).transpose()?;
     let listeners = tokio::select! {
@@ -73,7 +79,12 @@
     tokio::spawn(links::monitor(daemon.clone()));
     tokio::spawn(runtime::tick(daemon.clone()));
     tokio::spawn(gate_http::poll_load_report(daemon.clone()));
-    tokio::spawn(reload::watch(daemon.clone(), reload_signals));
+    tokio::spawn(reload::watch(
+        daemon.clone(),
+        source,
+        revision,
+        reload_signals,
+    ));
     if let Some(callers) = listeners.callers {
         tokio::spawn(entry_http::serve(daemon.clone(), callers));
     }
--- a/crates/plumhitchd/src/reload.rs
+++ b/crates/plumhitchd/src/reload.rs
@@ -2,26 +2,24 @@
 
 use crate::integration::SettingsSource;
 use crate::runtime::Daemon;
+use crate::settings_file::{Revision, revision};
 use crate::signals::ReloadSignals;
 use conf::Settings;
 use node::Event;
-use std::fs;
-use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// Interval between checks of the file's modification time.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Reloads on every signal and whenever the file's modification time changes.
-pub(crate) async fn watch(daemon: Arc<Daemon>, mut signals: ReloadSignals) {
-    let Some(source) = daemon.integration.settings_source.clone() else {
-        while signals.recv().await.is_some() {
-            log::warn!("event=reload_ignored reason=\"this process has no settings file\"");
-        }
-        return;
-    };
-    let mut last_modified = modified_at(&source.path);
+/// Reloads on every signal and whenever the file has another revision than the one that
+/// was read last.
+pub(crate) async fn watch(
+    daemon: Arc<Daemon>,
+    source: SettingsSource,
+    mut last: Revision,
+    mut signals: ReloadSignals,
+) {
     loop {
         tokio::select! {
             received = signals.recv() => match received {
@@ -29,11 +27,11 @@
                 None => return,
             },
             () = tokio::time::sleep(POLL_INTERVAL) => {
-                let now = modified_at(&source.path);
-                if now != last_modified {
+                let now = revision(&source.path);
+                if now != last {
                     reload(&daemon, &source);
                 }
-                last_modified = now;
+                last = now;
             }
         }
     }
@@ -43,7 +41,7 @@
 /// replicas. All other changes need a restart, which the log line reports.
 fn reload(daemon: &Arc<Daemon>, source: &SettingsSource) {
     match (source.read)(&source.path) {
-        Ok(settings) => {
+        Ok((settings, _)) => {
             let needs_restart = needs_restart(&daemon.cfg, &settings);
             let replicas = settings.control.replicas;
             let addresses: Vec<String> = replicas.iter().map(ToString::to_string).collect();
@@ -61,7 +59,3 @@
     expected.control.bootstrap = old.control.bootstrap;
     expected != *old
 }
-
-fn modified_at(path: &Path) -> Option<SystemTime> {
-    fs::metadata(path).ok()?.modified().ok()
-}
--- a/crates/plumhitchd/src/signals.rs
+++ b/crates/plumhitchd/src/signals.rs
@@ -41,6 +41,11 @@
         Ok(Self { reload, stop })
     }
 
+    /// Returns whether a signal to stop has arrived.
+    pub(crate) fn stop_requested(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
     /// Passes on the signals that have arrived and those to come.
     ///
     /// # Errors
