Refuse uploads during a stop before their bodies arrive

Cause: a request that was received after the stop had begun was refused only when its body was buffered, so that a slow upload waited for a refusal that was certain, and kept the process running until the end of the stop.

Change: once the reducer has stopped, a request is refused when its head has been read, as not run. The same function refuses the bodies that are still incomplete at the end.

Ruled out: closing the listener when the stop begins. Callers who have not learnt of the stop yet would get a reset instead of a response.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -173,6 +173,12 @@
         self.stop = Some(Stop { since: now, until });
     }
 
+    /// Returns whether a request that is received now is refused because of a graceful stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stop.is_some()
+    }
+
     /// Ends a graceful stop: refuses the requests in progress, and all others from now on.
     pub fn cut_off(&mut self, cx: &mut Cx<'_>) {
         self.stop = Some(Stop {
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -29,15 +29,14 @@
     record.service = inbound.service.clone();
     record.class = inbound.class.clone().unwrap_or_default();
     record.attempt_id = inbound.attempt_id.clone();
+    if daemon.read(|node| node.entry.is_stopping()) {
+        return refuse_stopping(&daemon, &mut record);
+    }
     let max_buffered = limits.buffered_body_bytes;
     let buffered = tokio::select! {
         biased;
         buffered = buffer_body(body, max_buffered, daemon.max_body_bytes()) => buffered,
-        () = daemon.wait_until_ending() => {
-            let refusal = cut_off(&daemon);
-            record.mark_refused(&refusal);
-            return refusal::from_refusal(&daemon, &refusal);
-        }
+        () = daemon.wait_until_ending() => return refuse_stopping(&daemon, &mut record),
     };
     let body = match buffered {
         Ok(body) => body,
@@ -54,14 +53,16 @@
     }
 }
 
-/// Returns the refusal of a request whose body is incomplete when a stop ends.
-fn cut_off(daemon: &Daemon) -> Refusal {
-    Refusal {
+/// Refuses a request during a stop without waiting for the rest of its body.
+fn refuse_stopping(daemon: &Daemon, record: &mut RequestRecord) -> Response {
+    let refusal = Refusal {
         reason: Reason::Stopping,
         run: RunState::NotRun,
         retry_after: Some(daemon.cfg.routing.retry_after),
         status: None,
-    }
+    };
+    record.mark_refused(&refusal);
+    refusal::from_refusal(daemon, &refusal)
 }
 
 /// Registers the request's task and passes the request to the reducer.
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -262,3 +262,25 @@
     assert_eq!(started() - before, 1, "passed on");
     assert!(wait_for_exit(&mut pair.entry).await.success());
 }
+
+/// Longest time to the refusal of a request.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// Guards against uploads that are received to their end although they will be refused, and
+/// that delay the exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_refuses_an_upload_before_its_body() {
+    let mut pair = Pair::start(SHORT_LINGER, "").await;
+    let callers = pair.entry.callers;
+    let slow = tokio::spawn(pair.request("GET", "/slow").send());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    pair.entry.signal("TERM");
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let started = std::time::Instant::now();
+    let received = upload_without_end(callers).await;
+    let took = started.elapsed();
+    assert!(received.starts_with(b"HTTP/1.1 503 "));
+    assert!(took < REFUSAL_TIME, "refused after {took:?}");
+    assert_eq!(slow.await.unwrap().unwrap().status(), 200);
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+}
