Await long work of a gate that was silent for a moment

A request whose instance worked for more than ten seconds got 502 in place of the instance's response, if the process beside the instance had once not responded for 0.75 s during that time. Long responses with a pause were cut off likewise.

Cause: after such a silence the connection is only kept for late replies, and it is given up when nothing arrives on it for ten seconds. Nobody asked the peer any more whether it is alive, so that a gate that had gone on at once and had nothing to say yet counted as silent. It is now pinged every second, and the ten seconds count from the last bytes that it sent or accepted, not from our own.

Ruled out: a peer that stays silent is still given up after ten seconds, and new requests use another connection as before.

Test: path, long_work_of_a_gate_that_was_frozen_for_a_moment_is_delivered, work of 14 s, gate stopped for 1.5 s: 502 after 12 s on the code before, 200 now.

--- a/crates/flow/src/liveness.rs
+++ b/crates/flow/src/liveness.rs
@@ -61,9 +61,15 @@
         self.unanswered_since.get_or_insert(now);
     }
 
+    /// Returns the time since the peer was last active.
+    #[must_use]
+    pub fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.active_at)
+    }
+
     /// Checks a connection with open requests.
     pub fn check_requests(&mut self, now: Duration) -> Check {
-        let is_silent = now.saturating_sub(self.active_at) >= PING_AFTER;
+        let is_silent = self.silence(now) >= PING_AFTER;
         self.check(now, is_silent)
     }
 
--- a/crates/plumhitchd/src/links/dial.rs
+++ b/crates/plumhitchd/src/links/dial.rs
@@ -15,10 +15,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use wire::{Body, LinkKind};
+use wire::{Body, LinkKind, Ping};
 
 /// Maximum time for which replies are awaited from a peer that does not respond.
 const MAX_SILENCE: Duration = Duration::from_secs(10);
+/// Interval between pings of a peer from which late replies are awaited.
+const LATE_PING_INTERVAL: Duration = Duration::from_secs(1);
 
 type Key = (CompactString, LinkKind);
 
@@ -95,8 +97,8 @@
 }
 
 /// Serves the open streams of a connection whose peer does not respond, until they have
-/// ended: a peer that was only stopped for a while still replies. New streams use another
-/// connection.
+/// ended: a peer that was only stopped for a while still replies, to pings as soon as it
+/// goes on. New streams use another connection.
 async fn await_late_replies(key: &Key, link: &Link, running: impl Future<Output = LinkError>) {
     let reason = tokio::select! {
         err = running => err.to_string(),
@@ -111,11 +113,12 @@
 
 async fn wait_until_ended(link: &Link) -> &'static str {
     loop {
-        tokio::time::sleep(LIVENESS_INTERVAL).await;
+        link.send(Body::Ping(Ping {}));
+        tokio::time::sleep(LATE_PING_INTERVAL).await;
         if link.streams.is_empty() {
             return "all requests have ended";
         }
-        if link.idle() >= MAX_SILENCE {
+        if link.silence() >= MAX_SILENCE {
             return "silent for too long";
         }
     }
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -151,6 +151,11 @@
         clock::now().saturating_sub(lock(&self.state).used_at)
     }
 
+    /// Returns the time since the peer was last active.
+    pub(super) fn silence(&self) -> Duration {
+        lock(&self.state).liveness.silence(clock::now())
+    }
+
     /// Records that bytes were received.
     pub(super) fn record_received(&self) {
         let now = clock::now();
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -281,6 +281,24 @@
     assert_eq!(runs, 1);
 }
 
+/// Guards against long work that is given up although its machine was silent for a moment
+/// only, long before: nobody asked it again whether it is alive.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_work_of_a_gate_that_was_frozen_for_a_moment_is_delivered() {
+    let pair = Pair::start("", "").await;
+    let started = pair.upstream_stats.started.load(Ordering::SeqCst);
+    let call = tokio::spawn(pair.request("GET", "/long").send());
+    wait_until("the upstream runs the request", async || {
+        pair.upstream_stats.started.load(Ordering::SeqCst) > started
+    })
+    .await;
+    pair.gate.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    pair.gate.signal("CONT");
+    let response = call.await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+}
+
 /// Guards against an upload whose rest is dropped because its gate was silent for a moment:
 /// its upstream waits for it in vain.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/plumhitchd/tests/support/upstream.rs
+++ b/crates/plumhitchd/tests/support/upstream.rs
@@ -57,6 +57,7 @@
             "/short" => truncated_response(req, res),
             "/reserve" => tokio::time::sleep(Duration::from_millis(20)).await,
             "/slow" => tokio::time::sleep(Duration::from_millis(1500)).await,
+            "/long" => tokio::time::sleep(Duration::from_secs(14)).await,
             "/cancel" => {
                 self.0.cancelled.fetch_add(1, Ordering::SeqCst);
             }
