Let a stop wait for operators' requests that are being decided

Cause: a stop counted callers' requests only. A control machine without any ended 0.2 s after its signal, and an operator whose change was not decided yet saw a closed connection.

Change: requests of operators that wait for the control leader count as in progress; they have a timeout of their own, and the stop its bound. What is cut off is counted in the new log key cut_operators.

Ruled out: refusing new orders from the signal on; they can still be decided, and their senders have not learnt of the stop.

Not covered: between the two steps of an order for a data centre or a rollout nothing counts as in progress for a moment.

--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -55,9 +55,10 @@
 fn cut_off(daemon: &Arc<Daemon>) {
     if in_progress(daemon) > 0 {
         log::warn!(
-            "event=stop_bound_met cut_entry={} cut_gate={}",
+            "event=stop_bound_met cut_entry={} cut_gate={} cut_operators={}",
             daemon.open_requests.load(Ordering::Acquire),
-            lock(&daemon.gate_tasks).len()
+            lock(&daemon.gate_tasks).len(),
+            lock(&daemon.pending_requests).len(),
         );
     }
     daemon.ending.send_replace(true);
@@ -86,5 +87,7 @@
 
 fn in_progress(daemon: &Daemon) -> usize {
     let entry = daemon.open_requests.load(Ordering::Acquire);
-    entry.max(lock(&daemon.entry_tasks).len()) + lock(&daemon.gate_tasks).len()
+    let entry = entry.max(lock(&daemon.entry_tasks).len());
+    let operators = lock(&daemon.pending_requests).len();
+    entry + lock(&daemon.gate_tasks).len() + operators
 }
