Draw entries of another writer in a shuffle of leaving

The shuffle without them is unchanged. The new one draws starts earlier, equal and later, late announcements, health answers, restarts and freezes.

--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -10,7 +10,8 @@
 
 use common::Simulation;
 use node::{Event, admission};
-use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use test_case::test_case;
 use wire::Announcement;
@@ -20,14 +21,15 @@
 /// Daemon beside the upstream, and one that sends requests to it.
 const GATE: usize = 3;
 const ENTRY: usize = 4;
+const TARGET: &str = "i-1";
 const BORN: u64 = 1_800_000_000_000;
 
 fn announcement(start: u64, sequence: u64) -> Announcement {
     Announcement {
         service: SERVICE.to_owned(),
         slots: 4,
-        boot: format!("i-1/{start}"),
-        target: "i-1".to_owned(),
+        boot: format!("{TARGET}/{start}"),
+        target: TARGET.to_owned(),
         incarnation: start,
         sequence,
         ..Announcement::default()
@@ -105,6 +107,22 @@
         self.sim.start(i);
     }
 
+    /// Lets the upstream answer a health request under its own id.
+    fn answer(&mut self) {
+        let event = admission::Event::Answered {
+            target: TARGET.to_owned(),
+            sent_at: self.sim.now,
+        };
+        self.sim.event(GATE, Event::Admission(event));
+    }
+
+    /// Returns whether the gate admits requests to the upstream, whatever other entries
+    /// state its address.
+    fn admits_upstream(&mut self) -> bool {
+        let announced = self.sim.daemons[GATE].node().admission.announced();
+        announced.is_some_and(|a| a.target == TARGET && !a.leaving)
+    }
+
     /// Returns whether requests would be sent to the upstream: its gate admits them, or
     /// entries select it.
     fn is_used(&mut self) -> bool {
@@ -269,3 +287,72 @@
 fn shuffle_longer_run() {
     common::shuffle_seeds(100, 2).for_each(shuffle);
 }
+
+/// Returns an entry of another writer for the address of the upstream, whose start is
+/// earlier, equal or later.
+fn stray(start: u64, rng: &mut SmallRng) -> Announcement {
+    let start = start - 2_000 + 1_000 * rng.random_range(1..4);
+    Announcement {
+        boot: format!("i-stray/{start}"),
+        target: "i-stray".to_owned(),
+        ..announcement(start, rng.random_range(1..20))
+    }
+}
+
+/// Announces, deregisters and starts an upstream in turn, beside entries of another writer,
+/// late announcements, restarts of its daemon and freezes of others.
+fn shuffle_with_strays(seed: u64) {
+    let mut cluster = Cluster::new(seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for start in (1..12).map(|n| BORN + n * 10_000) {
+        for sequence in 1..=4 {
+            if rng.random_bool(0.5) {
+                cluster.announce(stray(start, &mut rng));
+            }
+            if rng.random_bool(0.2) {
+                cluster.restart(GATE);
+                cluster.announce(stray(start, &mut rng));
+            }
+            cluster.answer();
+            cluster.announce(announcement(start, sequence));
+            assert!(
+                cluster.admits_upstream(),
+                "seed {seed}: {start} is displaced"
+            );
+        }
+        cluster.leave(deregistration(start, 5));
+        for _ in 0..rng.random_range(2..8) {
+            match rng.random_range(0..6) {
+                0 => cluster.restart(GATE),
+                1 => cluster.restart(ENTRY),
+                2 => {
+                    let frozen = rng.random_range(0..3);
+                    cluster.sim.freeze(frozen);
+                    cluster.sim.run(Duration::from_millis(700));
+                    cluster.sim.thaw(frozen);
+                }
+                3 => cluster.answer(),
+                4 => cluster.announce(stray(start, &mut rng)),
+                _ => cluster.announce(announcement(start, rng.random_range(1..9))),
+            }
+        }
+        cluster.settle();
+        assert!(!cluster.admits_upstream(), "seed {seed}: {start} is back");
+    }
+}
+
+/// Guards against an upstream that another writer's entry keeps out of use, or brings back
+/// after it has left (issue 50).
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+#[test_case(110; "late announcement of a start that has left")]
+fn shuffle_with_strays_keeps_the_upstream(seed: u64) {
+    shuffle_with_strays(seed);
+}
+
+#[test]
+fn shuffle_with_strays_longer_run() {
+    common::shuffle_seeds(100, 2).for_each(shuffle_with_strays);
+}
