Sync the removal of a log segment before the next one is removed

After a loss of power between the two, a removal may be kept and an earlier one lost; the folder then has a gap in its sequence, cannot be opened, and the replica is faulty.

Change: the folder is synced after each removal. This costs a sync for each segment, which is removed once in its life.

Proof: disk_faults covered_segments_are_removed_one_by_one records the file operations of the real code; red before: Remove, Remove, Remove, Remove, Sync. The loss of power itself was not played. Open: if the sync itself is refused by a full disk, the next removal is not preceded by one.

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -274,8 +274,7 @@
             let path = self.folder.join(segment_name(self.segments[0].sequence));
             self.files.remove(&path)?;
             self.segments.remove(0);
-        }
-        if covered > 0 {
+            // After a loss of power, a later removal could be kept and an earlier lost.
             self.files.sync_folder(&self.folder)?;
         }
         Ok(())
--- a/crates/replica/tests/disk_faults.rs
+++ b/crates/replica/tests/disk_faults.rs
@@ -252,3 +252,41 @@
         (0..BATCHES).for_each(|_| shuffle.step());
     }
 }
+
+/// Guards against a folder that cannot be opened after a loss of power, because a segment
+/// was removed and an older one is back: a removed name is only gone for good once the
+/// folder has been synced.
+#[test]
+fn covered_segments_are_removed_one_by_one() {
+    let dir = tempfile::tempdir().unwrap();
+    let performed = Arc::new(Mutex::new(Vec::new()));
+    let perform = |writes: Vec<DiskWrite>| {
+        let performed = performed.clone();
+        let record = move |op| {
+            performed.lock().unwrap().push(op);
+            Ok(())
+        };
+        let (mut disk, _) = Disk::open_with_faults(dir.path(), Box::new(record)).unwrap();
+        for write in writes {
+            let done = disk.perform(DiskOp { id: 1, write }, |reason| panic!("{reason}"));
+            assert_eq!(done.result, Ok(()));
+        }
+    };
+    perform(vec![state(1)]);
+    for index in 1..=3 {
+        // Each start begins a segment.
+        let entry = LogEntry {
+            term: 1,
+            index,
+            ..LogEntry::default()
+        };
+        perform(vec![DiskWrite::Append(vec![entry])]);
+    }
+    perform(vec![snapshot(3, 1)]);
+    let performed = performed.lock().unwrap();
+    let removed = performed.iter().filter(|op| **op == FileOp::Remove);
+    assert!(removed.count() >= 3, "{performed:?}");
+    let mut successive = performed.windows(2);
+    let unsynced = successive.any(|ops| ops == [FileOp::Remove, FileOp::Remove]);
+    assert!(!unsynced, "{performed:?}");
+}
