Leave idle connections open until the end of a stop

A caller that sent a request on a kept connection within a quarter of a second after SIGTERM met its close.

Change: the branch is gone; an idle connection is closed at the end of the stop, or with the response to its next request.

Result: stop_answers_requests_on_connections_that_were_idle fails with the branch and passes without.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -91,7 +91,6 @@
         buf: BytesMut::new(),
         unanswered: &unanswered,
         tx: Some(tx),
-        has_received_request: false,
     };
     let reading = async {
         match reader.run().await {
@@ -131,8 +130,6 @@
     buf: BytesMut,
     unanswered: &'a Unanswered,
     tx: Option<mpsc::Sender<QueuedWrite>>,
-    /// Whether a request was received on this connection.
-    has_received_request: bool,
 }
 
 impl Reader<'_> {
@@ -153,7 +150,6 @@
             if self.unanswered.writes_last_response() {
                 return ReadEnd::NoMoreRequests;
             }
-            self.has_received_request = true;
             let keep_alive = head.keep_alive;
             let framing = head.framing;
             let Some(body_tx) = self.start_request(head).await else {
@@ -187,31 +183,27 @@
 
     /// Reads more bytes within the header timeout, or the idle timeout if the
     /// buffer is empty. The idle time begins with the end of the last response, as
-    /// the caller counts it. During a graceful stop a connection that has served
-    /// requests is closed once it is idle; a new one may still send its first
-    /// request. At its end nothing more is read.
+    /// the caller counts it. A graceful stop leaves an idle connection open until it
+    /// ends, and then reads nothing more: a request that is on its way meanwhile gets
+    /// its response.
     async fn read_more_of_head(&mut self) -> Result<(), HeadEnd> {
         let has_begun = !self.buf.is_empty();
         loop {
-            let idle = self.has_received_request && !has_begun && self.unanswered.is_empty();
             let limit = match has_begun {
                 true => self.daemon.header_timeout(),
                 false => self.daemon.idle_timeout(),
             };
             let has_limit = has_begun || self.unanswered.is_empty();
-            let stopping = self.daemon.wait_until_closing();
             tokio::select! {
                 biased;
                 () = self.daemon.wait_until_ending() => return Err(HeadEnd::NoMore),
-                // Received bytes are read before a stop or a time limit may close
-                // the connection.
+                // Received bytes are read before a time limit may close the connection.
                 read = fill(self.read, &mut self.buf) => return read.map_err(HeadEnd::Cut),
                 () = sleep(limit), if has_limit => return Err(match has_begun {
                     true => HeadEnd::NoMore,
                     false => HeadEnd::Cut(CutReason::IdleTimeout),
                 }),
                 () = self.unanswered.answered(), if !has_limit => {}
-                () = stopping, if idle => return Err(HeadEnd::Cut(CutReason::Stopping)),
             }
         }
     }
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -16,8 +16,6 @@
     ReadFailed,
     /// No request arrived in time.
     IdleTimeout,
-    /// The daemon is stopping.
-    Stopping,
     /// Writing to the connection failed.
     WriteFailed,
     /// The response broke off after its beginning was sent.
@@ -35,7 +33,6 @@
             Self::CallerClosed => "caller-closed",
             Self::ReadFailed => "read-failed",
             Self::IdleTimeout => "idle-timeout",
-            Self::Stopping => "stopping",
             Self::WriteFailed => "write-failed",
             Self::ResponseBroken => "response-broken",
             Self::TaskEnded => "task-ended",
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -191,12 +191,6 @@
         let _ = ending.wait_for(|ending| *ending).await;
     }
 
-    /// Waits until idle connections of callers are to be closed.
-    pub(crate) async fn wait_until_closing(&self) {
-        let mut closing = self.closing.subscribe();
-        let _ = closing.wait_for(|closing| *closing).await;
-    }
-
     /// Returns the current load of the gate.
     pub(crate) fn load(&self) -> Load {
         self.read(|node| node.admission.load())
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -284,3 +284,28 @@
     assert_eq!(slow.await.unwrap().unwrap().status(), 200);
     assert!(wait_for_exit(&mut pair.entry).await.success());
 }
+
+/// Guards against a close that meets a request on its way, because a stop closed the
+/// connections that were idle when it began.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_answers_requests_on_connections_that_were_idle() {
+    let mut pair = Pair::start("[stop]\nlinger = 1 s\n", "").await;
+    let request = "GET /ready HTTP/1.1\r\nhost: h\r\nplumhitch-customer: tc-utrecht\r\n\
+                   plumhitch-service: booking\r\nplumhitch-class: page\r\n\r\n";
+    let mut stream = tokio::net::TcpStream::connect(pair.entry.callers)
+        .await
+        .unwrap();
+    let mut received = [0; 4096];
+    for stopping in [false, true] {
+        if stopping {
+            pair.entry.signal("TERM");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let n = stream.read(&mut received).await.unwrap();
+        let received = String::from_utf8_lossy(&received[..n]);
+        assert!(received.starts_with("HTTP/1.1 200"), "{received:?}");
+        assert_eq!(received.contains("connection: close"), stopping);
+    }
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+}
