Wait for a data folder that the process before still locks

Cause: found by review, not seen in a run of the fleet. A start now waits for the addresses of the process before it, which are free before that process has ended; its disk thread holds the lock of the data folder for some 25 to 300 ms more. The replica was then out until its next restart.

Change: a locked folder is a temporary error, like a full disk, and is opened once it is free. The other process still owns the data meanwhile.

Result: replica_takes_part_once_its_folder_is_unlocked fails without the change and passes with it.

--- a/crates/replica/src/disk/error.rs
+++ b/crates/replica/src/disk/error.rs
@@ -38,10 +38,11 @@
 }
 
 impl DiskError {
-    /// Returns whether the operation was undone and can be tried again later.
+    /// Returns whether the operation was undone and can be tried again later. A process
+    /// that ends holds its data folder for a little longer than its addresses.
     #[must_use]
     pub fn is_temporary(&self) -> bool {
-        matches!(self, Self::Full | Self::TooManyFiles)
+        matches!(self, Self::Full | Self::TooManyFiles | Self::Locked { .. })
     }
 }
 
