Keep the mark of a request that crashed an upstream in its retrial

The mark was dropped with the last other request that was convicted for the same crashes, so that a later one made the guilty request a candidate again.

Change: it is kept for as long as the request is convicted.

A new leader still has no mark, which costs one more run for each change of the leader.

--- a/crates/node/src/control/retrials.rs
+++ b/crates/node/src/control/retrials.rs
@@ -55,7 +55,12 @@
 
     /// Ends an offer whose outcome is known, and makes the next one. Candidates are in a
     /// fixed order; each is offered to all its daemons before the next one is.
-    pub(super) fn review(&mut self, now: Duration, candidates: &[Candidate]) {
+    pub(super) fn review(
+        &mut self,
+        now: Duration,
+        candidates: &[Candidate],
+        convicted: &BTreeSet<Fingerprint>,
+    ) {
         if let Some(offer) = &self.current {
             let is_guilty =
                 |c: &Candidate| c.fingerprint == offer.fingerprint && c.crashes > offer.crashes;
@@ -67,9 +72,7 @@
             true => None,
             false => self.candidates_since.or(Some(now)),
         };
-        let known: BTreeSet<Fingerprint> = candidates.iter().map(|c| c.fingerprint).collect();
-        self.guilty
-            .retain(|fingerprint| known.contains(fingerprint));
+        self.guilty.retain(|f| convicted.contains(f));
         self.current = self.next_offer(now, candidates);
     }
 
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -213,7 +213,8 @@
                 daemons: daemons_of(&count.service),
             })
             .collect();
-        self.retrials.review(now, &candidates);
+        let convicted = self.convicted.keys().copied().collect();
+        self.retrials.review(now, &candidates, &convicted);
     }
 
     /// Returns the verdicts for a heartbeat reply: convictions, requests that one more
