Leave half of a stop's time limit to the requests in progress

Cause: found by review. Where the limit is shorter than the linger time, requests were accepted until the moment at which they are cut off.

Change: the linger time is at most half of the limit.

--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -12,6 +12,9 @@
 /// connection that is closed with unread data is reset, and the peer may lose what was
 /// already sent.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Part of the time limit for which requests are still accepted at most; the rest is for
+/// those in progress to end.
+const MAX_LINGER_PART: u32 = 2;
 /// Maximum time for callers to send their requests on connections that were accepted.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Interval between checks for requests in progress.
@@ -29,7 +32,8 @@
     daemon.closing.send_replace(true);
     daemon.stopping.store(true, Ordering::Relaxed);
     let linger = daemon.cfg.stop.linger;
-    tokio::time::sleep(drain_timeout.map_or(linger, |timeout| timeout.min(linger))).await;
+    let longest_linger = drain_timeout.map(|timeout| timeout / MAX_LINGER_PART);
+    tokio::time::sleep(longest_linger.map_or(linger, |longest| longest.min(linger))).await;
     daemon.handle_event(Event::Stop { until });
     wait_until_idle(daemon, deadline).await;
     daemon.refusing.send_replace(true);
