--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -23,9 +23,9 @@
 //! torn write.
 //!
 //! A write for which the disk has no space, or the process no descriptor, is undone and
-//! tried again until there is one. To the replica this is a disk that takes long: it must not end its part in
-//! the cluster, because the other replicas' disks may fill up next. Any other error
-//! does, since what a failed sync has left on the disk is unknown.
+//! tried again until there is one. To the replica this is a disk that takes long: it must
+//! not end its part in the cluster, because the other replicas' disks may fill up next.
+//! Any other error does, since what a failed sync has left on the disk is unknown.
 
 mod active_segment;
 mod error;
