Build the requests of node's tests in one place

Cause: eight test files wrote the same fifteen fields of entry::Request, so that a new field changed eight places and a reader had to find the two that matter. Change: tests/requests has a request and a routed request; tests state what differs.

--- a/crates/node/tests/allowance.rs
+++ b/crates/node/tests/allowance.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod common;
+mod requests;
 
 use common::Simulation;
 use node::{Event, entry};
@@ -53,21 +54,9 @@
 
 fn request(id: u64) -> entry::Request {
     entry::Request {
-        id,
         customer: CUSTOMER.into(),
-        credential: Default::default(),
         service: "booking".into(),
-        class: None,
-        safe_method: true,
-        fingerprint: id,
-        key: None,
-        deadline: None,
-        retry_budget: None,
-        depth: 1,
-        body_buffered: true,
-        received_at: Duration::ZERO,
-        route_key: None,
-        body_bytes: 0,
+        ..requests::request(id)
     }
 }
 
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod common;
+mod requests;
 
 use common::Simulation;
 use gate::{LoadReport, Outcome, Ticket};
@@ -711,21 +712,9 @@
     (0..3).for_each(|gate| fleet.crash_once(gate));
     fleet.run(Duration::from_secs(1));
     let request = entry::Request {
-        id: 1,
-        customer: "".into(),
-        credential: Default::default(),
         service: SERVICE.into(),
-        class: None,
-        safe_method: true,
         fingerprint: CRASHING,
-        key: None,
-        deadline: None,
-        retry_budget: None,
-        depth: 1,
-        body_buffered: true,
-        received_at: Duration::ZERO,
-        route_key: None,
-        body_bytes: 0,
+        ..requests::request(1)
     };
     let daemon = CONTROLS + 3;
     let arrived = Event::Entry(entry::Event::Arrived(request));
--- a/crates/node/tests/credentials.rs
+++ b/crates/node/tests/credentials.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 mod one_daemon;
+mod requests;
 
 use credentials::{Key, Presented, digest, parse, salt};
 use node::entry::{self, Attempt, Reason, Refusal, RunState};
@@ -148,24 +149,9 @@
 
 fn arrive(node: &mut Node, at_ms: u64, path: &str, credential: Presented) -> Vec<Effect> {
     let request = entry::Request {
-        id: 1,
-        customer: "".into(),
         credential,
-        service: "".into(),
-        class: None,
-        safe_method: true,
-        fingerprint: 1,
-        key: None,
-        deadline: None,
-        retry_budget: None,
-        depth: 1,
-        route_key: Some(entry::RouteKey {
-            host: "a.example".into(),
-            path: path.into(),
-        }),
-        body_bytes: 0,
-        body_buffered: true,
         received_at: Duration::from_millis(at_ms),
+        ..requests::routed_request(1, path)
     };
     run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
 }
--- a/crates/node/tests/hedges.rs
+++ b/crates/node/tests/hedges.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod one_daemon;
+mod requests;
 mod routed_entry;
 
 use conf::Settings;
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod one_daemon;
+mod requests;
 
 use node::entry::{self, Reason, RunState};
 use node::{Effect, Event, Node};
@@ -143,24 +144,10 @@
 
 fn arrive(node: &mut Node, at_ms: u64, id: u64) -> Vec<Effect> {
     let request = entry::Request {
-        id,
         customer: CUSTOMER.into(),
-        service: "".into(),
-        class: None,
-        safe_method: true,
-        fingerprint: id,
-        key: None,
         deadline: Some(Duration::from_millis(700)),
-        retry_budget: None,
-        depth: 1,
-        credential: Default::default(),
-        route_key: Some(entry::RouteKey {
-            host: "a.example".into(),
-            path: "/x".into(),
-        }),
-        body_bytes: 0,
-        body_buffered: true,
         received_at: Duration::from_millis(at_ms),
+        ..requests::routed_request(id, "/x")
     };
     run(node, at_ms, Event::Entry(entry::Event::Arrived(request)))
 }
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -9,6 +9,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod common;
+mod requests;
 
 use common::Simulation;
 use node::entry::RunState;
@@ -142,21 +143,13 @@
         let id = self.counter;
         self.keys.insert((self.incarnation(i), id), key.to_owned());
         let request = entry::Request {
-            id,
             customer: "tc".into(),
-            credential: Default::default(),
             service: "booking".into(),
             class: Some("booking".into()),
             safe_method: false,
             fingerprint: wire::fingerprint("tc", "booking", "POST", "/", key.as_bytes(), None),
             key: Some(key.into()),
-            deadline: None,
-            retry_budget: None,
-            depth: 1,
-            body_buffered: true,
-            received_at: Duration::ZERO,
-            route_key: None,
-            body_bytes: 0,
+            ..requests::request(id)
         };
         let event = entry::Event::Arrived(request);
         self.sim.event(i, Event::Entry(event));
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -1,6 +1,8 @@
 //! The basic path through the state machine: announcement, view of the service,
 //! request, response.
 
+mod requests;
+
 use conf::{DaemonSettings, ListenSettings, Settings};
 use node::{Effect, Event, Node, NodeOptions, admission, entry, step};
 use replica::DiskDone;
@@ -107,21 +109,10 @@
 
 fn request() -> entry::Request {
     entry::Request {
-        id: 1,
         customer: "tc-utrecht".into(),
-        credential: Default::default(),
         service: "booking".into(),
-        class: None,
-        safe_method: true,
         fingerprint: 7,
-        key: None,
-        deadline: None,
-        retry_budget: None,
-        depth: 1,
-        body_buffered: true,
-        received_at: Duration::ZERO,
-        route_key: None,
-        body_bytes: 0,
+        ..requests::request(1)
     }
 }
 
--- a/crates/node/tests/retrials.rs
+++ b/crates/node/tests/retrials.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod one_daemon;
+mod requests;
 mod routed_entry;
 
 use node::entry::{Reason, RunState};
--- a/crates/node/tests/rollout_daemons.rs
+++ b/crates/node/tests/rollout_daemons.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 mod one_daemon;
+mod requests;
 
 use conf::Settings;
 use gate::Outcome;
@@ -223,24 +224,8 @@
         self.requests += 1;
         let id = self.requests;
         let request = entry::Request {
-            id,
-            customer: "".into(),
-            service: "".into(),
-            class: None,
-            safe_method: true,
-            fingerprint: id,
-            key: None,
             deadline: Some(Duration::from_millis(700)),
-            retry_budget: None,
-            depth: 1,
-            credential: Default::default(),
-            route_key: Some(entry::RouteKey {
-                host: "a.example".into(),
-                path: "/read/x".into(),
-            }),
-            body_bytes: 0,
-            body_buffered: true,
-            received_at: Duration::ZERO,
+            ..requests::routed_request(id, "/read/x")
         };
         (id, self.run(Event::Entry(entry::Event::Arrived(request))))
     }
--- a/crates/node/tests/routed_entry/mod.rs
+++ b/crates/node/tests/routed_entry/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::one_daemon;
 pub use crate::one_daemon::run;
+use crate::requests;
 use conf::Settings;
 use node::entry;
 use node::{Effect, Event, Node};
@@ -184,24 +185,8 @@
 /// Returns a request on a route, with this much time left until its deadline.
 pub fn routed_request(id: u64, path: &str, left_ms: u64) -> entry::Request {
     entry::Request {
-        id,
-        customer: "".into(),
-        service: "".into(),
-        class: None,
-        safe_method: true,
-        fingerprint: id,
-        key: None,
         deadline: Some(Duration::from_millis(left_ms)),
-        retry_budget: None,
-        depth: 1,
-        credential: Default::default(),
-        route_key: Some(entry::RouteKey {
-            host: "a.example".into(),
-            path: path.into(),
-        }),
-        body_bytes: 0,
-        body_buffered: true,
-        received_at: Duration::ZERO,
+        ..requests::routed_request(id, path)
     }
 }
 
