Send a control replica the acknowledged entries that it has lost

Cause: a log that was cut, or overwritten at its end, is repaired at the start like a torn write, so its replica comes back with fewer entries than it has acknowledged. It rejects what follows them and states its last index, but the leader never went back below the index that the replica had acknowledged. The leader sent the same entries again and again (one append for each rejection, without a pause), counted the lost entries as synced and took the replica for responsive. It was no follower any more, so two more replicas out left no majority. A new leader starts without that knowledge, which is why it ended with the next election.

Change: a rejection moves the index known to be synced back as well. Only what the replica syncs again counts then. An outdated rejection (messages that were duplicated or reordered) costs a resend and is corrected by the next reply.

The scenario is without real processes.

That entries which a replica had acknowledged are gone without its noticing remains: until it has them again it may elect a leader that lacks them too.

--- a/crates/replica/src/memory_disk.rs
+++ b/crates/replica/src/memory_disk.rs
@@ -82,6 +82,12 @@
         self.error = Some(error);
     }
 
+    /// Loses the last synced entries without a trace, as when a file is cut.
+    pub fn lose_entries(&mut self, count: usize) {
+        let entries = &mut self.synced.entries;
+        entries.truncate(entries.len().saturating_sub(count));
+    }
+
     /// Corrupts synced data, so that recovery reports an error.
     pub fn corrupt(&mut self) {
         self.synced.fault = Some(DiskError::Corrupt {
--- a/crates/replica/src/replica/append.rs
+++ b/crates/replica/src/replica/append.rs
@@ -183,9 +183,12 @@
     }
 
     /// Moves back to an earlier index after the peer rejected an append, and
-    /// probes for the index where the logs match.
+    /// probes for the index where the logs match. That index may be below the
+    /// synced one: a peer whose log was cut has lost entries that it had
+    /// acknowledged.
     fn backtrack(&mut self, index: LogIndex) {
-        self.next_index = self.next_index.min(index + 1).max(self.match_index + 1);
+        self.match_index = self.match_index.min(index);
+        self.next_index = self.next_index.min(index + 1);
         self.probing = true;
         self.in_flight.clear();
     }
--- a/crates/replica/tests/scenarios.rs
+++ b/crates/replica/tests/scenarios.rs
@@ -16,7 +16,7 @@
 //! - `freeze SERVER`, `resume SERVER`
 //! - `crash SERVER`, `crash_mid_write SERVER`, `restart SERVER`
 //! - `wipe SERVER`, `corrupt SERVER`, `swap_disk SERVER`, `fill_disk SERVER`,
-//!   `fail_disk SERVER`
+//!   `fail_disk SERVER`, `lose_entries SERVER COUNT`
 //! - `hold_syncs SERVER`, `sync SERVER`, `sync_next SERVER`: delayed syncs
 //! - `status`: prints the state of all servers
 //! - `check_applied`: asserts that all servers have applied the same commands
@@ -93,6 +93,9 @@
             ("restart", [server]) => simulation.restart(server),
             ("wipe", [server]) => simulation.server(server).disk.wipe(),
             ("swap_disk", [server]) => simulation.swap_disk(server),
+            ("lose_entries", [server, count]) => {
+                simulation.server(server).disk.lose_entries(count.parse()?);
+            }
             ("corrupt", [server]) => simulation.server(server).disk.corrupt(),
             ("hold_syncs", [server]) => simulation.server(server).holds_syncs = true,
             ("sync", [server]) => {
@@ -132,6 +135,7 @@
 #[test_case("stalled_disk")]
 #[test_case("late_messages")]
 #[test_case("bootstrap")]
+#[test_case("lost_tail")]
 fn scenario_holds(name: &str) {
     let path = format!("tests/scenarios/{name}");
     let simulation = Simulation::new(1);
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -123,6 +123,14 @@
     })
 }
 
+fn rejected(index: u64, round: u64) -> Kind {
+    Kind::AppendReply(AppendReply {
+        success: false,
+        index,
+        round,
+    })
+}
+
 fn vote(pre: bool) -> Kind {
     Kind::VoteReply(VoteReply { pre, granted: true })
 }
@@ -159,6 +167,18 @@
     tokens.collect()
 }
 
+/// Returns the previous index and the indexes of the entries of each append that has any.
+fn sent_after(tx: &[Output]) -> Vec<(u64, Vec<u64>)> {
+    let appends = kinds(tx).into_iter().filter_map(|kind| match kind {
+        Kind::AppendRequest(req) if !req.entries.is_empty() => Some((
+            req.prev_index,
+            req.entries.iter().map(|e| e.index).collect(),
+        )),
+        _ => None,
+    });
+    appends.collect()
+}
+
 /// Returns the newest heartbeat round that was sent.
 fn newest_round(tx: &[Output]) -> Option<u64> {
     let rounds = kinds(tx).into_iter().filter_map(|kind| match kind {
@@ -186,6 +206,30 @@
     assert_eq!(applied(&single.message(2, 2, appended(3, 1))), [2]);
 }
 
+/// Guards against a follower that receives nothing more until the next election: it has
+/// lost entries that it had acknowledged, and was only sent what follows them.
+#[test]
+fn append_rejection_below_acknowledged_index_resends_lost_entries() {
+    let mut single = SingleReplica::new();
+    let append_ops = single.become_leader();
+    single.done(&append_ops[0]);
+    single.message(2, 2, appended(3, 1));
+    let resent = single.message(2, 2, rejected(1, 1));
+    assert_eq!(sent_after(&resent), [(1, vec![2, 3])]);
+    assert!(sent_after(&single.message(2, 2, appended(3, 1))).is_empty());
+}
+
+/// Guards against a commit that counts entries which the follower has lost since.
+#[test]
+fn append_rejection_takes_back_what_was_acknowledged() {
+    let mut single = SingleReplica::new();
+    let append_ops = single.become_leader();
+    single.message(2, 2, appended(3, 1));
+    single.message(2, 2, rejected(1, 1));
+    assert!(applied(&single.done(&append_ops[0])).is_empty());
+    assert_eq!(applied(&single.message(2, 2, appended(3, 1))), [2]);
+}
+
 #[test]
 fn append_reply_commits_nothing_before_own_sync() {
     let mut single = SingleReplica::new();
