Write no request to a peer that has not stated its protocol version

Callers of an upload got 502, "may have run", instead of 503, "not run", when its gate was frozen. On the connection of an earlier request it is known that the gate runs no request before it has the whole body. Once that connection has been retired as silent, after 0.75 s, the upload goes to a new one: the kernel of the frozen process accepts it, the request is written, and as the peer's version is unknown there, it counts as possibly run. Nothing else than a missing Hello ended that connection, after 5 s, or the deadline of the request did.

Requests on a dialled connection are now written only after the Hello of the peer. A peer that is connected and silent meanwhile is given up like any other after 0.75 s, and the requests that wait are reported as not sent, so that they go to another gate or are refused as not run. The first request on a new connection takes one more round trip.

--- a/crates/plumhitchd/src/links/framing.rs
+++ b/crates/plumhitchd/src/links/framing.rs
@@ -86,7 +86,8 @@
         daemon: daemon.cfg.daemon.name.to_string(),
         kind: kind.into(),
     };
-    let writing = write_frames(link, write, Body::Hello(hello));
+    link.record_connected();
+    let writing = write_frames(link, write, Body::Hello(hello), side);
     let reading = read_frames(daemon, link, read, side);
     tokio::select! {
         err = writing => err,
@@ -94,12 +95,20 @@
     }
 }
 
-async fn write_frames(link: &Link, write: OwnedWriteHalf, hello: Body) -> LinkError {
+async fn write_frames(link: &Link, write: OwnedWriteHalf, hello: Body, side: Side) -> LinkError {
     let mut codec = FrameCodec::new();
     let mut buf = BytesMut::new();
     if let Err(err) = codec.encode(Frame::new(hello), &mut buf) {
         return err.into();
     }
+    if matches!(side, Side::Dialled(LinkKind::Data)) {
+        // What is written to a peer may run there, depending on its protocol version.
+        link.record_sent();
+        if let Err(err) = write_out(link, &write, &mut buf).await {
+            return CodecError::Io(err).into();
+        }
+        link.wait_for_hello().await;
+    }
     loop {
         if let Err(err) = encode_queued(link, &mut codec, &mut buf) {
             return err.into();
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -23,6 +23,7 @@
     /// Protocol version of the peer; 0 as long as its `Hello` has not arrived.
     peer_version: AtomicU32,
     queued: Notify,
+    greeted: Notify,
     failed: Notify,
 }
 
@@ -32,6 +33,7 @@
     liveness: Liveness,
     /// Time of the latest bytes in either direction.
     used_at: Duration,
+    connected: bool,
     closed: bool,
 }
 
@@ -43,6 +45,7 @@
             queue: SendQueue::default(),
             liveness: Liveness::new(now),
             used_at: now,
+            connected: false,
             closed: false,
         };
         Arc::new(Self {
@@ -51,6 +54,7 @@
             state: Mutex::new(state),
             peer_version: AtomicU32::new(0),
             queued: Notify::new(),
+            greeted: Notify::new(),
             failed: Notify::new(),
         })
     }
@@ -130,9 +134,29 @@
         self.queued.notified().await;
     }
 
+    /// Records that the connection is established.
+    pub(super) fn record_connected(&self) {
+        let now = clock::now();
+        let mut state = lock(&self.state);
+        state.connected = true;
+        state.liveness.record_activity(now);
+    }
+
     /// Records the protocol version of the peer.
     pub(super) fn set_peer_version(&self, version: u32) {
         self.peer_version.store(version, Ordering::Release);
+        self.greeted.notify_one();
+    }
+
+    /// Waits until the peer's `Hello` has arrived; only one task may wait.
+    pub(super) async fn wait_for_hello(&self) {
+        self.greeted.notified().await;
+    }
+
+    /// Returns whether requests wait for the `Hello` of a peer that is connected.
+    fn awaits_hello(&self) -> bool {
+        let is_greeted = self.peer_version.load(Ordering::Acquire) > 0;
+        !is_greeted && lock(&self.state).connected && !self.streams.is_empty()
     }
 
     /// Returns whether the peer is known to run no request before it has the complete
@@ -177,12 +201,12 @@
         state.liveness.record_written(now);
     }
 
-    /// Pings a peer that has been silent although a request is open or a message was
-    /// written, and fails the connection if it stays silent.
+    /// Pings a peer that has been silent although a request is open, waits for its `Hello`,
+    /// or a message was written, and fails the connection if it stays silent.
     pub(super) fn check_liveness(&self, kind: LinkKind) {
         let now = clock::now();
         let check = match kind {
-            LinkKind::Data if self.streams.any_written() => {
+            LinkKind::Data if self.streams.any_written() || self.awaits_hello() => {
                 lock(&self.state).liveness.check_requests(now)
             }
             LinkKind::Data => return,
--- a/crates/plumhitchd/tests/path.rs
+++ b/crates/plumhitchd/tests/path.rs
@@ -344,3 +344,33 @@
     let bodies = pair.upstream_stats.body_bytes_read.load(Ordering::SeqCst);
     assert_eq!(bodies, 0, "the upload ran after it was refused");
 }
+
+/// Guards against an upload that is reported as possibly run, though no part of it can have
+/// run: it was written to a new connection to a gate that was frozen before it had stated
+/// its protocol version there.
+#[test_case("page"; "request that may run twice")]
+#[test_case("reservation"; "request that must not run twice")]
+#[tokio::test(flavor = "multi_thread")]
+async fn upload_on_a_new_connection_to_a_frozen_gate_is_reported_as_not_run(class: &'static str) {
+    let pair = Pair::start("[limits]\nheld-size = 1 MB\n", "").await;
+    let running = slow_call(&pair).await;
+    pair.gate.signal("STOP");
+    // The connection of the running request is retired meanwhile.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let upload = pair
+        .request("POST", "/echo")
+        .header("idempotency-key", "frozen")
+        .body(vec![7; 300 * 1024]);
+    let mut upload = upload.build().unwrap();
+    upload
+        .headers_mut()
+        .insert("plumhitch-class", class.parse().unwrap());
+    let response = pair.client.execute(upload).await.unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers()["plumhitch-run"], "not-run");
+    pair.gate.signal("CONT");
+    assert_eq!(running.await.unwrap().unwrap().status(), 200);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let bodies = pair.upstream_stats.body_bytes_read.load(Ordering::SeqCst);
+    assert_eq!(bodies, 0, "the upload ran after it was refused");
+}
