End requests whose body stops arriving

What callers saw: a caller that sends a head and a part of the body, and then nothing more, kept its connection, its request and what was buffered of it for good, and a stop waited for it until its bound. Only heads and idle connections had a time limit.

Cause: the reader of a body waited for more bytes without a limit.

Change: if no byte of the rest arrives for the idle time of callers' connections, the request is answered with 408 where it was not passed on, otherwise with 502, since 408 promises that it was not run; its attempt is cancelled. Responses due before are written, then the connection closes. The time begins anew with each piece, so a slow upload that goes on has no limit. The header time is not used: it is short where uploads over lossy links may pause. While a caller waits for `100 Continue` behind an earlier response, the time does not count.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -53,6 +53,14 @@
     Rejected(HeadError),
 }
 
+/// Why no more of a request body was read.
+enum BodyEnd {
+    /// The connection ended.
+    Cut(CutReason),
+    /// The rest did not arrive in time.
+    TimedOut,
+}
+
 /// An entry in the queue of responses.
 enum QueuedWrite {
     /// `100 Continue`.
@@ -152,11 +160,12 @@
             }
             let keep_alive = head.keep_alive;
             let framing = head.framing;
+            let expects_continue = head.expects_continue;
             let Some(body_tx) = self.start_request(head).await else {
                 return ReadEnd::Disconnected(CutReason::WriteFailed);
             };
             if framing != Framing::Empty
-                && let Err(reason) = self.read_body(framing, body_tx).await
+                && let Err(reason) = self.read_body(framing, expects_continue, body_tx).await
             {
                 return ReadEnd::Disconnected(reason);
             }
@@ -248,7 +257,12 @@
     }
 
     /// Reads a request body and passes it to the request's task.
-    async fn read_body(&mut self, framing: Framing, tx: BodyTx) -> Result<(), CutReason> {
+    async fn read_body(
+        &mut self,
+        framing: Framing,
+        mut waits_for_continue: bool,
+        tx: BodyTx,
+    ) -> Result<(), CutReason> {
         let mut reader = BodyReader::new(framing);
         loop {
             match reader.next(&mut self.buf) {
@@ -258,22 +272,51 @@
                     let _ = tx.send(Ok(bytes)).await;
                 }
                 Ok(Piece::End) => return Ok(()),
-                Ok(Piece::NeedMore) => {
-                    if let Err(reason) = fill(self.read, &mut self.buf).await {
+                Ok(Piece::NeedMore) => match self.read_more_of_body(waits_for_continue).await {
+                    Ok(()) => waits_for_continue = false,
+                    Err(BodyEnd::Cut(reason)) => {
                         let _ = tx.send(Err(UploadError::Aborted)).await;
                         return Err(reason);
                     }
-                }
+                    Err(BodyEnd::TimedOut) => {
+                        return Err(self.abandon_body(&tx, UploadError::TimedOut).await);
+                    }
+                },
                 Err(error) => {
                     log::debug!("event=body_malformed reason=\"{error}\"");
-                    self.tx = None;
-                    let _ = tx.send(Err(UploadError::Aborted)).await;
-                    return Err(self.wait_for_disconnect().await);
+                    return Err(self.abandon_body(&tx, UploadError::Aborted).await);
                 }
             }
         }
     }
 
+    /// Reads more bytes of a body within the idle timeout, which begins anew with each
+    /// piece, so that a slow upload is not cut off. A caller that waits for `100 Continue`
+    /// sends nothing until the requests before have their responses.
+    async fn read_more_of_body(&mut self, waits_for_continue: bool) -> Result<(), BodyEnd> {
+        loop {
+            let limit = self.daemon.idle_timeout();
+            tokio::select! {
+                biased;
+                // Received bytes are read before the time limit may end the body.
+                read = fill(self.read, &mut self.buf) => return read.map_err(BodyEnd::Cut),
+                () = sleep(limit) => {
+                    if !waits_for_continue || self.unanswered.len() <= 1 {
+                        return Err(BodyEnd::TimedOut);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Gives up a body whose rest cannot be read. The responses that are due are still
+    /// written, then the connection closes, since the start of the next request is unknown.
+    async fn abandon_body(&mut self, tx: &BodyTx, error: UploadError) -> CutReason {
+        self.tx = None;
+        let _ = tx.send(Err(error)).await;
+        self.wait_for_disconnect().await
+    }
+
     /// Queues the response to a rejected head. The connection is not read
     /// further, because the start of the next request is unknown.
     async fn refuse(&mut self, error: HeadError) {
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -107,6 +107,7 @@
     pub(super) fn mark_upload_failed(&mut self, err: UploadError) {
         match err {
             UploadError::TooLong => self.mark_rejected("body-too-long"),
+            UploadError::TimedOut => self.mark_rejected("body-timeout"),
             UploadError::Aborted => self.known = false,
         }
     }
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -89,10 +89,24 @@
             "malformed",
             "the body broke off or is not valid",
         ),
+        UploadError::TimedOut => (
+            timeout_status(run),
+            "body-timeout",
+            "the rest of the body did not arrive",
+        ),
     };
     build(daemon, status, &body_without_retry(reason, run, message))
 }
 
+/// Returns the HTTP status for a body that stopped arriving. Clients take 408 to mean that
+/// the request was not run.
+fn timeout_status(run: RunState) -> StatusCode {
+    match run {
+        RunState::NotRun => StatusCode::REQUEST_TIMEOUT,
+        RunState::Ran | RunState::MayHaveRun => StatusCode::BAD_GATEWAY,
+    }
+}
+
 fn body_without_retry<'a>(reason: &'a str, run: RunState, message: &'a str) -> RefusalBody<'a> {
     RefusalBody {
         reason,
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -81,6 +81,11 @@
         self.writes_last_response.load(Ordering::Acquire)
     }
 
+    /// Returns how many requests wait for their responses.
+    pub(super) fn len(&self) -> usize {
+        lock(&self.attempt_ids).len()
+    }
+
     /// Returns whether every request has its response.
     pub(super) fn is_empty(&self) -> bool {
         lock(&self.attempt_ids).is_empty()
--- a/crates/plumhitchd/src/task_messages.rs
+++ b/crates/plumhitchd/src/task_messages.rs
@@ -43,4 +43,6 @@
     TooLong,
     /// The caller aborted the upload.
     Aborted,
+    /// The rest of the body stopped arriving.
+    TimedOut,
 }
