Refuse uploads whose deadline lies after a stop's end

What callers saw: an upload that was under way when a stop began and ended shortly before the stop's bound was passed on, and its run was cut off with 502.

Cause: whether such a request still has time was decided by the latency objective of its route, not by its deadline, up to which its work may take.

Change: it is refused as not run if its deadline lies after the bound. Ruled out: the measured work of its class, which one long request exceeds. The price is a refusal of some uploads that would have ended in time, whose callers send them again elsewhere. Stops without a bound and requests whose head came before the stop with no body to wait for are as before.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -301,7 +301,7 @@
             self.credentials.record_refused(&credential, cause.reason);
         })?;
         active.only_at = only_at;
-        if self.stop.is_some_and(|stop| stop.cuts(&active, cx.now)) {
+        if self.stop.is_some_and(|stop| stop.may_cut(&active)) {
             return Err(Reason::Stopping.into());
         }
         if active.identity.is_some() {
--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -20,11 +20,9 @@
         request.received_at >= self.since
     }
 
-    /// Returns whether a request that is accepted now is expected to be cut off.
-    pub(super) fn cuts(self, active: &ActiveRequest, now: Duration) -> bool {
-        let expected_end = active.objective.map(|objective| now + objective);
-        expected_end
-            .zip(self.until)
-            .is_some_and(|(end, until)| end > until)
+    /// Returns whether a request may still run when the stop cuts it off: it may take until
+    /// its deadline, whatever its latency objective is.
+    pub(super) fn may_cut(self, active: &ActiveRequest) -> bool {
+        self.until.is_some_and(|until| active.deadline > until)
     }
 }
--- a/crates/node/tests/stopping.rs
+++ b/crates/node/tests/stopping.rs
@@ -44,6 +44,8 @@
 #[test_case(STOP_MS - 1, STOP_MS + 1, Some(CUT_MS) => true; "begun before the stop")]
 #[test_case(STOP_MS - 1, CUT_MS + 1, None => true; "begun before a stop without limit")]
 #[test_case(STOP_MS, STOP_MS + 1, Some(CUT_MS) => false; "begun after the stop")]
+#[test_case(STOP_MS - 1, CUT_MS - LEFT_MS, Some(CUT_MS) => true; "deadline when the stop ends")]
+#[test_case(STOP_MS - 1, CUT_MS - LEFT_MS + 1, Some(CUT_MS) => false; "deadline after the stop")]
 #[test_case(STOP_MS - 1, CUT_MS - 1, Some(CUT_MS) => false; "complete only when the stop ends")]
 fn stopping_entry_accepts_request(received_ms: u64, at_ms: u64, cut_ms: Option<u64>) -> bool {
     is_accepted(&mut stopping_node(cut_ms), received_ms, at_ms)
