Replace a control replica whose data folder is corrupt

Cause: a corrupt folder was handled as an error that only an operator can end, though the way for it exists: the one of a lost disk.

As long as files are set aside it neither bootstraps nor initialises: under the id that follows from its address it had voted and acknowledged. Folders that cannot be read or written, or whose format is unknown, stay as they are: those faults meet all machines at once and the data is sound. A file that the disk cannot return (EIO, a folder in its place) counts as corrupt; a lack of permission does not.

--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -22,10 +22,10 @@
 /// Queue of disk operations.
 pub(crate) type DiskTx = mpsc::Sender<DiskOp>;
 
-/// Opens the data folder. If that fails, the replica is marked faulty and the
-/// daemon's other roles keep working.
+/// Opens the data folder. Corrupt files are set aside. If that fails, the replica is marked
+/// faulty and the daemon's other roles keep working.
 pub(crate) fn open(path: &Path) -> (Result<Disk, DiskError>, Recovered) {
-    match Disk::open(path) {
+    match Disk::open_or_set_aside(path) {
         Ok((disk, recovered)) => (Ok(disk), recovered),
         Err(err) => {
             log::error!(
@@ -88,7 +88,7 @@
     let mut full_since = None;
     wait_to_retry(reason, &mut full_since);
     let opened = loop {
-        match Disk::open(path) {
+        match Disk::open_or_set_aside(path) {
             Err(reason) if reason.is_temporary() => wait_to_retry(&reason, &mut full_since),
             opened => break opened,
         }
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -6,6 +6,7 @@
 //! | `snapshot-INDEX` | the newest snapshot |
 //! | `log-SEQUENCE` | a segment of the log |
 //! | `lock` | empty; locked while the folder is open |
+//! | `damaged-NUMBER-NAME` | file of an earlier replica whose folder was found corrupt |
 //!
 //! `state` and the snapshot are written to a temporary file, synced and
 //! renamed. Segments are append-only: a suffix of the log is replaced by
@@ -32,6 +33,7 @@
 mod file;
 mod format;
 mod recovery;
+mod set_aside;
 mod term_index;
 
 pub use error::DiskError;
@@ -46,6 +48,7 @@
     snapshot_name,
 };
 use recovery::{FolderContents, Segment, recover};
+use set_aside::{names_set_aside, set_aside};
 use std::collections::VecDeque;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -80,7 +83,18 @@
     /// Returns an error if the folder is already open, cannot be read or
     /// written, or contains corrupt data.
     pub fn open(path: &Path) -> Result<(Self, Recovered), DiskError> {
-        Self::open_with(path, Files::default())
+        Self::open_with(path, Files::default(), false)
+    }
+
+    /// Opens a data folder as [`Disk::open`] does. If it contains corrupt data, its files
+    /// are set aside and the folder is empty, as after the loss of the disk.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder is already open, cannot be read or written, or was
+    /// written by a version whose format is unknown.
+    pub fn open_or_set_aside(path: &Path) -> Result<(Self, Recovered), DiskError> {
+        Self::open_with(path, Files::default(), true)
     }
 
     /// Opens a data folder whose file operations can be made to fail, for tests.
@@ -92,16 +106,27 @@
         path: &Path,
         inject_fault: FaultInjector,
     ) -> Result<(Self, Recovered), DiskError> {
-        Self::open_with(path, Files::with_faults(inject_fault))
+        Self::open_with(path, Files::with_faults(inject_fault), false)
     }
 
-    fn open_with(path: &Path, mut files: Files) -> Result<(Self, Recovered), DiskError> {
+    fn open_with(
+        path: &Path,
+        mut files: Files,
+        sets_aside: bool,
+    ) -> Result<(Self, Recovered), DiskError> {
         files.create_folder(path)?;
         let lock = files.lock(&path.join(LOCK_NAME))?;
+        let mut contents = recover(&mut files, path);
+        if sets_aside && let Err(error @ DiskError::Corrupt { .. }) = &contents {
+            let prefix = set_aside(&mut files, path)?;
+            log_set_aside(error, path, &prefix);
+            contents = recover(&mut files, path);
+        }
         let FolderContents {
-            recovered,
+            mut recovered,
             segments,
-        } = recover(&mut files, path)?;
+        } = contents?;
+        recovered.set_aside = names_set_aside(path)?;
         let snapshot = recovered.snapshot.as_ref();
         let disk = Self {
             folder: path.to_owned(),
@@ -281,6 +306,20 @@
     }
 }
 
+fn log_set_aside(error: &DiskError, folder: &Path, prefix: &str) {
+    if let DiskError::Corrupt {
+        path,
+        offset,
+        reason,
+    } = error
+    {
+        log::error!(
+            "event=data_folder_set_aside file={path} offset={offset} reason=\"{reason}\" kept={}/{prefix}*",
+            folder.display()
+        );
+    }
+}
+
 fn entries_of(write: DiskWrite) -> Vec<LogEntry> {
     match write {
         DiskWrite::Append(entries) => entries,
--- a/crates/replica/src/disk/error.rs
+++ b/crates/replica/src/disk/error.rs
@@ -33,6 +33,11 @@
         /// Description of the corruption.
         reason: &'static str,
     },
+    /// The folder was written by another version, whose format is unknown.
+    UnknownFormat {
+        /// File.
+        path: String,
+    },
     /// An earlier operation failed, so this one was not attempted.
     Stopped,
 }
@@ -59,6 +64,7 @@
                 offset,
                 reason,
             } => write!(f, "{path}: corrupt at byte {offset}: {reason}"),
+            Self::UnknownFormat { path } => write!(f, "{path}: unknown version of the log format"),
             Self::Stopped => write!(f, "disk operation not attempted after an earlier error"),
         }
     }
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -83,6 +83,23 @@
         removed.map_err(|e| io_error(path, &e))
     }
 
+    /// Moves a file. The folders are not synced.
+    pub(super) fn rename(&mut self, from: &Path, to: &Path) -> Result<(), DiskError> {
+        let renamed = self.check(FileOp::Rename);
+        let renamed = renamed.and_then(|()| fs::rename(from, to));
+        renamed.map_err(|e| io_error(from, &e))
+    }
+
+    /// Removes a file, or a folder with all files in it.
+    pub(super) fn remove_any(&mut self, path: &Path) -> Result<(), DiskError> {
+        if !path.is_dir() {
+            return self.remove(path);
+        }
+        let removed = self.check(FileOp::Remove);
+        let removed = removed.and_then(|()| fs::remove_dir_all(path));
+        removed.map_err(|e| io_error(path, &e))
+    }
+
     /// Truncates a file and syncs it.
     pub(super) fn truncate(&mut self, path: &Path, len: usize) -> Result<(), DiskError> {
         let f = OpenOptions::new().write(true).open(path);
@@ -145,9 +162,7 @@
             self.write_and_sync(&mut f, bytes)
         });
         written.map_err(|e| io_error(&temporary, &e))?;
-        let renamed = self.check(FileOp::Rename);
-        let renamed = renamed.and_then(|()| fs::rename(&temporary, &path));
-        renamed.map_err(|e| io_error(&path, &e))?;
+        self.rename(&temporary, &path)?;
         self.sync_folder(folder)
     }
 
@@ -222,6 +237,10 @@
         .map_err(|e| io_error(path, &e))
 }
 
+/// Reads a file. One that the disk cannot return is corrupt; a lack of permission is not.
 pub(super) fn read(path: &Path) -> Result<Vec<u8>, DiskError> {
-    fs::read(path).map_err(|e| io_error(path, &e))
+    fs::read(path).map_err(|e| match Errno::from_io_error(&e) {
+        Some(Errno::IO | Errno::ISDIR) => corrupt(path, 0, "the file cannot be read"),
+        _ => io_error(path, &e),
+    })
 }
--- a/crates/replica/src/disk/recovery.rs
+++ b/crates/replica/src/disk/recovery.rs
@@ -53,7 +53,7 @@
         hard_state,
         snapshot,
         entries: replay.entries,
-        fault: None,
+        ..Recovered::default()
     };
     Ok(FolderContents {
         recovered,
@@ -199,6 +199,10 @@
 ) -> Result<(), DiskError> {
     if offset == 0 {
         let header: SegmentHeader = decode(path, offset, payload)?;
+        if header.version != FORMAT_VERSION {
+            let path = path.display().to_string();
+            return Err(DiskError::UnknownFormat { path });
+        }
         let started = replay.start_segment(&header);
         return started.map_err(|reason| corrupt(path, offset, reason));
     }
@@ -259,9 +263,6 @@
     /// Starts a segment after checking that the replayed log ends where the
     /// segment's header says.
     fn start_segment(&mut self, header: &SegmentHeader) -> Result<(), &'static str> {
-        if header.version != FORMAT_VERSION {
-            return Err("unknown version of the log format");
-        }
         if header.prev_index <= self.base {
             self.entries.clear();
             self.diverged = false;
--- a/crates/replica/src/memory_disk.rs
+++ b/crates/replica/src/memory_disk.rs
@@ -103,6 +103,12 @@
         self.error.is_none() && self.synced.fault.is_none()
     }
 
+    /// Sets the files of a damaged folder aside, so that it is empty.
+    pub fn set_aside(&mut self) {
+        self.wipe();
+        self.synced.set_aside = vec!["damaged-1-state".to_owned()];
+    }
+
     /// Replaces the disk with an empty one.
     pub fn wipe(&mut self) {
         *self = Self::default();
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -76,7 +76,7 @@
             election,
             follower_state: FollowerState::default(),
             leader_state: None,
-            join_state: JoinState::new(now),
+            join_state: JoinState::new(now, !recovered.set_aside.is_empty()),
             storage: Storage::new(recovered.fault),
             snapshot_requested: false,
             bytes_since_snapshot: 0,
--- a/crates/replica/src/replica/bootstrap.rs
+++ b/crates/replica/src/replica/bootstrap.rs
@@ -15,10 +15,14 @@
 
 impl Replica {
     /// Creates the cluster if this replica is one of its initial voters and its
-    /// data folder is empty.
+    /// data folder is empty. One that replaces a damaged folder must not: under the id
+    /// that follows from its address it may have voted and acknowledged entries.
     pub(super) fn bootstrap(&mut self, tx: &mut Vec<Output>) {
         let own_address = &self.options.address;
-        if self.hard_state.id != 0 || !self.options.initial_voters.contains(own_address) {
+        if self.hard_state.id != 0
+            || self.join_state.has_seen_cluster()
+            || !self.options.initial_voters.contains(own_address)
+        {
             return;
         }
         let mut addresses = self.options.initial_voters.clone();
--- a/crates/replica/src/replica/join.rs
+++ b/crates/replica/src/replica/join.rs
@@ -24,21 +24,26 @@
     next_request: Duration,
     target_index: usize,
     leader_hint: Option<String>,
-    /// Whether a message from a replica of any cluster was received.
+    /// Whether a message from a replica of any cluster was received, or the data folder
+    /// held a replica before.
     cluster_seen: bool,
 }
 
 impl JoinState {
-    pub(super) fn new(now: Duration) -> Self {
+    pub(super) fn new(now: Duration, cluster_seen: bool) -> Self {
         Self {
             started_at: now,
             next_request: now,
             target_index: 0,
             leader_hint: None,
-            cluster_seen: false,
+            cluster_seen,
         }
     }
 
+    pub(super) fn has_seen_cluster(&self) -> bool {
+        self.cluster_seen
+    }
+
     pub(super) fn record_cluster(&mut self, cluster: u64) {
         self.cluster_seen |= cluster != 0;
     }
@@ -53,11 +58,11 @@
         }
     }
 
-    /// Creates a cluster unless this replica belongs to one or has received a
-    /// message from one. In the latter case its disk may have been lost, and it
+    /// Creates a cluster unless this replica belongs to one, has received a message from
+    /// one or has a folder that held a replica before. In the latter two cases its disk may have been lost, and it
     /// must not create a second cluster.
     pub(super) fn initialise(&mut self, tx: &mut Vec<Output>) {
-        if self.hard_state.cluster != 0 || self.join_state.cluster_seen {
+        if self.hard_state.cluster != 0 || self.join_state.has_seen_cluster() {
             return;
         }
         let cluster = self.random_id();
--- a/crates/replica/src/stored.rs
+++ b/crates/replica/src/stored.rs
@@ -47,6 +47,9 @@
     pub snapshot: Option<Snapshot>,
     /// Consecutive entries after the snapshot.
     pub entries: Vec<LogEntry>,
+    /// Names of the files that were set aside, because the folder was corrupt. It held
+    /// another replica before, so that the new one bootstraps no cluster.
+    pub set_aside: Vec<String>,
     /// Reason why the data folder cannot be used. The replica then starts as
     /// faulty.
     pub fault: Option<DiskError>,
--- a/crates/replica/tests/disk.rs
+++ b/crates/replica/tests/disk.rs
@@ -78,7 +78,7 @@
         hard_state: Some(STATE),
         snapshot: Some(snapshot(1, 4)),
         entries: all.into_iter().filter(|e| e.index <= last).collect(),
-        fault: None,
+        ..Recovered::default()
     }
 }
 
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -238,6 +238,26 @@
     assert_eq!(applied(&single.done(&append_ops[0])), [2]);
 }
 
+/// Guards against a replica that votes a second time under the id that follows from its
+/// address, and against a second cluster, after its folder was set aside.
+#[test]
+fn replica_that_replaces_damaged_one_creates_no_cluster() {
+    let mut options = ReplicaOptions::new("n1", 1);
+    options.initial_voters = ["n1", "n2", "n3"].map(str::to_owned).to_vec();
+    let recovered = Recovered {
+        set_aside: vec!["damaged-1-state".to_owned()],
+        ..Recovered::default()
+    };
+    let mut former = Replica::new(options.clone(), Recovered::default(), Duration::ZERO);
+    let mut replica = Replica::new(options, recovered, Duration::ZERO);
+    let mut tx = Vec::new();
+    former.step(Duration::ZERO, Input::Tick, &mut tx);
+    replica.step(Duration::ZERO, Input::Tick, &mut tx);
+    replica.step(Duration::ZERO, Input::Initialise, &mut tx);
+    assert_eq!((replica.role(), replica.cluster()), (Role::Empty, 0));
+    assert_ne!(replica.id(), former.id());
+}
+
 /// A reply to a round that was sent before a read was requested does not
 /// confirm that the replica is still the leader.
 #[test]
