Close connections whose callers do not read their responses

What callers saw: nothing; the daemon kept a connection, with its descriptor and what was buffered for it, for as long as a caller left its response unread.

Cause: the same as that of a body which stops arriving, on the other direction: a write to a caller's connection waited without a limit. The run at the upstream did end, at its deadline.

Change: a write that makes no progress for the idle time of callers' connections closes the connection (`request_cut` with reason `not-read`). The time begins anew with each part that the connection takes.

Evidence: platform/tests/halted_readers.rs was red on ("the connection stays open") and passed in 2 of 2 runs with the change. Not tested: a reader that is slow but goes on; the kernel's buffers take responses of the tests whole.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -395,7 +395,7 @@
             unknown_length,
             keep_alive_s,
         };
-        let written = write_response(&mut write, &mut buf, format, response).await;
+        let written = write_response(daemon, &mut write, &mut buf, format, response).await;
         if let Err(reason) = written {
             if until_close {
                 // An orderly close would make the part that was sent look complete.
@@ -438,6 +438,7 @@
 /// Returns an error if the response is cut off or the connection cannot be
 /// written.
 async fn write_response(
+    daemon: &Daemon,
     write: &mut OwnedWriteHalf,
     buf: &mut BytesMut,
     format: ResponseFormat<'_>,
@@ -468,7 +469,7 @@
             if !bodyless {
                 buf.extend_from_slice(&bytes);
             }
-            write_out(write, buf).await
+            write_out(daemon, write, buf).await
         }
         ResponseBody::Stream(len, mut driver) => {
             let framing = len.map_or(unknown_length, Framing::Length);
@@ -480,18 +481,31 @@
                     _ => buf.extend_from_slice(&piece),
                 }
                 if buf.len() >= FLUSH_THRESHOLD_BYTES || framing != Framing::Chunked {
-                    write_out(write, buf).await?;
+                    write_out(daemon, write, buf).await?;
                 }
             }
             if framing == Framing::Chunked {
                 http1::write_last_chunk(buf);
             }
-            write_out(write, buf).await
+            write_out(daemon, write, buf).await
         }
     }
 }
 
-async fn write_out(write: &mut OwnedWriteHalf, buf: &mut BytesMut) -> Result<(), CutReason> {
-    let written = write.write_all_buf(buf).await;
-    written.map_err(|_| CutReason::WriteFailed)
+/// Writes the whole buffer. The idle timeout begins anew with each part that the connection
+/// takes, so that a slow reader is not cut off.
+async fn write_out(
+    daemon: &Daemon,
+    write: &mut OwnedWriteHalf,
+    buf: &mut BytesMut,
+) -> Result<(), CutReason> {
+    while !buf.is_empty() {
+        let written = timeout(daemon.idle_timeout(), write.write_buf(buf)).await;
+        match written {
+            Ok(Ok(len)) if len > 0 => {}
+            Ok(_) => return Err(CutReason::WriteFailed),
+            Err(_) => return Err(CutReason::NotRead),
+        }
+    }
+    Ok(())
 }
--- a/crates/plumhitchd/src/entry_http/unanswered.rs
+++ b/crates/plumhitchd/src/entry_http/unanswered.rs
@@ -18,6 +18,8 @@
     IdleTimeout,
     /// Writing to the connection failed.
     WriteFailed,
+    /// The caller read nothing of its response in time.
+    NotRead,
     /// The response broke off after its beginning was sent.
     ResponseBroken,
     /// The request's task ended without a response.
@@ -34,6 +36,7 @@
             Self::ReadFailed => "read-failed",
             Self::IdleTimeout => "idle-timeout",
             Self::WriteFailed => "write-failed",
+            Self::NotRead => "not-read",
             Self::ResponseBroken => "response-broken",
             Self::TaskEnded => "task-ended",
             Self::EarlierClosed => "earlier-closed",
