Unblock the signals that the daemon handles at its start

Operators whose supervisor leaves SIGTERM and SIGHUP blocked in the signal mask saw a process that ran on after SIGTERM until it was killed, with the requests it held: handlers were installed, but a blocked signal stays pending.

--- a/crates/plumhitchd/src/signals.rs
+++ b/crates/plumhitchd/src/signals.rs
@@ -3,17 +3,27 @@
 //! They are handled from the start of the program on, before the runtime exists: one that
 //! arrives while the daemon is being started takes effect once it has started.
 
+use nix::sys::signal::{SigSet, Signal};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1, SIGUSR2, SIGXFSZ};
 use signal_hook::flag;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::{self, SignalKind, signal};
 
 /// Signals that would end the process although it can continue: a write beyond the limit
 /// on the length of files, which fails like one on a full disk, and those by which tools
 /// ask other programs to reopen their logs or to print their state.
 const SURVIVED: [i32; 3] = [SIGXFSZ, SIGUSR1, SIGUSR2];
+/// Signals that take effect even if the program was started with them blocked.
+const UNBLOCKED: [Signal; 6] = [
+    Signal::SIGHUP,
+    Signal::SIGTERM,
+    Signal::SIGINT,
+    Signal::SIGXFSZ,
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+];
 
 /// Handlers of the process's signals, which record those that arrive early.
 #[derive(Debug)]
@@ -23,12 +33,13 @@
 }
 
 impl Signals {
-    /// Installs the handlers. A signal that arrives before may end the process, so this
-    /// comes first in `main`.
+    /// Installs the handlers, and unblocks the signals, which the threads that are started
+    /// later inherit. A signal that arrives before may end the process, so this comes first
+    /// in `main`.
     ///
     /// # Errors
     ///
-    /// Returns an error if a handler cannot be installed.
+    /// Returns an error if a handler cannot be installed or the signals stay blocked.
     pub fn install() -> io::Result<Self> {
         let reload = Arc::new(AtomicBool::new(false));
         let stop = Arc::new(AtomicBool::new(false));
@@ -38,6 +49,7 @@
         for signal in SURVIVED {
             flag::register(signal, Arc::default())?;
         }
+        UNBLOCKED.into_iter().collect::<SigSet>().thread_unblock()?;
         Ok(Self { reload, stop })
     }
 
@@ -74,7 +86,7 @@
 pub(crate) struct ReloadSignals {
     /// Whether a signal arrived before the stream existed.
     arrived: bool,
-    hangup: Signal,
+    hangup: unix::Signal,
 }
 
 impl ReloadSignals {
@@ -92,8 +104,8 @@
 pub(crate) struct StopSignals {
     /// Whether a signal arrived before the streams existed.
     arrived: bool,
-    terminate: Signal,
-    interrupt: Signal,
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
 }
 
 impl StopSignals {
