Limit the connections of every listener, and close those that are not used

Callers, instances and operators saw 503s and no responses, and the process used a whole core, while clients held more connections than it has descriptors. On the listeners for control, readiness, metrics and operators a connection was never closed, whatever it had not sent; their number had no limit; and an accept that failed was tried again at once.

Cause: these listeners were served by salvo's server, which neither waits after a failed accept nor bounds connections, and whose settings have one time for the head only. Of the descriptors no use had a share, so that whoever took the last ones starved requests, peers and files.

Change: one acceptor for all listeners. It waits 100 ms after a failed accept, logs one line in 10 s and counts. The descriptors of the process (RLIMIT_NOFILE, or the new setting `[limits] descriptors`, on the platform max_fds less the 200 for other files) are divided at the start; a listener whose share is used up closes its newest connection unread, that for peers the oldest one whose peer has not sent its Hello, since the sender of a request on a refused connection could not know that it does not run. Handlers and router stay salvo's; their connections are served by hyper on a stream with the time limits of the routing for heads and idle connections, and bodies have `[limits] body-time`. One timer a connection, no task. Listeners set keepalive and TCP_USER_TIMEOUT, which accepted connections inherit. In a stop these connections end as the callers' do: after a response once the stop has begun, idle ones at its end, and a request that is being handled is awaited. New metric plumhitch_listener_connections and log event descriptors.

Ruled out: salvo's Acceptor with its builder's header_read_timeout: it is one time for head and idle connections, and the server drops the error, so that nothing could be counted.

Evidence: held_connections, real processes with 256 descriptors and 600 connections to one listener.

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -40,6 +40,7 @@
 const MAX_SNAPSHOT_ENTRIES: u64 = 10_000_000;
 const MAX_CANARY_SLACK: u32 = 1_000_000;
 const MAX_CONNECTIONS: usize = 1_000_000;
+const MIN_DESCRIPTORS: usize = 64;
 
 const HEADER_BYTES: RangeInclusive<u64> = 1 << 10..=1 << 20;
 const BODY_BYTES: RangeInclusive<u64> = 1..=1 << 40;
@@ -379,6 +380,12 @@
         bytes(t, WINDOW_BYTES)
     });
     keys.set("link-bytes", &mut cfg.link_bytes, |t| size(t, LINK_BYTES));
+    keys.set("descriptors", &mut cfg.descriptors, |t| {
+        count(t, MIN_DESCRIPTORS..=MAX_CONNECTIONS).map(Some)
+    });
+    keys.set("body-time", &mut cfg.body_timeout, |t| {
+        time(t, TEN_MS_TO_A_DAY)
+    });
     keys.report_unknown_keys();
     cfg
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -224,6 +224,11 @@
     /// Bytes a second that the VM's network link carries in each direction; 0 if
     /// unknown. Bodies are received and upstreams chosen accordingly.
     pub link_bytes: u64,
+    /// Number of descriptors that the process may have, if that is less than its enforced
+    /// limit.
+    pub descriptors: Option<usize>,
+    /// Maximum time for the body of a request to operators' endpoints.
+    pub body_timeout: Duration,
 }
 
 /// Graceful stop.
@@ -245,6 +250,7 @@
 }
 
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(15);
 const DEFAULT_STUCK_TIMEOUT: Duration = Duration::from_secs(60);
 const DEFAULT_RETURN_RAMP: Duration = Duration::from_secs(20);
 const DEFAULT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -385,6 +391,8 @@
             buffered_body_bytes: 64 * 1024,
             window_bytes: 256 * 1024,
             link_bytes: 0,
+            descriptors: None,
+            body_timeout: DEFAULT_BODY_TIMEOUT,
         }
     }
 }
--- a/crates/plumhitchd/src/endpoints.rs
+++ b/crates/plumhitchd/src/endpoints.rs
@@ -1,13 +1,13 @@
 //! HTTP endpoints of the program that embeds the daemon.
 
 use crate::handle::Handle;
+use crate::http_server::{self, RunningCall, read_body};
 use crate::integration::{ApiRequest, Endpoint};
-use crate::listeners;
+use crate::listeners::{self, Acceptor};
 use crate::runtime::Daemon;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::header::CONTENT_TYPE;
-use salvo::http::{HeaderValue, Request, ResBody, Response, StatusCode};
-use salvo::{Depot, FlowCtrl, Handler, Router, Server, async_trait};
+use salvo::http::{HeaderValue, Request, ResBody, Response};
+use salvo::{Depot, FlowCtrl, Handler, Router, async_trait};
 use std::io;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -32,18 +32,17 @@
     endpoint: Endpoint,
     listener: TcpListener,
 ) -> io::Result<()> {
-    let acceptor = TcpAcceptor::try_from(listener)?;
+    let acceptor = Acceptor::new(listener, daemon.ports.add_endpoint(endpoint.name));
     let service = EndpointService {
-        handle: Handle::new(daemon.clone()),
+        daemon: daemon.clone(),
         endpoint,
     };
     let router = Router::with_path("{**path}").goal(service);
-    tokio::spawn(Server::new(acceptor).try_serve(router));
-    Ok(())
+    http_server::serve(daemon, acceptor, router)
 }
 
 struct EndpointService {
-    handle: Handle,
+    daemon: Arc<Daemon>,
     endpoint: Endpoint,
 }
 
@@ -58,19 +57,19 @@
     ) {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
-        let body = match req
-            .payload_with_max_size(self.endpoint.max_body_bytes)
-            .await
-        {
+        let body = match read_body(&self.daemon, req, self.endpoint.max_body_bytes).await {
             Ok(body) => body.to_vec(),
             Err(err) => {
-                log::warn!("event=body_unreadable path={path} reason=\"{err}\"");
-                res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
+                log::warn!("event=body_refused path={path} reason={err:?}");
+                res.status_code(err.status());
                 return;
             }
         };
         let request = ApiRequest { method, path, body };
-        let response = (self.endpoint.handler)(self.handle.clone(), request).await;
+        let running = RunningCall::new(&self.daemon);
+        let handle = Handle::new(self.daemon.clone());
+        let response = (self.endpoint.handler)(handle, request).await;
+        drop(running);
         res.status_code(response.status);
         let json = HeaderValue::from_static("application/json");
         res.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -18,87 +18,34 @@
 mod unanswered;
 mod upload;
 
+use crate::listeners::{Accepted, Acceptor};
 use crate::runtime::Daemon;
 use node::entry::Effect;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use wire::RequestId;
 
-/// Delay before the next `accept` after a failed one.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Serves callers' connections on a listener until no more are accepted.
 pub(crate) async fn serve(daemon: Arc<Daemon>, listener: TcpListener) {
+    let acceptor = Acceptor::new(listener, daemon.ports.callers.clone());
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = daemon.wait_until_refusing() => return accept_established(&daemon, listener),
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("event=accept_failed listener=callers reason=\"{err}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        serve_connection(&daemon, stream);
-    }
-}
-
-/// Accepts the connections that are established already, and closes the listener, which
-/// resets those that were not accepted.
-fn accept_established(daemon: &Arc<Daemon>, listener: TcpListener) {
-    // The runtime may not have learnt of the latest ones, so the kernel is asked.
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
-        Err(err) => return log::warn!("event=accept_failed listener=callers reason=\"{err}\""),
-    };
-    while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).map(|()| stream);
-        match stream.and_then(TcpStream::from_std) {
-            Ok(stream) => serve_connection(daemon, stream),
-            Err(err) => log::warn!("event=accept_failed listener=callers reason=\"{err}\""),
+        tokio::select! {
+            accepted = acceptor.accept() => serve_connection(&daemon, accepted),
+            () = daemon.wait_until_refusing() => break,
         }
     }
+    acceptor.accept_established(|accepted| serve_connection(&daemon, accepted));
 }
 
-/// Serves a connection in a task of its own, unless there are too many.
-fn serve_connection(daemon: &Arc<Daemon>, stream: TcpStream) {
-    let max = daemon.cfg.limits.connections;
-    if daemon.caller_connections.load(Ordering::Acquire) >= max {
-        log::warn!("event=connection_refused reason=too_many max={max}");
-        return;
-    }
-    let count = ConnectionCount::new(daemon.clone());
+/// Serves a connection in a task of its own.
+fn serve_connection(daemon: &Arc<Daemon>, accepted: Accepted) {
     let daemon = daemon.clone();
     tokio::spawn(async move {
-        connection::serve(&daemon, stream).await;
-        drop(count);
+        connection::serve(&daemon, accepted.stream).await;
+        drop(accepted.open);
     });
 }
 
-/// Counts a caller's connection as open until it is dropped.
-struct ConnectionCount {
-    daemon: Arc<Daemon>,
-}
-
-impl ConnectionCount {
-    fn new(daemon: Arc<Daemon>) -> Self {
-        daemon.caller_connections.fetch_add(1, Ordering::AcqRel);
-        Self { daemon }
-    }
-}
-
-impl Drop for ConnectionCount {
-    fn drop(&mut self) {
-        let open = &self.daemon.caller_connections;
-        open.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Returns the request that an effect belongs to.
 pub(crate) fn request_of(effect: &Effect) -> RequestId {
     match effect {
--- a/crates/plumhitchd/src/integration.rs
+++ b/crates/plumhitchd/src/integration.rs
@@ -121,6 +121,8 @@
 /// An endpoint of the embedding program, with its own listener.
 #[derive(Clone)]
 pub struct Endpoint {
+    /// Name of the endpoint in metrics and log lines.
+    pub name: &'static str,
     /// Address to listen on.
     pub address: SocketAddr,
     /// Whether the daemon starts only once it listens on the address, and exits if that
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -9,6 +9,7 @@
 mod gate_http;
 mod handle;
 mod http_headers;
+mod http_server;
 mod integration;
 mod links;
 mod listeners;
--- a/crates/plumhitchd/src/links/framing.rs
+++ b/crates/plumhitchd/src/links/framing.rs
@@ -36,6 +36,8 @@
     Closed,
     /// The peer sent no `Hello` in time, or another frame first.
     NoHello,
+    /// The peer sent no `Hello` before too many others connected.
+    Displaced,
     /// The peer uses an unsupported protocol version.
     Version(u32),
     /// The peer opened a stream with an id that is not above the previous one.
@@ -48,6 +50,7 @@
             Self::Codec(err) => write!(f, "{err}"),
             Self::Closed => f.write_str("closed by the peer"),
             Self::NoHello => f.write_str("no hello frame from the peer"),
+            Self::Displaced => f.write_str("too many connections"),
             Self::Version(version) => write!(f, "unsupported protocol version {version}"),
             Self::StreamReused(id) => write!(f, "stream id {id} was reused or is out of order"),
         }
--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -135,6 +135,11 @@
         self.peer_version.store(version, Ordering::Release);
     }
 
+    /// Returns whether the peer has introduced itself.
+    pub(super) fn knows_peer(&self) -> bool {
+        self.peer_version.load(Ordering::Acquire) > 0
+    }
+
     /// Returns whether the peer is known to run no request before it has the complete
     /// body, where it is told so.
     fn peer_holds_bodies(&self) -> bool {
@@ -193,11 +198,16 @@
         match check {
             Check::Wait => {}
             Check::Ping => self.send(Body::Ping(Ping {})),
-            Check::Fail => self.failed.notify_one(),
+            Check::Fail => self.fail(),
         }
     }
 
-    /// Waits until a liveness check fails.
+    /// Lets the connection be closed.
+    pub(super) fn fail(&self) {
+        self.failed.notify_one();
+    }
+
+    /// Waits until the connection is to be closed.
     pub(super) async fn failed(&self) {
         self.failed.notified().await;
     }
--- a/crates/plumhitchd/src/listeners.rs
+++ b/crates/plumhitchd/src/listeners.rs
@@ -1,5 +1,17 @@
-//! Listens on the daemon's addresses, and waits for those that are in use.
+//! Listens on the daemon's addresses, waits for those that are in use, and accepts
+//! connections within the limits of each listener.
 
+mod acceptor;
+mod budget;
+mod port;
+
+pub(crate) use acceptor::{Accepted, Acceptor};
+pub(crate) use port::{Port, Ports};
+
+use rustix::net::sockopt::{
+    set_socket_keepalive, set_tcp_keepcnt, set_tcp_keepidle, set_tcp_keepintvl,
+    set_tcp_user_timeout,
+};
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -9,6 +21,13 @@
 const BACKLOG: u32 = 1024;
 /// Interval between attempts to listen on an address that is not available.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Idle time before the first keepalive probe of a connection, and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Unanswered keepalive probes after which a connection is dropped.
+const KEEPALIVE_PROBES: u32 = 3;
+/// `TCP_USER_TIMEOUT`: time after which a connection is dropped whose client acknowledges
+/// nothing, or has no room for a response.
+const USER_TIMEOUT_MS: u32 = 30_000;
 
 /// Listens on an address as soon as it is available. Without a deadline it waits for as
 /// long as the address is in use.
@@ -47,8 +66,7 @@
     }
 }
 
-/// Listens on an address. Accepted connections inherit `TCP_NODELAY` from the
-/// listener.
+/// Listens on an address. Accepted connections inherit the options of the listener.
 fn try_listen(address: SocketAddr) -> io::Result<TcpListener> {
     let with_address =
         |err: io::Error| io::Error::new(err.kind(), format!("cannot listen on {address}: {err}"));
@@ -59,10 +77,27 @@
     let socket = socket.map_err(with_address)?;
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
+    if let Err(err) = detect_silent_clients(&socket) {
+        log::warn!("event=socket_option_refused reason=\"{err}\"");
+    }
     socket.bind(address).map_err(with_address)?;
     socket.listen(BACKLOG).map_err(with_address)
 }
 
+/// Lets connections be dropped whose clients have gone without closing them.
+///
+/// # Errors
+///
+/// Returns the error of the first option that could not be set.
+fn detect_silent_clients(socket: &TcpSocket) -> io::Result<()> {
+    set_socket_keepalive(socket, true)?;
+    set_tcp_keepidle(socket, KEEPALIVE_INTERVAL)?;
+    set_tcp_keepintvl(socket, KEEPALIVE_INTERVAL)?;
+    set_tcp_keepcnt(socket, KEEPALIVE_PROBES)?;
+    set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
+    Ok(())
+}
+
 /// Returns whether a later attempt may succeed: another process holds the address, the
 /// network interface has no such address yet, or descriptors are short.
 fn may_become_available(err: &io::Error) -> bool {
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -33,6 +33,7 @@
     credential_lease: Gauge,
     credentials: IntGaugeVec,
     versions: IntGaugeVec,
+    connections: IntGaugeVec,
 }
 
 impl Gauges {
@@ -129,6 +130,14 @@
                  of customers beyond a number are counted as other.",
             )?,
             hedges: hedges_gauge(registry)?,
+            connections: int_gauge_vec(
+                registry,
+                "listener_connections",
+                "Connections to a listener that are open, their maximum, and since the start \
+                 those that were refused, that could not be accepted, and that were closed \
+                 because a time limit had passed or the client had gone.",
+                &["listener", "what"],
+            )?,
             stated_rate: gauge(
                 registry,
                 "stated_rate",
@@ -173,10 +182,27 @@
         ];
         set(&self.links, &links);
         self.log_dropped.set(to_i64(crate::logging::dropped()));
+        self.update_connections(daemon);
         self.update_credentials(daemon, now);
         self.update_counts(daemon);
     }
 
+    fn update_connections(&self, daemon: &Daemon) {
+        for port in daemon.ports.all() {
+            let values = [
+                ("open", port.open() as u64),
+                ("max", port.max as u64),
+                ("refused", port.refused()),
+                ("accept_failed", port.accept_failed()),
+                ("timed_out", port.timed_out()),
+            ];
+            for (what, value) in values {
+                let gauge = self.connections.with_label_values(&[port.name, what]);
+                gauge.set(to_i64(value));
+            }
+        }
+    }
+
     fn update_credentials(&self, daemon: &Daemon, now: Duration) {
         let (needed, keys, lease_end, counts) = daemon.read(|node| {
             let (agent, routing) = (&node.agent, &node.agent.config.routing);
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -7,15 +7,16 @@
 pub(crate) use token::Token;
 
 use crate::handle::Handle;
+use crate::http_server::{self, BodyError, read_body};
+use crate::listeners::Acceptor;
 use crate::runtime::Daemon;
 use api::{ErrorBody, OutcomeBody, Verdict};
 use convert::OwnStatus;
 use node::{Event, admission};
 use replica::Role;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::header::{CONTENT_TYPE, WWW_AUTHENTICATE};
 use salvo::http::{HeaderValue, Method, Request, ResBody, Response, StatusCode};
-use salvo::{Depot, FlowCtrl, Handler, Router, Server, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Router, async_trait};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::io;
@@ -48,10 +49,9 @@
         token,
         open,
     };
-    let acceptor = TcpAcceptor::try_from(listener)?;
+    let acceptor = Acceptor::new(listener, daemon.ports.operators.clone());
     let router = Router::with_path("{**path}").goal(operators);
-    tokio::spawn(Server::new(acceptor).try_serve(router));
-    Ok(())
+    http_server::serve(daemon, acceptor, router)
 }
 
 struct Operators {
@@ -134,7 +134,7 @@
             let why = "only the upstream on this VM may announce itself here";
             return Err(error(StatusCode::FORBIDDEN, why));
         }
-        let body: api::AnnounceBody = parse(req, MAX_ANNOUNCE_BYTES).await?;
+        let body: api::AnnounceBody = self.parse(req, MAX_ANNOUNCE_BYTES).await?;
         let event = admission::Event::Announced(body.into());
         self.daemon.handle_event(Event::Admission(event));
         Ok(empty(StatusCode::NO_CONTENT))
@@ -151,8 +151,22 @@
         }
     }
 
+    async fn parse<T: DeserializeOwned>(
+        &self,
+        req: &mut Request,
+        max: usize,
+    ) -> Result<T, HttpResponse> {
+        let refuse = |err: BodyError| {
+            let why = format!("the body can't be read in time or is longer than {max} bytes");
+            error(err.status(), &why)
+        };
+        let bytes = read_body(&self.daemon, req, max).await.map_err(refuse)?;
+        serde_json::from_slice(bytes)
+            .map_err(|err| error(StatusCode::BAD_REQUEST, &format!("not valid: {err}")))
+    }
+
     async fn change(&self, req: &mut Request) -> Result<HttpResponse, HttpResponse> {
-        let body = parse(req, MAX_CHANGE_BYTES).await?;
+        let body = self.parse(req, MAX_CHANGE_BYTES).await?;
         let change = convert::change_request(body);
         match self.request(control_request::Kind::Change(change)).await? {
             control_reply::Kind::Change(outcome) => {
@@ -232,15 +246,6 @@
     }
 }
 
-async fn parse<T: DeserializeOwned>(req: &mut Request, max: usize) -> Result<T, HttpResponse> {
-    let Ok(bytes) = req.payload_with_max_size(max).await else {
-        let why = format!("the body can't be read or is longer than {max} bytes");
-        return Err(error(StatusCode::PAYLOAD_TOO_LARGE, &why));
-    };
-    serde_json::from_slice(bytes)
-        .map_err(|err| error(StatusCode::BAD_REQUEST, &format!("not valid: {err}")))
-}
-
 fn outcome_status(body: &OutcomeBody) -> StatusCode {
     match body.verdict {
         Verdict::Accepted => StatusCode::OK,
--- a/crates/plumhitchd/src/operators_http/rollouts.rs
+++ b/crates/plumhitchd/src/operators_http/rollouts.rs
@@ -1,6 +1,6 @@
 //! Endpoints for rollouts.
 
-use super::{HttpResponse, Operators, error, json, no_outcome, parse};
+use super::{HttpResponse, Operators, error, json, no_outcome};
 use crate::handle::Handle;
 use api::{RolloutBody, RolloutOrderBody};
 use salvo::http::{Request, StatusCode};
@@ -15,7 +15,7 @@
         &self,
         req: &mut Request,
     ) -> Result<HttpResponse, HttpResponse> {
-        let body: RolloutOrderBody = parse(req, MAX_ORDER_BYTES).await?;
+        let body: RolloutOrderBody = self.parse(req, MAX_ORDER_BYTES).await?;
         log::info!(
             "event=rollout_order service={:?} target_version={:?} within_ms={}",
             body.service,
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -7,6 +7,7 @@
 use crate::gate_http::{self, BodyIntake, Pool};
 use crate::integration::Integration;
 use crate::links::{self, Links};
+use crate::listeners::Ports;
 use crate::logging;
 use crate::metrics::Metrics;
 use crate::task_messages::{TaskMessage, TaskTx};
@@ -67,8 +68,11 @@
     pub(crate) ending: watch::Sender<bool>,
     /// Number of requests in progress that the end of a stop has cut off.
     pub(crate) cut_requests: AtomicUsize,
-    /// Number of callers' connections that are open.
-    pub(crate) caller_connections: AtomicUsize,
+    /// Limits and counts of the listeners' connections.
+    pub(crate) ports: Ports,
+    /// Number of requests of operators and to endpoints whose bodies have been read and that
+    /// are being handled.
+    pub(crate) running_calls: AtomicUsize,
     /// Whether a graceful stop has begun.
     pub(crate) stopping: AtomicBool,
     /// Random number that identifies this run of the process.
@@ -111,7 +115,8 @@
             refusing: watch::Sender::new(false),
             ending: watch::Sender::new(false),
             cut_requests: AtomicUsize::new(0),
-            caller_connections: AtomicUsize::new(0),
+            ports: Ports::new(&cfg),
+            running_calls: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -69,7 +69,7 @@
 async fn wait_for_connections(daemon: &Daemon, deadline: Option<Instant>) {
     let latest = Instant::now() + FIRST_REQUEST_TIME;
     let latest = deadline.map_or(latest, |deadline| deadline.min(latest));
-    while daemon.caller_connections.load(Ordering::Acquire) > 0 && Instant::now() < latest {
+    while daemon.ports.callers.open() > 0 && Instant::now() < latest {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
@@ -82,5 +82,6 @@
     let entry = daemon.open_requests.load(Ordering::Acquire);
     let entry = entry.max(lock(&daemon.entry_tasks).len());
     let operators = lock(&daemon.pending_requests).len();
+    let operators = operators.max(daemon.running_calls.load(Ordering::Acquire));
     entry + lock(&daemon.gate_tasks).len() + operators
 }
