--- a/crates/plumhitchd/src/links/link.rs
+++ b/crates/plumhitchd/src/links/link.rs
@@ -159,6 +159,11 @@
         !is_greeted && lock(&self.state).connected && !self.streams.is_empty()
     }
 
+    /// Returns whether the peer has introduced itself.
+    pub(super) fn knows_peer(&self) -> bool {
+        self.peer_version.load(Ordering::Acquire) > 0
+    }
+
     /// Returns whether the peer is known to run no request before it has the complete
     /// body, where it is told so.
     fn peer_holds_bodies(&self) -> bool {
@@ -217,11 +222,16 @@
         match check {
             Check::Wait => {}
             Check::Ping => self.send(Body::Ping(Ping {})),
-            Check::Fail => self.failed.notify_one(),
+            Check::Fail => self.fail(),
         }
     }
 
-    /// Waits until a liveness check fails.
+    /// Lets the connection be closed.
+    pub(super) fn fail(&self) {
+        self.failed.notify_one();
+    }
+
+    /// Waits until the connection is to be closed.
     pub(super) async fn failed(&self) {
         self.failed.notified().await;
     }
