Acknowledge the leave of an upstream once it is in the replicated log

An upstream that had left was in use again: the leader that it was reported to was replaced, its daemon started again before it had told the next leader, and a late announcement arrived. The acknowledgement rested on the memory of one leader. The same held when all lost power, or when the daemon was silent for a lease.

The leader now writes a departure to the log for each leave that it is told of, and says that the leave is pending until a majority has it; the daemon asks again after 50 ms. A later leader takes them over, also for daemons that register late. Within a lease after an election entries got no update at all, and went on sending to the gate of such an upstream, which refused; they now get those who leave. A deregistration counts whatever its number: it was dropped if a later number had been reported before.

Old and new daemons together were not run.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,12 +6,14 @@
 //! control's newest confirmation is.
 
 mod checksums;
+mod departures;
 mod freshness;
 mod homes;
 mod registry;
 mod rollout;
 mod view;
 
+pub use departures::Departures;
 pub use freshness::Freshness;
 pub use homes::{MAX_HOMES, homes_hash};
 pub use registry::{HomeOptions, RegisteredUpstream, Registry};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -4,14 +4,15 @@
 mod service;
 
 use crate::checksums::{bucket_of, checksums};
+use crate::departures::Departures;
 use crate::homes::{Candidate, Homes};
 use reported_starts::ReportedStarts;
 use service::{FIRST_VERSION, ServiceLog};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wire::{
-    ConfigVersion, DaemonId, Heartbeat, QuotaHome, ServiceDelta, ServiceId, Subscription,
-    UpstreamInfo, VIEW_BUCKETS,
+    Announcement, ConfigVersion, DaemonId, Departure, Heartbeat, QuotaHome, ServiceDelta,
+    ServiceId, Subscription, UpstreamInfo, VIEW_BUCKETS,
 };
 
 /// Time between two checks of the leases from which this process must have been
@@ -60,7 +61,7 @@
 /// Daemons registered under leases, and the version of each service.
 ///
 /// The registry is soft state of one term: it is not replicated, and a new leader
-/// rebuilds it from the daemons' heartbeats.
+/// rebuilds it from the daemons' heartbeats and the recorded departures of upstreams.
 #[derive(Clone, Debug)]
 pub struct Registry {
     epoch: u64,
@@ -73,6 +74,8 @@
     homes_outdated: bool,
     initial_homes: InitialHomes,
     home_options: HomeOptions,
+    /// Departures in the replicated log, which outlast registrations and terms.
+    departures: Departures,
 }
 
 /// Whether the first homes of this term are the first that may ever grant.
@@ -124,9 +127,17 @@
                 lease,
                 on_replicas: false,
             },
+            departures: Departures::default(),
         }
     }
 
+    /// Sets the departures that the replicated log records.
+    #[must_use]
+    pub fn with_departures(mut self, departures: Departures) -> Self {
+        self.departures = departures;
+        self
+    }
+
     /// Sets how quota homes are selected.
     #[must_use]
     pub fn with_home_options(mut self, options: HomeOptions) -> Self {
@@ -139,7 +150,11 @@
     /// from an earlier incarnation while the newer one still sends heartbeats.
     pub fn handle_heartbeat(&mut self, now: Duration, heartbeat: &Heartbeat) -> bool {
         let old = self.daemons.get(heartbeat.daemon.as_str());
-        let Some(registration) = register(now, self.lease / 2, old, heartbeat) else {
+        let reported = match old {
+            Some(old) => old.reported.clone(),
+            None => ReportedStarts::departed(self.departures.of(&heartbeat.daemon)),
+        };
+        let Some(registration) = register(now, self.lease / 2, old, reported, heartbeat) else {
             return false;
         };
         let old_service = old.and_then(|o| o.service.clone());
@@ -198,15 +213,15 @@
     /// Returns the update for a subscription, or `None` if it is up to date.
     ///
     /// For one lease after the election, a daemon that has a version of an earlier
-    /// leader gets no update, nor does any daemon for a service that is not known
-    /// yet: some daemons may not have sent a heartbeat to this leader, and would be
-    /// missing from the list.
+    /// leader learns only which upstreams leave, and none gets an update for a service that
+    /// is not known yet: some daemons may not have sent a heartbeat to this leader, and
+    /// would be missing from the list.
     #[must_use]
     pub fn delta(&self, now: Duration, subscription: &Subscription) -> Option<ServiceDelta> {
         let same_epoch = subscription.version > 0 && subscription.epoch == self.epoch;
         let log = self.services.get(subscription.service.as_str());
         if self.is_warming_up(now) && !same_epoch && (subscription.version > 0 || log.is_none()) {
-            return None;
+            return self.leaving_delta(subscription);
         }
         let version = log.map_or(FIRST_VERSION, ServiceLog::version);
         if same_epoch && subscription.version == version {
@@ -224,6 +239,32 @@
         }
     }
 
+    /// Returns which upstreams leave or have left, as an update of the view of an earlier
+    /// leader.
+    fn leaving_delta(&self, subscription: &Subscription) -> Option<ServiceDelta> {
+        if subscription.version == 0 || subscription.epoch >= self.epoch {
+            return None;
+        }
+        let service = subscription.service.as_str();
+        let is_leaving = |daemon: &DaemonId| {
+            let registration = self.daemons.get(daemon);
+            registration.is_some_and(|r| r.info.leaving || r.service.as_deref() != Some(service))
+        };
+        let departed = self.departures.iter().map(|d| d.daemon.as_str().into());
+        let mut leaving: BTreeSet<DaemonId> = departed.chain(self.members(service)).collect();
+        leaving.retain(is_leaving);
+        if leaving.is_empty() {
+            return None;
+        }
+        let leaving: Vec<DaemonId> = leaving.into_iter().collect();
+        let version = subscription.version.saturating_add(1);
+        let delta = self.service_delta(service, version, false, &leaving);
+        Some(ServiceDelta {
+            epoch: subscription.epoch,
+            ..delta
+        })
+    }
+
     /// Returns all services with their upstreams.
     #[must_use]
     pub fn services(&self) -> Vec<ServiceDelta> {
@@ -277,6 +318,32 @@
         self.daemons.get(daemon)?.reported.deregistered_boot()
     }
 
+    /// Takes over a departure that the replicated log records, from this term or an earlier
+    /// one.
+    pub fn record_departure(&mut self, departure: &Departure) {
+        self.departures.record(departure.clone(), departure.at_ms);
+        let daemon: DaemonId = departure.daemon.as_str().into();
+        let Some(registration) = self.daemons.get_mut(&daemon) else {
+            return;
+        };
+        registration.reported.adopt(departure);
+        let newest = registration.reported.newest();
+        let leaving = registration.service.is_some() && newest.is_some_and(|n| n.leaving);
+        if registration.info.leaving != leaving {
+            registration.info.leaving = leaving;
+            let service = registration.service.clone();
+            self.record_change(service, &daemon);
+        }
+    }
+
+    /// Returns the departure to record for a leaving upstream that a daemon has reported;
+    /// `None` if this leader does not know that it leaves.
+    #[must_use]
+    pub fn departure(&self, daemon: &str, upstream: &Announcement) -> Option<Departure> {
+        let reported = &self.daemons.get(daemon)?.reported;
+        reported.start_of(upstream)?.departure(daemon)
+    }
+
     /// Returns the number of registered daemons.
     #[must_use]
     pub fn daemon_count(&self) -> usize {
@@ -402,6 +469,7 @@
     now: Duration,
     max_silence: Duration,
     old: Option<&Registration>,
+    mut reported: ReportedStarts,
     heartbeat: &Heartbeat,
 ) -> Option<Registration> {
     let mut superseded = Vec::new();
@@ -422,7 +490,6 @@
     }
     let upstream = heartbeat.upstream.as_ref();
     // A daemon that has started again may be reached by a delayed announcement first.
-    let mut reported = old.map_or_else(ReportedStarts::default, |o| o.reported.clone());
     if let Some(upstream) = upstream {
         reported.record(upstream);
     }
--- a/crates/fleet/src/registry/reported_starts.rs
+++ b/crates/fleet/src/registry/reported_starts.rs
@@ -1,7 +1,7 @@
 //! The announcements of upstreams that the daemon beside them has reported.
 
 use std::collections::VecDeque;
-use wire::Announcement;
+use wire::{Announcement, Departure};
 
 /// Maximum number of starts remembered for a daemon.
 const MAX_STARTS: usize = 8;
@@ -15,6 +15,16 @@
 }
 
 impl ReportedStarts {
+    /// Creates the list from the departures that the replicated log records, the oldest
+    /// first.
+    pub(super) fn departed<'a>(departures: impl Iterator<Item = &'a Departure>) -> Self {
+        let mut starts = Self::default();
+        let mut departures: Vec<&Departure> = departures.collect();
+        departures.reverse();
+        departures.into_iter().for_each(|d| starts.adopt(d));
+        starts
+    }
+
     /// Records an announcement.
     pub(super) fn record(&mut self, announcement: &Announcement) {
         let known = self.position(announcement);
@@ -28,6 +38,31 @@
         }
     }
 
+    /// Takes over what the replicated log records of a start that leaves. A start that was
+    /// not reported counts as reported before the others.
+    pub(super) fn adopt(&mut self, departure: &Departure) {
+        let announcement = Announcement {
+            boot: departure.boot.clone(),
+            target: departure.target.clone(),
+            incarnation: departure.incarnation,
+            sequence: departure.sequence,
+            leaving: true,
+            deregistered: departure.deregistered,
+            ..Announcement::default()
+        };
+        let is_full = self.starts.len() >= MAX_STARTS;
+        match self.starts.iter_mut().find(|s| s.boot == departure.boot) {
+            Some(known) => *known = known.clone().newer(&announcement),
+            None if is_full => {}
+            None => self.starts.push_front(ReportedStart::new(&announcement)),
+        }
+    }
+
+    /// Returns what is known of the start of an announcement.
+    pub(super) fn start_of(&self, announcement: &Announcement) -> Option<&ReportedStart> {
+        self.position(announcement).and_then(|n| self.starts.get(n))
+    }
+
     /// Returns the start that was reported last.
     pub(super) fn newest(&self) -> Option<&ReportedStart> {
         self.starts.back()
@@ -60,6 +95,8 @@
     incarnation: u64,
     sequence: u64,
     pub(super) leaving: bool,
+    /// Number of the first announcement that states that it leaves.
+    leaves_from: u64,
     pub(super) deregistered: bool,
 }
 
@@ -71,6 +108,7 @@
             incarnation: announcement.incarnation,
             sequence: announcement.sequence,
             leaving: announcement.leaving,
+            leaves_from: announcement.sequence,
             deregistered: announcement.deregistered,
         }
     }
@@ -81,7 +119,7 @@
         if self.deregistered && self.incarnation > 0 {
             return self;
         }
-        if other.deregistered && other.incarnation == 0 && self.incarnation > 0 {
+        if other.deregistered && self.incarnation > 0 {
             self.deregistered = true;
             self.leaving = true;
             return self;
@@ -90,6 +128,25 @@
         if other.sequence > 0 && other.sequence < self.sequence {
             return self;
         }
-        Self::new(other)
+        let is_leaving_still = self.leaving && other.leaving;
+        let leaves_from = is_leaving_still.then_some(self.leaves_from);
+        let newer = Self::new(other);
+        Self {
+            leaves_from: leaves_from.unwrap_or(newer.leaves_from),
+            ..newer
+        }
+    }
+
+    /// Returns the departure to record if this start of an upstream beside `daemon` leaves.
+    pub(super) fn departure(&self, daemon: &str) -> Option<Departure> {
+        self.leaving.then(|| Departure {
+            daemon: daemon.to_owned(),
+            boot: self.boot.clone(),
+            target: self.target.clone(),
+            incarnation: self.incarnation,
+            sequence: self.leaves_from,
+            deregistered: self.deregistered,
+            at_ms: 0,
+        })
     }
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -5,7 +5,7 @@
 use fleet::{FleetView, HomeOptions, MAX_HOMES, Registry, SUBSCRIPTION_IDLE, homes_hash};
 use std::time::Duration;
 use test_case::test_case;
-use wire::{Announcement, Heartbeat, ServiceDelta, Subscription};
+use wire::{Announcement, Departure, Heartbeat, ServiceDelta, Subscription};
 
 const LEASE: Duration = Duration::from_secs(4);
 const SERVICE: &str = "booking";
@@ -52,6 +52,23 @@
         .collect()
 }
 
+fn leaving(view: &FleetView) -> Vec<&str> {
+    let service = view.service(SERVICE).expect("a view");
+    let leaving = service.upstreams.iter().filter(|(_, u)| u.leaving);
+    leaving.map(|(name, _)| name.as_str()).collect()
+}
+
+/// Returns the record that the upstream beside a daemon has deregistered.
+fn departure(daemon: &str) -> Departure {
+    Departure {
+        daemon: daemon.to_owned(),
+        boot: "b".to_owned(),
+        incarnation: 1,
+        deregistered: true,
+        ..Departure::default()
+    }
+}
+
 /// Checks the leases every 500 ms, so that no pause of the process is detected.
 fn expire(registry: &mut Registry, from: u64, to: u64) {
     for half in from * 2..=to * 2 {
@@ -131,6 +148,41 @@
     assert_eq!(names(&view), ["a:6", "b:6"]);
 }
 
+/// Guards against entries that go on selecting an upstream whose leave was acknowledged, for
+/// the lease after a change of the leader (issue 22).
+#[test]
+fn delta_of_a_new_leader_states_who_leaves() {
+    let mut old = Registry::new(1, LEASE, secs(0));
+    old.handle_heartbeat(secs(0), &heartbeat("a", 1, 1, 6));
+    old.handle_heartbeat(secs(0), &heartbeat("b", 1, 1, 6));
+    let mut view = view();
+    view.apply(&old.delta(secs(0), &subscription(&view)).expect("an update"));
+
+    let mut new = Registry::new(2, LEASE, secs(10));
+    new.record_departure(&departure("a"));
+    new.handle_heartbeat(secs(10), &heartbeat("a", 1, 2, 6));
+    let delta = new.delta(secs(10), &subscription(&view));
+    assert!(view.apply(&delta.expect("an update")));
+    assert_eq!(names(&view), ["a:6", "b:6"]);
+    assert_eq!(leaving(&view), ["a"]);
+    new.handle_heartbeat(secs(13), &heartbeat("b", 1, 2, 6));
+    let delta = new.delta(secs(14), &subscription(&view));
+    assert!(view.apply(&delta.expect("an update")));
+    assert_eq!(leaving(&view), ["a"]);
+}
+
+/// Guards against a leave that a leader learns from the log only after a late announcement
+/// has registered the upstream (issue 22).
+#[test]
+fn departure_counts_for_an_upstream_that_is_registered() {
+    let mut registry = Registry::new(2, LEASE, secs(0));
+    registry.handle_heartbeat(secs(1), &heartbeat("a", 1, 1, 6));
+    assert!(!registry.services()[0].upstreams[0].leaving);
+    registry.record_departure(&departure("a"));
+    assert!(registry.services()[0].upstreams[0].leaving);
+    assert_eq!(registry.deregistered_boot("a"), Some("b"));
+}
+
 #[test]
 fn delta_of_a_service_without_upstreams_is_empty() {
     let new = Registry::new(2, LEASE, secs(10));
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -37,6 +37,10 @@
 /// Timeout of a request to the control leader.
 pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after which a daemon asks again whether control has recorded that its upstream
+/// leaves: longer than most writes to the replicated log take.
+const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// The sender of a request to the control leader, which gets the reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Requester {
@@ -100,7 +104,7 @@
     leader: Option<CompactString>,
     heartbeats: Heartbeats,
     upstream: Option<Announcement>,
-    /// Boot of the upstream that control has last confirmed to know as leaving.
+    /// Boot of the upstream that control has last confirmed to have recorded as leaving.
     reported_leaving: Option<String>,
     /// Boot of the upstream's start that has deregistered, as far as control knows.
     deregistered_boot: String,
@@ -375,7 +379,7 @@
         }
     }
 
-    /// Returns whether the control leader knows that this start of the upstream leaves.
+    /// Returns whether control has recorded that this start of the upstream leaves.
     #[must_use]
     pub fn is_leave_reported(&self, boot: &str) -> bool {
         self.reported_leaving.as_deref() == Some(boot)
@@ -437,7 +441,10 @@
             return;
         }
         self.leader = Some(sent.target.clone());
-        self.reported_leaving.clone_from(&sent.leaving_boot);
+        match reply.leave_pending {
+            true => self.heartbeats.schedule_within(now, LEAVE_RETRY_DELAY),
+            false => self.reported_leaving.clone_from(&sent.leaving_boot),
+        }
         if self.replicas.leader_confirmed(&sent.target) {
             self.requests.resend_soon(now, &mut self.rng);
         }
--- a/crates/node/src/agent/heartbeats.rs
+++ b/crates/node/src/agent/heartbeats.rs
@@ -55,6 +55,11 @@
         self.next_due = Duration::ZERO;
     }
 
+    /// Schedules a heartbeat for a delay from now, unless one is due before.
+    pub(super) fn schedule_within(&mut self, now: Duration, delay: Duration) {
+        self.next_due = self.next_due.min(now + delay);
+    }
+
     /// Schedules the next heartbeat after a delay that [`Self::schedule_now`]
     /// cannot shorten.
     pub(super) fn postpone(&mut self, now: Duration, delay: Duration) {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -39,7 +39,7 @@
 use std::time::Duration;
 use suspects::Suspects;
 use unconfirmed_crashes::UnconfirmedCrashes;
-use wire::{Body, Heartbeat, control_request};
+use wire::{Body, Departure, Heartbeat, control_request};
 
 /// The state of the control role.
 #[derive(Debug)]
@@ -222,6 +222,7 @@
                 let config = self.state_machine.config.current();
                 self.rollouts.record(now, &heartbeat, config);
                 self.record_unconfirmed_crashes(now, &heartbeat, tx);
+                self.record_leave(&heartbeat);
             }
             self.enqueue_read(now, PendingRead::Heartbeat(link, heartbeat), tx);
             return;
@@ -238,6 +239,31 @@
         self.reject_heartbeats(refused, tx);
     }
 
+    /// Records in the replicated log that an upstream leaves, which this leader alone knows.
+    fn record_leave(&mut self, heartbeat: &Heartbeat) {
+        let departure = self.departure(heartbeat);
+        let unrecorded = departure.filter(|d| !self.state_machine.departures.covers(d));
+        if let Some(departure) = unrecorded {
+            self.batch.push_departure(departure);
+        }
+    }
+
+    /// Returns whether a heartbeat reports an upstream that leaves, and this is not recorded
+    /// in the replicated log.
+    fn is_leave_pending(&self, heartbeat: &Heartbeat) -> bool {
+        let leaves = heartbeat.upstream.as_ref().is_some_and(|u| u.leaving);
+        let recorded = &self.state_machine.departures;
+        let departure = self.departure(heartbeat);
+        leaves && !departure.is_some_and(|d| recorded.covers(&d))
+    }
+
+    /// Returns the departure of the upstream that a heartbeat reports, if it is known to
+    /// leave.
+    fn departure(&self, heartbeat: &Heartbeat) -> Option<Departure> {
+        let upstream = heartbeat.upstream.as_ref()?;
+        self.registry.departure(&heartbeat.daemon, upstream)
+    }
+
     /// Counts a crash that an earlier start of a daemon reported as possible, and that a
     /// heartbeat of the present one makes certain.
     fn record_unconfirmed_crashes(
--- a/crates/node/src/control/apply.rs
+++ b/crates/node/src/control/apply.rs
@@ -18,17 +18,20 @@
         if self.halted {
             return;
         }
-        let item_replies = match self.state_machine.apply(index, command) {
-            Ok(item_replies) => item_replies,
+        let applied = match self.state_machine.apply(index, command) {
+            Ok(applied) => applied,
             Err(error) => {
                 self.halt(&error, tx);
                 return;
             }
         };
+        for departure in &applied.departures {
+            self.registry.record_departure(departure);
+        }
         let waiters = token
             .map(|t| self.batch.take_waiters(t))
             .unwrap_or_default();
-        for (waiter, kind) in waiters.into_iter().zip(item_replies) {
+        for (waiter, kind) in waiters.into_iter().zip(applied.replies) {
             if let Some(waiter) = waiter {
                 replies::reply(waiter, true, String::new(), kind, tx);
             }
--- a/crates/node/src/control/batch.rs
+++ b/crates/node/src/control/batch.rs
@@ -7,6 +7,7 @@
 use claims::Limits;
 use prost::Message;
 use std::collections::{BTreeMap, VecDeque};
+use wire::Departure;
 
 /// Maximum number of items in an entry. An item's position must fit into the
 /// low bits of a claim number.
@@ -33,6 +34,8 @@
 pub(super) struct Batch {
     queue: VecDeque<(Option<Waiter>, Item)>,
     proposed: BTreeMap<u64, Vec<Option<Waiter>>>,
+    departures: Vec<Departure>,
+    proposed_departures: BTreeMap<u64, Vec<Departure>>,
     /// Whether an entry is proposed even without an item.
     records_time: bool,
 }
@@ -52,6 +55,15 @@
         self.queue.push_back((None, item));
     }
 
+    /// Adds a departure, unless it is queued or proposed already.
+    pub(super) fn push_departure(&mut self, departure: Departure) {
+        let mut proposed = self.proposed_departures.values().flatten();
+        let is_known = self.departures.contains(&departure) || proposed.any(|d| *d == departure);
+        if !is_known && self.departures.len() < MAX_ITEMS {
+            self.departures.push(departure);
+        }
+    }
+
     /// Requests an entry that records the log time, even if no item is queued.
     pub(super) fn record_time(&mut self) {
         self.records_time = true;
@@ -64,7 +76,8 @@
 
     /// Returns whether an entry can be proposed now.
     pub(super) fn is_due(&self) -> bool {
-        let has_content = self.records_time || !self.queue.is_empty();
+        let has_content =
+            self.records_time || !self.queue.is_empty() || !self.departures.is_empty();
         has_content && self.proposed.len() < MAX_PROPOSED
     }
 
@@ -75,6 +88,7 @@
             retention_ms: limits.retention_ms,
             max_claims: limits.max_claims,
             items: Vec::new(),
+            departures: std::mem::take(&mut self.departures),
         };
         self.records_time = false;
         let mut waiters = Vec::new();
@@ -90,11 +104,16 @@
             waiters.push(waiter);
         }
         self.proposed.insert(token, waiters);
+        if !command.departures.is_empty() {
+            self.proposed_departures
+                .insert(token, command.departures.clone());
+        }
         command.encode_to_vec().into()
     }
 
     /// Removes a proposed entry and returns its waiters, one per item.
     pub(super) fn take_waiters(&mut self, token: u64) -> Vec<Option<Waiter>> {
+        self.proposed_departures.remove(&token);
         self.proposed.remove(&token).unwrap_or_default()
     }
 
@@ -102,6 +121,8 @@
     /// proposed entries.
     pub(super) fn drain(&mut self) -> (Vec<Waiter>, Vec<Waiter>) {
         self.records_time = false;
+        self.departures.clear();
+        self.proposed_departures.clear();
         let queued = self.queue.drain(..).filter_map(|(waiter, _)| waiter);
         let queued = queued.collect();
         let proposed = std::mem::take(&mut self.proposed);
--- a/crates/node/src/control/command.rs
+++ b/crates/node/src/control/command.rs
@@ -1,7 +1,7 @@
 //! The commands of the replicated state machine, as stored in the log.
 
 use conf::{ChangeCommand, RolloutStep};
-use wire::{ClaimRequest, ClaimSettle, DataCentreOrder, RolloutOrder, RoutingChange};
+use wire::{ClaimRequest, ClaimSettle, DataCentreOrder, Departure, RolloutOrder, RoutingChange};
 
 /// A log entry: the items of one batch.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -18,6 +18,10 @@
     /// Items, in the order in which they are applied.
     #[prost(message, repeated, tag = "4")]
     pub(super) items: Vec<Item>,
+    /// Upstreams that leave. They are no items, since replicas of earlier versions halt at
+    /// an operation that they do not know; they skip these.
+    #[prost(message, repeated, tag = "5")]
+    pub(super) departures: Vec<Departure>,
 }
 
 /// An operation of a log entry.
--- a/crates/node/src/control/leadership.rs
+++ b/crates/node/src/control/leadership.rs
@@ -49,7 +49,9 @@
             log_time_ms: self.state_machine.claims.time_ms(),
             orders: 0,
         });
-        self.registry = Registry::new(term, self.lease, now).with_home_options(self.home_options);
+        self.registry = Registry::new(term, self.lease, now)
+            .with_home_options(self.home_options)
+            .with_departures(self.state_machine.departures.clone());
         self.suspects = Suspects::default();
         self.unconfirmed_crashes = UnconfirmedCrashes::default();
         self.rollouts = Rollouts::default();
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -168,6 +168,7 @@
                 .deregistered_boot(&heartbeat.daemon)
                 .unwrap_or_default()
                 .to_owned(),
+            leave_pending: self.is_leave_pending(heartbeat),
         }
     }
 
--- a/crates/node/src/control/state_machine.rs
+++ b/crates/node/src/control/state_machine.rs
@@ -1,13 +1,16 @@
-//! The replicated state machine, which holds the configuration and the claims.
+//! The replicated state machine, which holds the configuration, the claims, and which
+//! upstreams have left.
 
 use super::command::{Command, Item, Operation, OrderRollout};
 use bytes::Bytes;
 use claims::{ClaimKey, Claims, ClaimsSnapshot, Decision, Limits, Settlement};
 use conf::{ConfigSnapshot, ConfigState};
+use fleet::Departures;
 use prost::Message;
 use std::fmt;
 use wire::{
-    ClaimDecision, ClaimOutcome, ClaimRequest, ClaimSettle, LogIndex, SettleKind, control_reply,
+    ClaimDecision, ClaimOutcome, ClaimRequest, ClaimSettle, Departure, LogIndex, SettleKind,
+    control_reply,
 };
 
 /// Version of the snapshot format.
@@ -49,11 +52,21 @@
     }
 }
 
-/// The replicated state: configuration and claims.
+/// What applying a log entry results in.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Applied {
+    /// The replies to its items.
+    pub(super) replies: Vec<ItemReply>,
+    /// The departures that it records.
+    pub(super) departures: Vec<Departure>,
+}
+
+/// The replicated state: configuration, claims and departures of upstreams.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct StateMachine {
     pub(super) config: ConfigState,
     pub(super) claims: Claims,
+    pub(super) departures: Departures,
     claim_salt: u64,
 }
 
@@ -67,15 +80,17 @@
     claims: ClaimsSnapshot,
     #[prost(fixed64, tag = "4")]
     claim_salt: u64,
+    #[prost(message, repeated, tag = "5")]
+    departures: Vec<Departure>,
 }
 
 impl StateMachine {
-    /// Applies a log entry and returns the replies to its items.
+    /// Applies a log entry.
     pub(super) fn apply(
         &mut self,
         index: LogIndex,
         command: &Bytes,
-    ) -> Result<Vec<ItemReply>, StateMachineError> {
+    ) -> Result<Applied, StateMachineError> {
         let command =
             Command::decode(command.as_ref()).map_err(|_| StateMachineError::Unreadable(index))?;
         if command.items.iter().any(|i| i.operation.is_none()) {
@@ -88,9 +103,22 @@
         self.claims.advance(command.time_ms, limits);
         let numbers = (index << POSITION_BITS)..;
         let items = numbers.zip(command.items);
-        Ok(items
-            .map(|(n, item)| self.apply_item(n, item, limits))
-            .collect())
+        let replies = items.map(|(n, item)| self.apply_item(n, item, limits));
+        let replies = replies.collect();
+        Ok(Applied {
+            replies,
+            departures: self.record_departures(command.departures),
+        })
+    }
+
+    fn record_departures(&mut self, mut departures: Vec<Departure>) -> Vec<Departure> {
+        let time_ms = self.claims.time_ms();
+        self.departures.expire(time_ms);
+        for departure in &mut departures {
+            departure.at_ms = time_ms;
+            self.departures.record(departure.clone(), time_ms);
+        }
+        departures
     }
 
     fn apply_item(&mut self, number: u64, item: Item, limits: Limits) -> ItemReply {
@@ -191,6 +219,7 @@
             config: self.config.snapshot(),
             claims: self.claims.snapshot(),
             claim_salt: self.claim_salt,
+            departures: self.departures.iter().cloned().collect(),
         };
         snapshot.encode_to_vec().into()
     }
@@ -207,6 +236,7 @@
         Ok(Self {
             config,
             claims: Claims::restore(&snapshot.claims),
+            departures: Departures::restore(snapshot.departures),
             claim_salt: snapshot.claim_salt,
         })
     }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -101,6 +101,17 @@
         node.is_some_and(|n| n.agent.is_leave_reported(boot))
     }
 
+    fn leader(&self) -> usize {
+        let leader = self.sim.daemons.iter().position(common::Daemon::is_leader);
+        leader.expect("a leader")
+    }
+
+    /// Returns the index of the last committed entry, as far as the leader knows.
+    fn commit_index(&self) -> u64 {
+        let leader = self.sim.daemons[self.leader()].node();
+        leader.control.as_ref().unwrap().replica().commit_index()
+    }
+
     fn restart(&mut self, i: usize) {
         self.sim.kill(i);
         self.sim.run(Duration::from_millis(300));
@@ -123,15 +134,19 @@
         announced.is_some_and(|a| a.target == TARGET && !a.leaving)
     }
 
+    /// Returns whether entries select the upstream.
+    fn is_selected(&mut self) -> bool {
+        let entry = self.sim.daemons[ENTRY].node.as_mut().unwrap();
+        let view = entry.agent.service(SERVICE);
+        view.is_some_and(|v| v.upstreams.values().any(|u| !u.leaving))
+    }
+
     /// Returns whether requests would be sent to the upstream: its gate admits them, or
     /// entries select it.
     fn is_used(&mut self) -> bool {
         let gate = self.sim.daemons[GATE].node();
         let admits = gate.admission.announced().is_some_and(|a| !a.leaving);
-        let entry = self.sim.daemons[ENTRY].node.as_mut().unwrap();
-        let view = entry.agent.service(SERVICE);
-        let selects = view.is_some_and(|v| v.upstreams.values().any(|u| !u.leaving));
-        admits || selects
+        admits || self.is_selected()
     }
 }
 
@@ -212,12 +227,8 @@
     cluster.leave(deregistration(BORN, 6));
     cluster.restart(GATE);
     cluster.settle();
-    let leader = cluster
-        .sim
-        .daemons
-        .iter()
-        .position(common::Daemon::is_leader);
-    cluster.sim.kill(leader.expect("a leader"));
+    let leader = cluster.leader();
+    cluster.sim.kill(leader);
     cluster.sim.run(Duration::from_secs(10));
     cluster.announce(announcement(BORN, 7));
     cluster.sim.run(Duration::from_secs(3));
@@ -239,6 +250,88 @@
     assert!(!cluster.is_used());
 }
 
+/// Guards against a leave that is known to one leader only: it ends right after the
+/// acknowledgement, and the daemon starts again before it has reported the leave to the next
+/// one (issue 22).
+#[test_case(deregistration(BORN, 6); "deregistered")]
+#[test_case(draining(BORN, 9); "draining")]
+fn acknowledged_leave_outlasts_leader_and_daemon(leave: Announcement) {
+    let mut cluster = Cluster::new(7);
+    cluster.announce(announcement(BORN, 5));
+    cluster.leave(leave);
+    let leader = cluster.leader();
+    cluster.sim.kill(leader);
+    cluster.sim.kill(GATE);
+    cluster.sim.run(Duration::from_secs(5));
+    cluster.sim.start(GATE);
+    cluster.announce(announcement(BORN, 7));
+    cluster.sim.start(leader);
+    cluster.settle();
+    cluster.announce(announcement(BORN, 8));
+    assert!(!cluster.is_selected());
+    cluster.announce(announcement(BORN + 9_000, 1));
+    cluster.sim.run(Duration::from_secs(3));
+    assert!(cluster.is_selected(), "the next start is used");
+}
+
+/// Guards against the same when all daemons lose power after the acknowledgement, and when
+/// the daemon's registration has expired meanwhile (issue 22).
+#[test_case(true; "power of all is lost")]
+#[test_case(false; "registration has expired")]
+fn acknowledged_leave_outlasts_registration(power_lost: bool) {
+    let mut cluster = Cluster::new(8);
+    cluster.announce(announcement(BORN, 5));
+    cluster.leave(deregistration(BORN, 6));
+    let first = if power_lost { 0 } else { GATE };
+    (first..=GATE).for_each(|i| cluster.sim.kill(i));
+    cluster.sim.run(Duration::from_secs(30));
+    (first..=GATE).for_each(|i| cluster.sim.start(i));
+    cluster.announce(announcement(BORN, 7));
+    cluster.settle();
+    assert!(!cluster.is_used());
+}
+
+/// Guards against a leave that is acknowledged although the log cannot be written: the leader
+/// alone would know it (issue 22).
+#[test]
+fn leave_is_not_acknowledged_before_a_majority_has_recorded_it() {
+    let mut cluster = Cluster::new(9);
+    cluster.announce(announcement(BORN, 5));
+    (0..3).for_each(|i| cluster.sim.daemons[i].disk_stalled = true);
+    let leave = deregistration(BORN, 6);
+    cluster.announce(leave.clone());
+    cluster.sim.run(Duration::from_secs(2));
+    assert!(!cluster.is_leave_reported(&leave.boot));
+    (0..3).for_each(|i| cluster.sim.daemons[i].disk_stalled = false);
+    let boot = leave.boot.as_str();
+    let reported = |s: &Simulation| {
+        let node = s.daemons[GATE].node.as_ref();
+        node.is_some_and(|n| n.agent.is_leave_reported(boot))
+    };
+    let took = cluster.sim.run_until(SETTLE, reported).expect("recorded");
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
+/// Guards against an acknowledgement that takes long, and against log entries for each
+/// announcement of an upstream that leaves.
+#[test]
+fn leave_is_acknowledged_at_once_with_one_log_entry() {
+    let mut cluster = Cluster::new(10);
+    cluster.announce(announcement(BORN, 5));
+    cluster.sim.run(Duration::from_secs(1));
+    let before = cluster.commit_index();
+    let leave = draining(BORN, 6);
+    let start = cluster.sim.now;
+    cluster.leave(leave);
+    assert!(cluster.sim.now - start < Duration::from_millis(500));
+    for sequence in 7..20 {
+        cluster.announce(draining(BORN, sequence));
+        cluster.sim.run(Duration::from_millis(800));
+    }
+    let entries = cluster.commit_index() - before;
+    assert_eq!(entries, 1, "log entries of one leave");
+}
+
 /// Announces, deregisters and starts an upstream in turn, with copies of what it has sent
 /// that arrive later, beside restarts of its daemon and freezes of others.
 fn shuffle(seed: u64) {
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -158,6 +158,36 @@
     /// Boot of the upstream on the daemon's VM if that start has deregistered, or empty.
     #[prost(string, tag = "12")]
     pub deregistered_boot: String,
+    /// Whether the heartbeat reports an upstream that leaves, and the leader has not recorded
+    /// that in the replicated log yet.
+    #[prost(bool, tag = "13")]
+    pub leave_pending: bool,
+}
+
+/// A start of an upstream that leaves or has left, as recorded in the replicated log.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Departure {
+    /// Daemon on the VM of the upstream.
+    #[prost(string, tag = "1")]
+    pub daemon: String,
+    /// Value that differs for each start of the upstream.
+    #[prost(string, tag = "2")]
+    pub boot: String,
+    /// Name by which the upstream checks that a request is addressed to it, or empty.
+    #[prost(string, tag = "3")]
+    pub target: String,
+    /// Number of the start; 0 if the upstream does not number them.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Number of the first announcement that states that it leaves.
+    #[prost(uint64, tag = "5")]
+    pub sequence: u64,
+    /// Whether this start has deregistered. No later announcement of it counts.
+    #[prost(bool, tag = "6")]
+    pub deregistered: bool,
+    /// Log time at which it was recorded, in milliseconds; set when it is applied.
+    #[prost(uint64, tag = "7")]
+    pub at_ms: u64,
 }
 
 /// Address of a control replica.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -21,9 +21,9 @@
 pub use control::{
     Announcement, ChangeOperation, ChangeOutcome, ChangeRequest, ChangeResult, ClaimDecision,
     ClaimOutcome, ClaimRequest, ClaimSettle, ConfigDelta, ControlReply, ControlRequest,
-    CustomerPlan, Heartbeat, HeartbeatReply, HistoryEntry, HistoryReply, HistoryRequest, Lists,
-    OperationKind, QuotaHome, ReplicaAddress, ServiceDelta, SettleKind, StatusReply, StatusRequest,
-    Subscription, UpstreamInfo, VIEW_BUCKETS, control_reply, control_request,
+    CustomerPlan, Departure, Heartbeat, HeartbeatReply, HistoryEntry, HistoryReply, HistoryRequest,
+    Lists, OperationKind, QuotaHome, ReplicaAddress, ServiceDelta, SettleKind, StatusReply,
+    StatusRequest, Subscription, UpstreamInfo, VIEW_BUCKETS, control_reply, control_request,
 };
 pub use data::{
     Cancel, Credit, Data, Header, Load, LoadUpdate, Open, Refuse, RefuseReason, Reset, ResetReason,
