Tell lost log entries of a control replica from a torn write

It then helps to elect a leader that lacks them.

Cause: nothing in the folder stated what had been synced of the last frame.

Change: the file `synced` states the newest segment and its synced length. It is written after the acknowledgements of a sync are sent on, and not synced itself: no sync more, and it may state less than is synced, but never more. Data that is missing or invalid before that length is corrupt, so the files are set aside and the replica joins as a new one. What comes after is cut off as before.

The shuffle of full disks and kills writes the record too and passes. That an acknowledged change was lost by this was argued, not seen.

--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -120,6 +120,7 @@
         for done in done {
             daemon.handle_event(Event::DiskDone(done));
         }
+        disk.record_synced();
     }
 }
 
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -5,6 +5,7 @@
 //! | `state` | replica id, cluster id, term and vote |
 //! | `snapshot-INDEX` | the newest snapshot |
 //! | `log-SEQUENCE` | a segment of the log |
+//! | `synced` | how much of the newest segment is synced |
 //! | `lock` | empty; locked while the folder is open |
 //! | `damaged-NUMBER-NAME` | file of an earlier replica whose folder was found corrupt |
 //!
@@ -20,7 +21,9 @@
 //! Everything written under one sync is one frame with one checksum, and is
 //! synced before the next frame is written. An incomplete or invalid frame is
 //! therefore a torn write only if nothing follows it; anywhere else it is
-//! corruption. A changed byte in the last frame cannot be distinguished from a
+//! corruption. So it is where `synced` states that the frame was synced. Only
+//! when the process ended between a sync and the record of it, or power was lost
+//! after it, can a changed byte in the last frame not be distinguished from a
 //! torn write.
 //!
 //! A write for which the disk has no space, or the process no descriptor, is undone and
@@ -34,6 +37,7 @@
 mod format;
 mod recovery;
 mod set_aside;
+mod synced_record;
 mod term_index;
 
 pub use error::DiskError;
@@ -52,6 +56,7 @@
 use std::collections::VecDeque;
 use std::fs::File;
 use std::path::{Path, PathBuf};
+use synced_record::Synced;
 use term_index::TermIndex;
 use wire::LogEntry;
 
@@ -71,6 +76,8 @@
     term_index: TermIndex,
     /// Indexes of the snapshots in the folder. All but the newest are outdated.
     snapshots: Vec<u64>,
+    /// What the record of synced bytes states, if it was written since the start.
+    recorded: Option<Synced>,
     failed: bool,
     _lock: File,
 }
@@ -135,6 +142,7 @@
             active: None,
             term_index: TermIndex::new(snapshot, &recovered.entries),
             snapshots: snapshot.map(|s| s.index).into_iter().collect(),
+            recorded: None,
             failed: false,
             _lock: lock,
         };
@@ -173,6 +181,25 @@
         done
     }
 
+    /// Records how much of the log is synced, so that damage to it is not taken for a torn
+    /// write. Without the record, only less is told apart.
+    pub fn record_synced(&mut self) {
+        let (Some(segment), Some(active)) = (self.segments.last(), &self.active) else {
+            return;
+        };
+        let synced = Synced {
+            sequence: segment.sequence,
+            len: active.len() as u64,
+        };
+        if self.failed || self.recorded == Some(synced) {
+            return;
+        }
+        if let Err(reason) = synced.write(&mut self.files, &self.folder) {
+            log::warn!("event=synced_record_failed reason=\"{reason}\"");
+        }
+        self.recorded = Some(synced);
+    }
+
     /// Performs one write, several appends, or the last of several state
     /// updates.
     fn perform_writes(
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -146,6 +146,16 @@
         synced.map_err(|e| io_error(path, &e))
     }
 
+    /// Writes the first bytes of a file without syncing it, and creates it if needed.
+    pub(super) fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> Result<(), DiskError> {
+        let f = self.check(FileOp::Open).and_then(|()| {
+            let mut options = OpenOptions::new();
+            options.write(true).create(true).truncate(false).open(path)
+        });
+        let written = f.and_then(|mut f| self.write(&mut f, bytes));
+        written.map_err(|e| io_error(path, &e))
+    }
+
     /// Replaces a file atomically: writes a temporary file, syncs it, renames it
     /// and syncs the folder.
     pub(super) fn replace(
--- a/crates/replica/src/disk/recovery.rs
+++ b/crates/replica/src/disk/recovery.rs
@@ -6,6 +6,7 @@
     Batch, FORMAT_VERSION, Frame, STATE_NAME, SegmentHeader, TEMPORARY_SUFFIX, parse_segment_name,
     parse_snapshot_name, read_frame, segment_name, snapshot_name,
 };
+use super::synced_record::Synced;
 use crate::stored::{HardState, Recovered, Snapshot};
 use prost::Message;
 use std::path::Path;
@@ -34,18 +35,21 @@
     let hard_state = read_state(folder, &names)?;
     let snapshot = read_snapshot(files, folder, &names)?;
     let sequences = segment_sequences(folder, &names)?;
+    let synced = Synced::read(folder, &names)?;
     let mut replay = Replay::new(snapshot.as_ref());
     let mut segments = Vec::new();
     let newest = sequences.last().copied();
+    if synced.is_some_and(|s| newest.is_none_or(|newest| newest < s.sequence)) {
+        return Err(corrupt(folder, 0, "the newest log segment is missing"));
+    }
     for sequence in sequences {
-        let is_newest = Some(sequence) == newest;
-        segments.extend(read_segment(
-            files,
+        let source = SegmentSource {
             folder,
             sequence,
-            is_newest,
-            &mut replay,
-        )?);
+            is_newest: Some(sequence) == newest,
+            synced_len: synced.map_or(0, |s| s.len_of(sequence)),
+        };
+        segments.extend(read_segment(files, source, &mut replay)?);
     }
     let has_log = snapshot.is_some() || !replay.entries.is_empty();
     check_required_files(folder, hard_state.is_some(), has_log, &segments)?;
@@ -151,15 +155,29 @@
     Ok(sequences)
 }
 
+/// A segment to read.
+#[derive(Clone, Copy)]
+struct SegmentSource<'a> {
+    folder: &'a Path,
+    sequence: u64,
+    is_newest: bool,
+    /// Bytes that are known to be synced.
+    synced_len: usize,
+}
+
 /// Replays a segment. Returns `None` if the segment was removed because its
 /// header was incomplete.
 fn read_segment(
     files: &mut Files,
-    folder: &Path,
-    sequence: u64,
-    is_newest: bool,
+    source: SegmentSource<'_>,
     replay: &mut Replay,
 ) -> Result<Option<Segment>, DiskError> {
+    let SegmentSource {
+        folder,
+        sequence,
+        is_newest,
+        synced_len,
+    } = source;
     let path = folder.join(segment_name(sequence));
     let buf = read(&path)?;
     let mut segment = Segment {
@@ -173,6 +191,9 @@
                 replay_frame(&path, offset, payload, &mut segment, replay)?;
                 offset = next;
             }
+            Frame::End | Frame::Torn if offset < synced_len => {
+                return Err(corrupt(&path, offset, "synced data is missing or changed"));
+            }
             Frame::End if offset > 0 => return Ok(Some(segment)),
             Frame::End | Frame::Torn if is_newest => {
                 let has_header = truncate_torn_tail(files, folder, &path, offset)?;
--- a/crates/replica/src/disk/set_aside.rs
+++ b/crates/replica/src/disk/set_aside.rs
@@ -7,6 +7,7 @@
 use super::error::DiskError;
 use super::file::{Files, list};
 use super::format::{STATE_NAME, TEMPORARY_SUFFIX, parse_segment_name, parse_snapshot_name};
+use super::synced_record::SYNCED_NAME;
 use std::path::Path;
 
 const DAMAGED_PREFIX: &str = "damaged-";
@@ -93,5 +94,8 @@
 
 fn is_replica_file(name: &str) -> bool {
     let name = name.strip_suffix(TEMPORARY_SUFFIX).unwrap_or(name);
-    name == STATE_NAME || parse_segment_name(name).is_some() || parse_snapshot_name(name).is_some()
+    name == STATE_NAME
+        || name == SYNCED_NAME
+        || parse_segment_name(name).is_some()
+        || parse_snapshot_name(name).is_some()
 }
--- a/crates/replica/tests/disk_faults.rs
+++ b/crates/replica/tests/disk_faults.rs
@@ -122,6 +122,7 @@
             waits += 1;
             faults.lock().unwrap().full &= waits < space_after;
         });
+        self.disk.record_synced();
         let mut possible = vec![self.model.clone()];
         for (op, done) in ops.into_iter().zip(done) {
             let mut next = possible.last().unwrap().clone();
--- a/crates/replica/tests/set_aside.rs
+++ b/crates/replica/tests/set_aside.rs
@@ -26,14 +26,6 @@
 
 fn write(folder: &Path) {
     let (mut disk, _) = Disk::open(folder).unwrap();
-    let append = |index| {
-        DiskWrite::Append(vec![LogEntry {
-            term: 3,
-            index,
-            command: "x".into(),
-            membership: None,
-        }])
-    };
     for (id, write) in [DiskWrite::State(STATE), append(1), append(2)]
         .into_iter()
         .enumerate()
@@ -43,6 +35,7 @@
             write,
         };
         disk.perform(op, |e| panic!("{e}")).result.unwrap();
+        disk.record_synced();
     }
 }
 
@@ -52,6 +45,15 @@
     found.unwrap()
 }
 
+fn append(index: u64) -> DiskWrite {
+    DiskWrite::Append(vec![LogEntry {
+        term: 3,
+        index,
+        command: "x".into(),
+        membership: None,
+    }])
+}
+
 /// Returns the path to which a file is renamed.
 fn set_aside(folder: &Path, number: u64, path: &Path) -> PathBuf {
     let name = path.file_name().unwrap().to_str().unwrap();
@@ -65,6 +67,19 @@
     fs::write(path, bytes).unwrap();
 }
 
+fn cut_last_frame(path: &Path) {
+    let bytes = fs::read(path).unwrap();
+    let last = bytes.windows(4).rposition(|w| w == b"PLH1").unwrap();
+    fs::write(path, &bytes[..last]).unwrap();
+}
+
+fn change_end(path: &Path, change: impl Fn(u8) -> u8) {
+    let mut bytes = fs::read(path).unwrap();
+    let end = bytes.len() - 5;
+    bytes[end..].iter_mut().for_each(|b| *b = change(*b));
+    fs::write(path, bytes).unwrap();
+}
+
 fn make_folder(path: &Path) {
     fs::remove_file(path).unwrap();
     fs::create_dir(path).unwrap();
@@ -77,6 +92,10 @@
 #[test_case("state", make_folder; "state that cannot be read")]
 #[test_case("log-", |path| fs::write(path, "").unwrap(); "empty log")]
 #[test_case("log-", |path| fs::remove_file(path).unwrap(); "no log")]
+#[test_case("log-", |path| fs::write(path, "a file of another program").unwrap(); "foreign log")]
+#[test_case("log-", cut_last_frame; "log cut at its end")]
+#[test_case("log-", |path| change_end(path, |_| 0); "log with zeros at its end")]
+#[test_case("log-", |path| change_end(path, |b| b ^ 0x5a); "log with noise at its end")]
 #[test_case("log-", change_middle; "changed log")]
 fn open_or_set_aside_damaged_folder(prefix: &str, damage: impl Fn(&Path)) {
     let dir = populated_folder();
@@ -160,3 +179,53 @@
     let result = Disk::open_or_set_aside(dir.path());
     assert!(matches!(result, Err(DiskError::Locked { .. })));
 }
+
+/// Guards against a replica that is replaced because of a write that a loss of power tore.
+#[test]
+fn open_or_set_aside_repairs_what_was_not_synced() {
+    let dir = populated_folder();
+    let (mut disk, _) = Disk::open(dir.path()).unwrap();
+    let mut perform = |index| {
+        let op = DiskOp {
+            id: index,
+            write: append(index),
+        };
+        disk.perform(op, |e| panic!("{e}")).result.unwrap();
+        disk.record_synced();
+    };
+    perform(3);
+    let record = fs::read(dir.path().join("synced")).unwrap();
+    let log = dir.path().join("log-00000000000000000002");
+    let synced = fs::read(&log).unwrap().len();
+    perform(4);
+    drop(disk);
+    let bytes = fs::read(&log).unwrap();
+    for len in 0..bytes.len() {
+        fs::write(dir.path().join("synced"), &record).unwrap();
+        fs::write(&log, &bytes[..len]).unwrap();
+        if len < synced {
+            let result = Disk::open(dir.path());
+            assert!(
+                matches!(result, Err(DiskError::Corrupt { .. })),
+                "cut at {len}"
+            );
+            continue;
+        }
+        let (_, recovered) = Disk::open_or_set_aside(dir.path()).unwrap();
+        assert_eq!(recovered.entries.len(), 3, "cut at {len}");
+        assert!(recovered.set_aside.is_empty());
+    }
+}
+
+/// A record that is missing, outdated or torn after a loss of power costs only what it tells.
+#[test_case(|path| fs::remove_file(path).unwrap(); "missing")]
+#[test_case(|path| fs::write(path, "").unwrap(); "empty")]
+#[test_case(change_middle; "torn")]
+fn open_or_set_aside_without_record(change: impl Fn(&Path)) {
+    let dir = populated_folder();
+    change(&dir.path().join("synced"));
+    cut_last_frame(&file(dir.path(), "log-"));
+    let (_, recovered) = Disk::open_or_set_aside(dir.path()).unwrap();
+    assert_eq!(recovered.entries.len(), 1);
+    assert!(recovered.set_aside.is_empty());
+}
