Renew the service times on which an entry refuses requests

A class that had never run was refused for good where its requests had less time left than a quarter of the objective: without a measurement the expected time is a guess from the objective, the request was refused on it, and so nothing was ever measured. A class that had been slow once, and one whose upstreams had all been replaced, were locked in alike.

An estimate now states how many measurements it rests on and how old the last one is. Without any at the present upstreams no request is refused on it while the upstream has a free slot. Estimates that other requests of the class keep new are relied on as before, so that what cannot be served is still refused at once.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -63,19 +63,50 @@
             },
             Err(cause) => Err(cause),
         };
-        let chosen = chosen.and_then(|estimate| {
-            self.check_overload(id, purpose, &estimate, cx)?;
+        let checked = chosen.and_then(|estimate| {
+            self.check_estimate(id, purpose, &estimate, cx)?;
             Ok(estimate)
         });
-        match chosen {
-            Ok(estimate) if !self.can_meet_deadline(id, &estimate, cx) => {
-                self.refuse_unless_in_flight(id, Reason::Overload.into(), cx);
-            }
+        match checked {
             Ok(estimate) => self.send(id, purpose, &estimate, cx),
             Err(cause) => self.refuse_unless_in_flight(id, cause, cx),
         }
     }
 
+    /// Checks whether a request may be sent to the upstream that was chosen for it. A few
+    /// that are not expected to be in time are sent, so that the estimate is renewed.
+    fn check_estimate(
+        &mut self,
+        id: RequestId,
+        purpose: Purpose,
+        estimate: &Estimate,
+        cx: &mut Cx<'_>,
+    ) -> Result<(), RefusalCause> {
+        let in_time = self.is_in_time(id, estimate, cx);
+        let can_meet = self.can_meet_deadline(id, estimate, cx);
+        let renews = !(in_time && can_meet) && self.renews_estimate(id, purpose, estimate, cx);
+        self.check_overload(id, purpose, in_time || renews, cx)?;
+        match can_meet || renews {
+            true => Ok(()),
+            false => Err(Reason::Overload.into()),
+        }
+    }
+
+    fn renews_estimate(
+        &mut self,
+        id: RequestId,
+        purpose: Purpose,
+        estimate: &Estimate,
+        cx: &Cx<'_>,
+    ) -> bool {
+        let Some(active) = self.active.get(&id) else {
+            return false;
+        };
+        let picker = self.pickers.get_mut(&active.request.service);
+        matches!(purpose, Purpose::First | Purpose::Repick)
+            && picker.is_some_and(|p| p.renews_estimate(cx.now, &active.class_name, estimate))
+    }
+
     /// Returns why a request that has not reached an upstream is refused, if every upstream
     /// that is left has got as many requests from here as the rate that it states allows.
     fn paused_cause(
@@ -107,10 +138,13 @@
 
     /// Returns whether the upstream is expected to respond before the deadline.
     /// If not, refusing at once saves the upstream's slots and the caller's
-    /// time. Requests without an objective are always sent.
+    /// time. Requests without an objective are always sent, and so are those of a class that
+    /// was not measured where there is room: an entry learns by them.
     fn can_meet_deadline(&self, id: RequestId, estimate: &Estimate, cx: &Cx<'_>) -> bool {
         let active = self.active.get(&id).filter(|a| a.late_at.is_some());
-        active.is_none_or(|a| estimate.finish <= a.deadline.saturating_sub(cx.now))
+        active.is_none_or(|a| {
+            is_guess(estimate) || estimate.finish <= a.deadline.saturating_sub(cx.now)
+        })
     }
 
     /// Chooses an upstream and charges the attempt to its budget. A request that could
@@ -287,6 +321,11 @@
     }
 }
 
+/// Returns whether an estimate rests on no measurement, and its upstream has room.
+pub(super) fn is_guess(estimate: &Estimate) -> bool {
+    estimate.basis.measurements == 0 && estimate.has_room
+}
+
 /// Stops counting a request against the limits of its customer. A request that no
 /// upstream ran returns its token.
 pub(super) fn release_allowance(active: &ActiveRequest, cx: &mut Cx<'_>) {
--- a/crates/node/src/entry/overload.rs
+++ b/crates/node/src/entry/overload.rs
@@ -1,6 +1,7 @@
 //! Rejects requests under overload before any gate is asked.
 
 use super::Entry;
+use super::forward::is_guess;
 use super::refusal::{Reason, RefusalCause};
 use super::request::Purpose;
 use crate::context::Cx;
@@ -15,8 +16,16 @@
 const MAX_LATENESS_RATIO: u32 = 2;
 
 impl Entry {
-    /// Checks whether a request may be sent to the upstream that was chosen for it, or
-    /// whether gates refuse too many that rank like it.
+    /// Returns whether the response of an upstream is expected within the objective, or
+    /// nothing is known against it.
+    pub(super) fn is_in_time(&self, id: RequestId, estimate: &Estimate, cx: &Cx<'_>) -> bool {
+        let late_at = self.active.get(&id).and_then(|active| active.late_at);
+        let latest = |at: Duration| at.saturating_sub(cx.now) * MAX_LATENESS_RATIO;
+        is_guess(estimate) || late_at.is_none_or(|at| estimate.finish <= latest(at))
+    }
+
+    /// Checks whether a request may be sent to an upstream, or whether gates refuse too many
+    /// that rank like it.
     ///
     /// # Errors
     ///
@@ -25,7 +34,7 @@
         &mut self,
         id: RequestId,
         purpose: Purpose,
-        estimate: &Estimate,
+        in_time: bool,
         cx: &Cx<'_>,
     ) -> Result<(), RefusalCause> {
         let Some(active) = self.active.get(&id) else {
@@ -34,10 +43,6 @@
         if !matches!(purpose, Purpose::First | Purpose::Repick) {
             return Ok(());
         }
-        let latest = |at: Duration| at.saturating_sub(cx.now) * MAX_LATENESS_RATIO;
-        let in_time = active
-            .late_at
-            .is_none_or(|at| estimate.finish <= latest(at));
         let request = AskRequest {
             customer: &active.request.customer,
             weight: active.class.weight,
--- a/crates/pick/src/finish.rs
+++ b/crates/pick/src/finish.rs
@@ -78,18 +78,33 @@
     work: Work,
     now: Duration,
 ) -> f64 {
+    let load = requests(stats, now) + stats.recent_failures(now);
+    let limit = limit(stats, slots);
+    let queued = (load + 1.0 - limit).max(0.0) / limit;
+    let contention = 1.0 + CONTENTION_FACTOR * (load / limit).min(1.0);
+    work.service_time * slowness * (contention + queued) + work.network
+}
+
+/// Returns whether an upstream has a free slot, as far as known.
+pub(crate) fn has_room(stats: &UpstreamStats, slots: u32, now: Duration) -> bool {
+    requests(stats, now) + 1.0 <= limit(stats, slots)
+}
+
+/// Returns the number of requests that an upstream runs at once.
+fn limit(stats: &UpstreamStats, slots: u32) -> f64 {
     let reported = stats.reported.as_ref();
-    let limit = reported.map_or(slots, |r| r.load.limit.min(slots)).max(1);
-    let others = reported.map_or(0.0, |reported| {
+    let limit = reported.map_or(slots, |r| r.load.limit.min(slots));
+    f64::from(limit.max(1))
+}
+
+/// Returns the number of requests at an upstream, as far as known.
+fn requests(stats: &UpstreamStats, now: Duration) -> f64 {
+    let others = stats.reported.as_ref().map_or(0.0, |reported| {
         let at_gate = reported.load.in_flight + reported.load.waiting;
         let others = f64::from(at_gate.saturating_sub(reported.own_in_flight));
         others * decay(now.saturating_sub(reported.at), COUNT_HALF_LIFE)
     });
-    let load = f64::from(stats.own_in_flight) + others + stats.recent_failures(now);
-    let limit = f64::from(limit);
-    let queued = (load + 1.0 - limit).max(0.0) / limit;
-    let contention = 1.0 + CONTENTION_FACTOR * (load / limit).min(1.0);
-    work.service_time * slowness * (contention + queued) + work.network
+    f64::from(stats.own_in_flight) + others
 }
 
 /// Returns the slowness assumed for upstreams without a report: about that of
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -9,6 +9,7 @@
 use crate::policy::{Policy, ScoredCandidate};
 use crate::quantile::LatencyQuantiles;
 use crate::reachability::Reachability;
+use crate::service_times::{Basis, ServiceTimes};
 use crate::stats::UpstreamStats;
 use crate::{score, straggler};
 use rand::rngs::SmallRng;
@@ -112,6 +113,10 @@
     /// Assumed service time in percent of the normal one; without a report,
     /// that of the peers.
     pub believed_slow_percent: u32,
+    /// What the service time in `finish` rests on.
+    pub basis: Basis,
+    /// Whether the upstream has a free slot, as far as known.
+    pub has_room: bool,
     /// Whether the entry cannot reach the data centre of the upstream.
     pub unreachable: bool,
     /// Whether the upstream accepted no work lately, or does not respond while others
@@ -127,8 +132,8 @@
     all_stats: BTreeMap<UpstreamId, UpstreamStats>,
     /// Recent latencies of each class.
     latencies: BTreeMap<ClassId, LatencyQuantiles>,
-    /// Average service time of each class at normal speed, in seconds.
-    service_times: BTreeMap<ClassId, f64>,
+    /// Service times of each class at normal speed.
+    service_times: ServiceTimes,
     /// Average response size of each class, in bytes.
     response_bytes: BTreeMap<ClassId, f64>,
     choices_made: u64,
@@ -148,7 +153,7 @@
             candidates: Vec::new(),
             all_stats: BTreeMap::new(),
             latencies: BTreeMap::new(),
-            service_times: BTreeMap::new(),
+            service_times: ServiceTimes::default(),
             response_bytes: BTreeMap::new(),
             choices_made: 0,
             preferred: None,
@@ -175,6 +180,10 @@
                 (c.upstream.clone(), stats)
             })
             .collect();
+        let is_kept = |c: &Candidate| old.contains_key(&c.upstream);
+        if !first && !candidates.iter().any(is_kept) {
+            self.service_times.invalidate();
+        }
         self.candidates = candidates;
     }
 
@@ -219,7 +228,7 @@
         self.prefer_due(&mut candidates, request);
         let index = (self.settings.policy.choose)(rng, &candidates, choices_made)?;
         let chosen = candidates.iter().find(|c| c.index == index)?;
-        self.estimate_for(now, &peers, chosen)
+        self.estimate_for(now, &peers, chosen, request.class)
     }
 
     /// Records that a request was sent to an upstream.
@@ -271,7 +280,15 @@
             return;
         };
         let normalised = finish::normalise(stats, latency, now);
-        smooth(&mut self.service_times, class, normalised.as_secs_f64());
+        let seconds = normalised.as_secs_f64();
+        self.service_times.record(now, class, seconds);
+    }
+
+    /// Returns whether a request may be sent although it is not expected to be in time: the
+    /// upstream has room, and what is known of the class is a guess or old.
+    pub fn renews_estimate(&mut self, now: Duration, class: &str, estimate: &Estimate) -> bool {
+        let usable = !estimate.unavailable && !estimate.unreachable;
+        usable && estimate.has_room && self.service_times.renew(now, class)
     }
 
     /// Records the size of the response to a request of a class.
@@ -294,7 +311,7 @@
             .iter()
             .position(|c| c.upstream == upstream)?;
         let chosen = self.score_candidate(now, &peers, index, request)?;
-        self.estimate_for(now, &peers, &chosen)
+        self.estimate_for(now, &peers, &chosen, request.class)
     }
 
     #[expect(
@@ -307,6 +324,7 @@
         now: Duration,
         peers: &PeerSummary<'_>,
         chosen: &ScoredCandidate,
+        class: &str,
     ) -> Option<Estimate> {
         let candidate = self.candidates.get(chosen.index)?;
         let stats = self.all_stats.get(&candidate.upstream)?;
@@ -315,6 +333,8 @@
             upstream: candidate.upstream.clone(),
             finish: Duration::try_from_secs_f64(chosen.finish).unwrap_or(Duration::MAX),
             believed_slow_percent: (slowness * finish::HUNDREDTHS).round() as u32,
+            basis: self.service_times.basis(now, class),
+            has_room: finish::has_room(stats, candidate.slots, now),
             unreachable: chosen.unreachable,
             unavailable: stats.unavailable_until > now
                 || straggler::is_unresponsive(
@@ -462,7 +482,7 @@
 
     /// Returns the service time of the request at normal speed, in seconds.
     fn service_time(&self, request: PickRequest<'_>) -> f64 {
-        let measured = self.service_times.get(request.class).copied();
+        let measured = self.service_times.average(request.class);
         measured.unwrap_or(request.default_work.as_secs_f64())
     }
 
