Answer requests behind a response that stops on its way

What callers saw: a response of more than 8 KB whose rest did not come in time from the gate was begun and broken off by closing the connection. Pipelined requests behind it, which ran or had run, got no response.

Cause: an entry passed the head on as soon as the gate sent it, although gates send a response that they have buffered in several frames; whatever happens between them (the deadline, the end of the connection to the gate or of its process) could only be told by closing.

Change: an entry awaits the whole of a response up to the smaller of `held-size` and `window-size`, as gates do, so that it can be replaced by 502 or 504 and the connection is kept. Longer responses are passed on as they come, as before, and break the connection if they stop. Ruled out: sending the requests behind it on again by themselves, since they may not be repeatable.

Green beside it: plumhitchd path 19, limits 6, stop 10, failures 3, late_copies 2; platform end_to_end 19, endless_responses 10, broken_heads 5, kept_connections 4, stops 9, halted_uploads 8, halted_readers 1, silent_connections 3, reloads_under_load 2, displaced 23, late_refusals 8.

--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -112,7 +112,8 @@
     /// Whether the response was cut off.
     pub(super) broken: bool,
     chunks: VecDeque<Bytes>,
-    received_bytes: u64,
+    /// Bytes of the body received so far.
+    pub(super) received_bytes: u64,
     declared_len: Option<u64>,
     bodyless: bool,
     closed: bool,
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -88,7 +88,10 @@
         }
     }
 
-    /// Waits for the beginning of the final response.
+    /// Waits for the beginning of the final response. A response that gates buffer is awaited
+    /// to its end, as far as the flow control lets it arrive: as long as nothing of it was
+    /// passed on, one that stops on its way can be replaced by a refusal, instead of closing
+    /// the connection and cutting off the requests behind it.
     pub(super) async fn response_head(&mut self) -> FinalHead {
         let Some(inner) = &mut self.inner else {
             return FinalHead::UploadFailed(UploadError::Aborted);
@@ -102,7 +105,11 @@
                 inner.record.mark_upload_failed(err);
                 return FinalHead::UploadFailed(err);
             }
-            if let Some(head) = inner.relayed_attempt().and_then(|a| a.response.clone()) {
+            let max_buffered = inner.max_buffered_bytes();
+            let ready = inner
+                .relayed_attempt()
+                .filter(|attempt| attempt.complete || attempt.received_bytes >= max_buffered);
+            if let Some(head) = ready.and_then(|attempt| attempt.response.clone()) {
                 inner.record.status = u16::try_from(head.status).unwrap_or_default();
                 return FinalHead::Response(head);
             }
@@ -299,6 +306,14 @@
         }
     }
 
+    /// Returns the length from which a response is passed on before it is complete: beyond
+    /// what gates buffer they send one as it comes, and beyond the window nothing arrives
+    /// before something was passed on.
+    fn max_buffered_bytes(&self) -> u64 {
+        let limits = &self.daemon.cfg.limits;
+        limits.buffered_body_bytes.min(limits.window_bytes) as u64
+    }
+
     fn relayed_attempt(&mut self) -> Option<&mut Attempt> {
         let id = self.relayed?;
         self.attempt(id)
