Take no response for the last one while a request waits for the queue

What callers saw: nothing yet. In a stop the response that finds the queue empty closes the connection. A request that was read and passed on, but is not in the queue because the task yielded in between, would lose its response.

Cause: the queue was asked, not the list of requests that wait for responses. Change: the last response is one behind which no request waits.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -380,7 +380,10 @@
         let response = (&mut queued.response).await;
         let response = response.map_err(|_| CutReason::TaskEnded)?;
         let until_close = !queued.reads_chunks && response.has_unknown_length();
-        let is_last = rx.is_empty() && (rx.is_closed() || daemon.is_closing_connections());
+        // A request that was just read may not be in the queue yet.
+        let is_last = rx.is_empty()
+            && unanswered.len() <= 1
+            && (rx.is_closed() || daemon.is_closing_connections());
         let close = !queued.keep_alive || until_close || is_last;
         if close {
             unanswered.begin_last_response();
--- a/crates/plumhitchd/tests/stop.rs
+++ b/crates/plumhitchd/tests/stop.rs
@@ -263,6 +263,30 @@
     assert!(wait_for_exit(&mut pair.entry).await.success());
 }
 
+/// Requests that are sent at once on a connection, more than it queues responses.
+const PIPELINED: usize = 80;
+
+/// Guards against requests that are cut off in a stop because they were read while the queue
+/// of the connection's responses was full.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_answers_pipelined_requests_beyond_the_queue() {
+    let mut pair = Pair::start("[stop]\nlinger = 3 s\n", "").await;
+    let mut stream = tokio::net::TcpStream::connect(pair.entry.callers)
+        .await
+        .unwrap();
+    let mut requests = request_head("/slow");
+    requests.push_str(&request_head("/ready").repeat(PIPELINED));
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    // The responses wait for the first one, and the reader for space in their queue.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    pair.entry.signal("TERM");
+    let mut received = Vec::new();
+    let _ = stream.read_to_end(&mut received).await;
+    let received = String::from_utf8(received).unwrap();
+    assert_eq!(received.matches("HTTP/1.1 ").count(), 1 + PIPELINED);
+    assert!(wait_for_exit(&mut pair.entry).await.success());
+}
+
 /// Longest time to the refusal of a request.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
