--- a/crates/plumhitchd/src/listeners.rs
+++ b/crates/plumhitchd/src/listeners.rs
@@ -9,8 +9,7 @@
 pub(crate) use port::{Port, Ports};
 
 use rustix::net::sockopt::{
-    set_socket_keepalive, set_tcp_keepcnt, set_tcp_keepidle, set_tcp_keepintvl,
-    set_tcp_user_timeout,
+    set_socket_keepalive, set_tcp_keepidle, set_tcp_keepintvl, set_tcp_user_timeout,
 };
 use std::io;
 use std::net::SocketAddr;
@@ -23,10 +22,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Idle time before the first keepalive probe of a connection, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
-/// Unanswered keepalive probes after which a connection is dropped.
-const KEEPALIVE_PROBES: u32 = 3;
 /// `TCP_USER_TIMEOUT`: time after which a connection is dropped whose client acknowledges
-/// nothing, or has no room for a response.
+/// neither probes nor data, or has no room for a response.
 const USER_TIMEOUT_MS: u32 = 30_000;
 
 /// Listens on an address as soon as it is available. Without a deadline it waits for as
@@ -93,7 +90,6 @@
     set_socket_keepalive(socket, true)?;
     set_tcp_keepidle(socket, KEEPALIVE_INTERVAL)?;
     set_tcp_keepintvl(socket, KEEPALIVE_INTERVAL)?;
-    set_tcp_keepcnt(socket, KEEPALIVE_PROBES)?;
     set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
     Ok(())
 }
