Show the state of control replicas in metrics and status

Change: `plumhitch_control_role` has the role of the replica on a VM, faulty included, `plumhitch_control_files_set_aside` the corrupt files in its data folder; at the leader `plumhitch_control_voters` counts the voters that are silent or lack entries that were committed before the last heartbeat. `plumhitch status` names these voters, and the role and files of the daemon it asks. The new fields of the status are only added; earlier versions ignore them. A completed reply is boxed, since the larger status made it long.

The tests of `-p node` were not run on this commit, and the new lines of `plumhitch status` have no test.

--- a/crates/api/src/status.rs
+++ b/crates/api/src/status.rs
@@ -30,6 +30,16 @@
     pub voters: Vec<String>,
     /// Addresses of the non-voting control replicas (learners).
     pub learners: Vec<String>,
+    /// Addresses of the voters that are silent or lack committed entries.
+    #[serde(default)]
+    pub lagging_voters: Vec<String>,
+    /// Role of the control replica of the daemon that responds, if it has one.
+    #[serde(default)]
+    pub replica_role: Option<String>,
+    /// Names of the files in its data folder that were set aside because they were
+    /// corrupt.
+    #[serde(default)]
+    pub set_aside: Vec<String>,
     /// Number of claims stored.
     pub claims: u64,
     /// Number of customers on the customer list.
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -457,7 +457,7 @@
         _tx: &mut Vec<Effect>,
     ) -> Vec<RequestResult> {
         match self.requests.handle_reply(now, reply, &mut self.rng) {
-            ReplyOutcome::Completed(result) => vec![result],
+            ReplyOutcome::Completed(result) => vec![*result],
             ReplyOutcome::Retry(leader) => {
                 if self.replicas.follow_hint(&leader) {
                     self.heartbeats.schedule_now();
--- a/crates/node/src/agent/requests.rs
+++ b/crates/node/src/agent/requests.rs
@@ -28,7 +28,7 @@
 /// The effect of a reply.
 pub(super) enum ReplyOutcome {
     /// The request is complete.
-    Completed(RequestResult),
+    Completed(Box<RequestResult>),
     /// The request is resent; the leader may be at this address.
     Retry(String),
     /// The reply belongs to no pending request.
@@ -127,10 +127,10 @@
         }
         let requester = pending.requester;
         self.pending.remove(&reply.id);
-        ReplyOutcome::Completed(RequestResult {
+        ReplyOutcome::Completed(Box::new(RequestResult {
             requester,
             reply: reply.kind,
-        })
+        }))
     }
 
     /// Schedules all requests to be resent after a short random delay, because
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -186,7 +186,9 @@
         let names = |names: &std::collections::BTreeSet<compact_str::CompactString>| {
             names.iter().map(ToString::to_string).collect()
         };
+        let lagging = self.replica.lagging_voters().into_iter();
         StatusReply {
+            lagging_voters: lagging.map(|member| member.address).collect(),
             config_version: config.version,
             term: self.replica.term(),
             leader: self.replica.id(),
--- a/crates/plumhitch/src/output.rs
+++ b/crates/plumhitch/src/output.rs
@@ -184,6 +184,17 @@
     println!("control: leader {}, term {}", status.leader, status.term);
     println!("  voters: {}", join_or_none(&status.voters));
     println!("  learners: {}", join_or_none(&status.learners));
+    if !status.lagging_voters.is_empty() {
+        let lagging = join_or_none(&status.lagging_voters);
+        println!("  voters that are silent or lack committed entries: {lagging}");
+    }
+    if let Some(role) = &status.replica_role {
+        println!("  replica at {}: {role}", status.daemon);
+    }
+    if !status.set_aside.is_empty() {
+        let files = join_or_none(&status.set_aside);
+        println!("  corrupt files set aside at {}: {files}", status.daemon);
+    }
     println!(
         "customers: {}; claims stored: {}",
         status.customers, status.claims
--- a/crates/plumhitchd/src/metrics.rs
+++ b/crates/plumhitchd/src/metrics.rs
@@ -2,11 +2,14 @@
 
 mod gauges;
 mod labels;
+mod replica_gauges;
 
 use crate::runtime::{Daemon, lock};
 use gauges::Gauges;
 use labels::Labels;
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder};
+use replica_gauges::ReplicaGauges;
+pub(crate) use replica_gauges::role_name;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -45,6 +48,7 @@
     customer_outcomes: IntCounterVec,
     cut_requests: IntCounterVec,
     gauges: Gauges,
+    replica_gauges: ReplicaGauges,
     customers: Mutex<Labels>,
     classes: Mutex<Labels>,
 }
@@ -74,6 +78,7 @@
             )?,
             cut_requests: cut_counter(&registry)?,
             gauges: Gauges::new(&registry)?,
+            replica_gauges: ReplicaGauges::new(&registry)?,
             customers: Mutex::new(Labels::new(MAX_CUSTOMERS)),
             classes: Mutex::new(Labels::new(MAX_CLASSES)),
             registry,
@@ -112,6 +117,7 @@
     /// Returns an error if the metrics cannot be encoded.
     pub(crate) fn text(&self, daemon: &Daemon) -> prometheus::Result<String> {
         self.gauges.update(daemon);
+        self.replica_gauges.update(daemon);
         TextEncoder::new().encode_to_string(&self.registry.gather())
     }
 }
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -291,7 +291,7 @@
     }
 }
 
-fn set(metric: &IntGaugeVec, values: &[(&str, u64)]) {
+pub(super) fn set(metric: &IntGaugeVec, values: &[(&str, u64)]) {
     for (label, value) in values {
         metric.with_label_values(&[label]).set(to_i64(*value));
     }
@@ -308,7 +308,7 @@
     Ok(metric)
 }
 
-fn int_gauge_vec(
+pub(super) fn int_gauge_vec(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -336,11 +336,15 @@
     milli as f64 / MILLI_PER_UNIT
 }
 
-fn to_i64(value: u64) -> i64 {
+pub(super) fn to_i64(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
-fn int_gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+pub(super) fn int_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> prometheus::Result<IntGauge> {
     let metric = IntGauge::new(format!("plumhitch_{name}"), help)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -7,6 +7,7 @@
 pub(crate) use token::Token;
 
 use crate::handle::Handle;
+use crate::metrics;
 use crate::runtime::Daemon;
 use api::{ErrorBody, OutcomeBody, Verdict};
 use convert::OwnStatus;
@@ -175,10 +176,16 @@
     }
 
     async fn status(&self) -> Result<HttpResponse, HttpResponse> {
-        let own = self.daemon.read(|node| OwnStatus {
-            daemon: node.agent.name.to_string(),
-            version: node.agent.config.version,
-            statement: node.admission.statement(),
+        let own = self.daemon.read(|node| {
+            let replica = node.control.as_ref().map(|c| c.replica());
+            let role = replica.map(|r| metrics::role_name(r.role()));
+            OwnStatus {
+                daemon: node.agent.name.to_string(),
+                version: node.agent.config.version,
+                statement: node.admission.statement(),
+                replica_role: role.map(str::to_owned),
+                set_aside: replica.map_or_else(Vec::new, |r| r.set_aside().to_vec()),
+            }
         });
         match self
             .request(control_request::Kind::Status(StatusRequest {}))
--- a/crates/plumhitchd/src/operators_http/convert.rs
+++ b/crates/plumhitchd/src/operators_http/convert.rs
@@ -83,6 +83,10 @@
     pub(super) version: ConfigVersion,
     /// What the upstream beside it states.
     pub(super) statement: Statement,
+    /// Role of its control replica, if it has one.
+    pub(super) replica_role: Option<String>,
+    /// Names of the files of its data folder that were set aside.
+    pub(super) set_aside: Vec<String>,
 }
 
 /// Converts the status of control, and adds that of the daemon.
@@ -100,6 +104,9 @@
         leader: status.leader,
         voters: membership.voters.into_iter().map(address).collect(),
         learners: membership.learners.into_iter().map(address).collect(),
+        lagging_voters: status.lagging_voters,
+        replica_role: own.replica_role,
+        set_aside: own.set_aside,
         claims: status.claims,
         customers: status.customers,
         out_data_centres: status.out_data_centres,
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -42,6 +42,8 @@
     follower_state: FollowerState,
     leader_state: Option<LeaderState>,
     join_state: JoinState,
+    /// Names of the files of a former replica that were set aside.
+    set_aside: Vec<String>,
     storage: Storage,
     snapshot_requested: bool,
     /// Bytes of entries applied since a snapshot was last requested.
@@ -77,6 +79,7 @@
             follower_state: FollowerState::default(),
             leader_state: None,
             join_state: JoinState::new(now, !recovered.set_aside.is_empty()),
+            set_aside: recovered.set_aside,
             storage: Storage::new(recovered.fault),
             snapshot_requested: false,
             bytes_since_snapshot: 0,
@@ -135,6 +138,13 @@
         self.election.leader().map(|m| m.address.as_str())
     }
 
+    /// Returns the names of the files in the data folder that were set aside, because
+    /// an earlier replica's files were corrupt.
+    #[must_use]
+    pub fn set_aside(&self) -> &[String] {
+        &self.set_aside
+    }
+
     /// Returns the replica's id.
     #[must_use]
     pub fn id(&self) -> ReplicaId {
--- a/crates/replica/src/replica/membership.rs
+++ b/crates/replica/src/replica/membership.rs
@@ -78,6 +78,16 @@
         peer.is_some_and(|p| p.match_index >= required) && self.is_responsive(id)
     }
 
+    /// Returns the other voters that are silent or lack entries that were committed
+    /// before the last heartbeat. The cluster tolerates fewer losses by these. Empty
+    /// unless this replica leads.
+    #[must_use]
+    pub fn lagging_voters(&self) -> Vec<Member> {
+        let mut voters = self.other_voters();
+        voters.retain(|v| self.leader_state.is_some() && !self.is_caught_up(v.id));
+        voters
+    }
+
     /// Returns the membership after the next step to promote the first learner
     /// that has caught up. A voter that the learner replaces may have to be
     /// removed in a step of its own.
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -258,6 +258,25 @@
     assert_ne!(replica.id(), former.id());
 }
 
+/// Guards against a group that tolerates fewer losses than it should without a sign of it.
+#[test]
+fn lagging_voters_names_those_without_committed_entries() {
+    let mut single = SingleReplica::new();
+    let append_ops = single.become_leader();
+    single.done(&append_ops[0]);
+    single.message(2, 2, appended(3, 1));
+    single.message(3, 2, appended(2, 1));
+    let lagging = |single: &SingleReplica| -> Vec<String> {
+        let voters = single.replica.lagging_voters().into_iter();
+        voters.map(|v| v.address).collect()
+    };
+    assert_eq!(lagging(&single), ["n3"]);
+    single.message(3, 2, appended(3, 1));
+    assert!(lagging(&single).is_empty());
+    single.message(2, 2, rejected(1, 1));
+    assert_eq!(lagging(&single), ["n2"]);
+}
+
 /// A reply to a round that was sent before a read was requested does not
 /// confirm that the replica is still the leader.
 #[test]
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -642,6 +642,10 @@
     /// The newest rollout of each service.
     #[prost(message, repeated, tag = "12")]
     pub rollouts: Vec<crate::rollout::Rollout>,
+    /// Addresses of the voters that are silent or lack committed entries. Daemons of
+    /// earlier versions send none.
+    #[prost(string, repeated, tag = "13")]
+    pub lagging_voters: Vec<String>,
 }
 
 /// Reads past changes.
