Renew the service times by which a gate ranks its queue

A class that had been slow once got no slot of a gate that is always busy: each of its requests ranked as late, whatever its weight, and as none ran, nothing renewed the service time.

The service time of a class counts no longer than 5 s after it was measured. Then the class ranks like one that was never measured, until one of its requests starts; while that one runs the old time counts again, so that only one request goes ahead. Its measurement counts for a half.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -446,7 +446,7 @@
     /// request that made them holds a slot elsewhere, then by the weight of the class;
     /// requests whose response would be late come last.
     fn preference(&self, request: &SlotRequest) -> u32 {
-        let typical_us = self.service_times.of_class(&request.class);
+        let typical_us = self.service_times.of_class(self.clock, &request.class);
         let expected = Duration::from_micros(typical_us.into()).mul_f64(self.slowness());
         let late = request
             .objective
@@ -483,7 +483,7 @@
         if !self.crowding.is_overloaded(now, service_time, load.limit) {
             return None;
         }
-        let typical_us = self.service_times.of_class(&request.class);
+        let typical_us = self.service_times.of_class(self.clock, &request.class);
         let expected = Duration::from_micros(typical_us.into()).mul_f64(self.slowness());
         let latest = request.objective?.saturating_sub(expected);
         Some(latest.max(now + self.wait_limit()))
@@ -515,6 +515,7 @@
         self.last_active = now;
         self.cold_rate.record_sent(now);
         self.stated_limit.record_sent(now);
+        self.service_times.record_start(now, &request.class);
         if !request.is_call {
             self.served
                 .record_served(now, &request.customer, request.share);
@@ -572,7 +573,7 @@
     /// number of requests that ran at the same time, including this one.
     fn record_response(&mut self, now: Duration, running: &Running, concurrency: u32, status: u16) {
         let service_time = now.saturating_sub(running.since).div_f64(self.slowness());
-        let normal = self.service_times.record(&running.class, service_time);
+        let normal = self.service_times.record(now, &running.class, service_time);
         let slots = self.announced.as_ref().map_or(0, |a| a.slots);
         // Few requests run during a slow period, so a request that overlaps one
         // would make a low concurrency look slow.
--- a/crates/gate/src/slot_order.rs
+++ b/crates/gate/src/slot_order.rs
@@ -30,7 +30,7 @@
 
     pub(crate) fn rank(&self, request: &SlotRequest) -> Rank {
         let cx = &self.cx;
-        let typical_us = cx.service_times.of_class(&request.class);
+        let typical_us = cx.service_times.of_class(cx.now, &request.class);
         let expected = Duration::from_micros(typical_us.into()).mul_f64(cx.slowness);
         let in_time = request.objective.is_none_or(|at| cx.now + expected <= at);
         let below_floor = cx
