Mend what the review of the fixes found

What callers saw: an upload with Expect: 100-continue behind an earlier response got 408 when 100 Continue was sent shortly before the idle time was over, since the time of the body had begun before. Clients of control, readiness and metrics were not told that their idle connections are closed since, so that a request could cross the close. 100 Continue was written without a time limit. A sound data folder would have been set aside for a read error of the disk (EIO).

Change: a time that began behind an earlier response does not count; responses of these listeners state keep-alive: timeout; 100 Continue is written like responses; only a folder in the place of a file counts as corrupt, EIO leaves the replica out until it starts again, as before.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -294,6 +294,7 @@
     /// piece, so that a slow upload is not cut off. A caller that waits for `100 Continue`
     /// sends nothing until the requests before have their responses.
     async fn read_more_of_body(&mut self, waits_for_continue: bool) -> Result<(), BodyEnd> {
+        let mut waits_for_others = waits_for_continue && self.unanswered.len() > 1;
         loop {
             let limit = self.daemon.idle_timeout();
             tokio::select! {
@@ -301,9 +302,10 @@
                 // Received bytes are read before the time limit may end the body.
                 read = fill(self.read, &mut self.buf) => return read.map_err(BodyEnd::Cut),
                 () = sleep(limit) => {
-                    if !waits_for_continue || self.unanswered.len() <= 1 {
+                    if !waits_for_others {
                         return Err(BodyEnd::TimedOut);
                     }
+                    waits_for_others = self.unanswered.len() > 1;
                 }
             }
         }
@@ -372,8 +374,8 @@
         let mut queued = match next {
             QueuedWrite::Response(queued) => queued,
             QueuedWrite::Continue => {
-                let written = write.write_all(CONTINUE_RESPONSE).await;
-                written.map_err(|_| CutReason::WriteFailed)?;
+                buf.extend_from_slice(CONTINUE_RESPONSE);
+                write_out(daemon, &mut write, &mut buf).await?;
                 continue;
             }
         };
--- a/crates/plumhitchd/src/http_server.rs
+++ b/crates/plumhitchd/src/http_server.rs
@@ -7,7 +7,7 @@
 use salvo::conn::http1;
 use salvo::http::header::CONNECTION;
 use salvo::http::uri::Scheme;
-use salvo::http::{HeaderValue, Request, StatusCode};
+use salvo::http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use salvo::hyper::service::{Service as HyperService, service_fn};
 use salvo::rt::tokio::TokioIo;
 use salvo::{Router, Service};
@@ -19,6 +19,9 @@
 use timed_stream::{Exchange, TimedStream};
 use tokio::time::timeout;
 
+/// Name of the header that states how long a connection may be idle.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Why a request body is not available.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum BodyError {
@@ -105,10 +108,7 @@
         async move {
             let mut res = handled.await?;
             exchange.end();
-            if daemon.is_closing_connections() {
-                let close = HeaderValue::from_static("close");
-                res.headers_mut().insert(CONNECTION, close);
-            }
+            state_persistence(&daemon, res.headers_mut());
             Ok::<_, salvo::hyper::Error>(res)
         }
     });
@@ -129,6 +129,18 @@
     drop(open);
 }
 
+/// States whether the connection closes after a response, or for how long it may be idle.
+fn state_persistence(daemon: &Daemon, headers: &mut HeaderMap) {
+    if daemon.is_closing_connections() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        return;
+    }
+    let seconds = daemon.idle_timeout().as_secs();
+    if let Ok(timeout) = HeaderValue::from_str(&format!("timeout={seconds}")) {
+        headers.insert(KEEP_ALIVE, timeout);
+    }
+}
+
 /// Reads a request body within the time limit for bodies.
 ///
 /// # Errors
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -247,10 +247,11 @@
         .map_err(|e| io_error(path, &e))
 }
 
-/// Reads a file. One that the disk cannot return is corrupt; a lack of permission is not.
+/// Reads a file. A folder in its place is corruption; an error of the disk or a lack of
+/// permission is not, since the data may be sound.
 pub(super) fn read(path: &Path) -> Result<Vec<u8>, DiskError> {
     fs::read(path).map_err(|e| match Errno::from_io_error(&e) {
-        Some(Errno::IO | Errno::ISDIR) => corrupt(path, 0, "the file cannot be read"),
+        Some(Errno::ISDIR) => corrupt(path, 0, "the file cannot be read"),
         _ => io_error(path, &e),
     })
 }
