Show the memory that a process holds for others, by use

A process that is killed for its memory leaves no log line, and no metric told what it held: the hypotheses could not be told apart. plumhitch_memory_bytes has for responses, requests and calls what is held, the share of the process's memory and how often more was wanted; plumhitch_resident_memory_bytes the whole. Bytes of responses at the entry are counted so far; nothing is refused yet.

--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -46,6 +46,7 @@
 const BODY_BYTES: RangeInclusive<u64> = 1..=1 << 40;
 const BUFFERED_BODY_BYTES: RangeInclusive<u64> = 0..=16 << 20;
 const WINDOW_BYTES: RangeInclusive<u64> = 4 << 10..=64 << 20;
+const MEMORY_BYTES: RangeInclusive<u64> = 16 << 20..=1 << 40;
 const LINK_BYTES: RangeInclusive<u64> = 0..=1 << 40;
 
 const HEARTBEAT: RangeInclusive<Duration> = ms(10)..=MINUTE;
@@ -383,6 +384,9 @@
     keys.set("descriptors", &mut cfg.descriptors, |t| {
         count(t, MIN_DESCRIPTORS..=MAX_CONNECTIONS).map(Some)
     });
+    keys.set("memory", &mut cfg.memory_bytes, |t| {
+        bytes(t, MEMORY_BYTES).map(Some)
+    });
     keys.set("body-time", &mut cfg.body_timeout, |t| {
         time(t, TEN_MS_TO_A_DAY)
     });
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -227,6 +227,8 @@
     /// Number of descriptors that the process may have, if that is less than its enforced
     /// limit.
     pub descriptors: Option<usize>,
+    /// Bytes of memory that the process may use, if that is less than its enforced limits.
+    pub memory_bytes: Option<usize>,
     /// Maximum time for the body of a request to operators' endpoints.
     pub body_timeout: Duration,
 }
@@ -392,6 +394,7 @@
             window_bytes: 256 * 1024,
             link_bytes: 0,
             descriptors: None,
+            memory_bytes: None,
             body_timeout: DEFAULT_BODY_TIMEOUT,
         }
     }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -55,6 +55,7 @@
     assert_eq!(hedge_ratios, [("booking", 0.05), ("club.reports", 0.0)]);
     assert_eq!(cfg.quota.block_lifetime, Duration::from_millis(500));
     assert_eq!(cfg.limits.descriptors, Some(4_096));
+    assert_eq!(cfg.limits.memory_bytes, Some(160 * 1024 * 1024));
     assert_eq!(cfg.limits.body_timeout, Duration::from_secs(20));
     assert_eq!(cfg.control.replicas.len(), 3);
     let credential_lease = Some(Duration::from_millis(2_500));
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -5,6 +5,7 @@
 use super::upload::{Upload, UploadTarget, send_buffered};
 use crate::integration::HeaderNames;
 use crate::links::{self, Credit, Link, SendProgress, StreamHandle, Window};
+use crate::memory::Held;
 use crate::runtime::Daemon;
 use crate::task_messages::TaskTx;
 use bytes::Bytes;
@@ -122,6 +123,8 @@
     window: Arc<Window>,
     window_bytes: u64,
     consumed: u64,
+    /// Memory for the received pieces of the body.
+    held: Held,
     upload_task: Option<AbortHandle>,
 }
 
@@ -179,6 +182,7 @@
             window,
             window_bytes,
             consumed: 0,
+            held: daemon.memory.responses.hold(),
             upload_task,
         }
     }
@@ -210,6 +214,7 @@
     fn push(&mut self, bytes: Bytes, end: bool) -> bool {
         self.received_bytes += bytes.len() as u64;
         if !bytes.is_empty() {
+            self.held.grow(bytes.len());
             self.chunks.push_back(bytes);
         }
         let too_long = self
@@ -233,6 +238,7 @@
     /// credit once half of the window is consumed.
     pub(super) fn pop(&mut self) -> Option<Bytes> {
         let bytes = self.chunks.pop_front()?;
+        self.held.shrink(bytes.len());
         self.consumed += bytes.len() as u64;
         if !self.closed && self.consumed >= self.window_bytes / 2 {
             let consumed = std::mem::take(&mut self.consumed);
--- a/crates/plumhitchd/src/lib.rs
+++ b/crates/plumhitchd/src/lib.rs
@@ -14,6 +14,7 @@
 mod links;
 mod listeners;
 mod logging;
+mod memory;
 mod metrics;
 mod operators_http;
 mod options;
--- a/crates/plumhitchd/src/listeners/port.rs
+++ b/crates/plumhitchd/src/listeners/port.rs
@@ -1,14 +1,11 @@
 //! Limit and counts of a listener's connections.
 
 use super::budget;
+use crate::logging::LogInterval;
 use crate::runtime::lock;
 use conf::Settings;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
-
-/// Minimum interval between log lines of one kind about a listener.
-const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Limit and counts of all listeners.
 #[derive(Debug)]
@@ -62,8 +59,8 @@
     refused: AtomicU64,
     accept_failed: AtomicU64,
     timed_out: AtomicU64,
-    refusal_logged: Mutex<Option<Instant>>,
-    failure_logged: Mutex<Option<Instant>>,
+    refusal_logged: LogInterval,
+    failure_logged: LogInterval,
 }
 
 impl Port {
@@ -75,8 +72,8 @@
             refused: AtomicU64::new(0),
             accept_failed: AtomicU64::new(0),
             timed_out: AtomicU64::new(0),
-            refusal_logged: Mutex::default(),
-            failure_logged: Mutex::default(),
+            refusal_logged: LogInterval::default(),
+            failure_logged: LogInterval::default(),
         })
     }
 
@@ -121,7 +118,7 @@
 
     fn record_refusal(&self) {
         let refused = self.refused.fetch_add(1, Ordering::Relaxed) + 1;
-        if is_due(&self.refusal_logged) {
+        if self.refusal_logged.is_due() {
             log::warn!(
                 "event=connection_refused listener={} reason=too_many max={} refused={refused}",
                 self.name,
@@ -133,7 +130,7 @@
     /// Counts a failure to accept a connection.
     pub(super) fn record_failure(&self, err: &std::io::Error) {
         let failed = self.accept_failed.fetch_add(1, Ordering::Relaxed) + 1;
-        if is_due(&self.failure_logged) {
+        if self.failure_logged.is_due() {
             log::warn!(
                 "event=accept_failed listener={} failed={failed} reason=\"{err}\"",
                 self.name
@@ -153,14 +150,3 @@
         self.port.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-/// Returns whether the interval since the last log line has passed, and begins the next.
-fn is_due(logged: &Mutex<Option<Instant>>) -> bool {
-    let mut logged = lock(logged);
-    let now = Instant::now();
-    let is_due = logged.is_none_or(|at| now.duration_since(at) >= LOG_INTERVAL);
-    if is_due {
-        *logged = Some(now);
-    }
-    is_due
-}
--- a/crates/plumhitchd/src/logging.rs
+++ b/crates/plumhitchd/src/logging.rs
@@ -4,8 +4,11 @@
 //! that a slow or absent reader never delays a request. Lines that do not fit
 //! into the buffer, or that the output fails to accept, are dropped and counted.
 
+mod interval;
 mod line_writer;
 
+pub(crate) use interval::LogInterval;
+
 use line_writer::LineWriter;
 use node::LogLine;
 use std::fmt::Write as _;
--- /dev/null
+++ b/crates/plumhitchd/src/memory.rs
@@ -0,0 +1,102 @@
+//! Memory that the process holds for callers, upstreams and operators, by use.
+//!
+//! Each use has a share of the memory of the process, so that one that runs short ends its
+//! own work and never that of another.
+
+mod share;
+
+pub(crate) use share::{Held, Share};
+
+use conf::Settings;
+use nix::sys::resource::{Resource, getrlimit};
+use std::fs;
+use std::sync::Arc;
+
+/// Memory of a process if neither its settings nor its limits state it, in bytes.
+const DEFAULT_BYTES: usize = 256 * 1024 * 1024;
+/// Parts into which the memory is divided. What the shares below leave is for the state of
+/// the process itself, what allocations cost beyond their size, and for connections.
+const PARTS: usize = 32;
+/// Share of the responses of upstreams.
+const RESPONSE_PARTS: usize = 3;
+/// Share of the requests of callers.
+const REQUEST_PARTS: usize = 3;
+/// Share of the calls of operators and of the embedding program.
+const CALL_PARTS: usize = 2;
+/// File that states the memory of the process in pages.
+const PAGES_FILE: &str = "/proc/self/statm";
+/// Size of a page on which the file above is based, in bytes.
+const PAGE_BYTES: usize = 4096;
+
+/// The shares of all uses.
+#[derive(Debug)]
+pub(crate) struct Memory {
+    /// Bodies of responses between the upstream and the caller.
+    pub(crate) responses: Arc<Share>,
+    /// Bodies of requests between the caller and the upstream.
+    pub(crate) requests: Arc<Share>,
+    /// Bodies of calls of operators and to endpoints.
+    pub(crate) calls: Arc<Share>,
+}
+
+impl Memory {
+    /// Divides the memory of the process.
+    pub(crate) fn new(cfg: &Settings) -> Self {
+        let bytes = of_process(cfg.limits.memory_bytes);
+        let shares = Self::divide(bytes, cfg.listen.callers.is_some());
+        log::info!(
+            "event=memory limit={bytes} responses={} requests={} calls={}",
+            shares.responses.max,
+            shares.requests.max,
+            shares.calls.max
+        );
+        shares
+    }
+
+    /// Divides a number of bytes. Without callers, calls get their shares.
+    fn divide(bytes: usize, has_callers: bool) -> Self {
+        let share = |name, parts| Share::new(name, bytes / PARTS * parts);
+        let (responses, requests, calls) = match has_callers {
+            true => (RESPONSE_PARTS, REQUEST_PARTS, CALL_PARTS),
+            false => (0, 0, RESPONSE_PARTS + REQUEST_PARTS + CALL_PARTS),
+        };
+        Self {
+            responses: share("responses", responses),
+            requests: share("requests", requests),
+            calls: share("calls", calls),
+        }
+    }
+
+    /// Returns the shares of all uses.
+    pub(crate) fn all(&self) -> [&Arc<Share>; 3] {
+        [&self.responses, &self.requests, &self.calls]
+    }
+}
+
+/// Returns the bytes of memory that the process may use: the lowest of what the settings
+/// state and its enforced limits.
+fn of_process(from_settings: Option<usize>) -> usize {
+    let limits = [Resource::RLIMIT_AS, Resource::RLIMIT_DATA];
+    let enforced = limits.into_iter().filter_map(enforced_limit);
+    let known = enforced.chain(from_settings).min();
+    known.unwrap_or(DEFAULT_BYTES)
+}
+
+/// Returns an enforced limit in bytes, if there is one.
+fn enforced_limit(resource: Resource) -> Option<usize> {
+    match getrlimit(resource) {
+        Ok((soft, _)) if soft == nix::sys::resource::RLIM_INFINITY => None,
+        Ok((soft, _)) => usize::try_from(soft).ok(),
+        Err(err) => {
+            log::warn!("event=memory_limit_unknown resource={resource:?} reason=\"{err}\"");
+            None
+        }
+    }
+}
+
+/// Returns the resident memory of the process in bytes, if the system states it.
+pub(crate) fn resident_bytes() -> Option<usize> {
+    let text = fs::read_to_string(PAGES_FILE).ok()?;
+    let pages: usize = text.split(' ').nth(1)?.parse().ok()?;
+    pages.checked_mul(PAGE_BYTES)
+}
--- a/crates/plumhitchd/src/metrics/gauges.rs
+++ b/crates/plumhitchd/src/metrics/gauges.rs
@@ -1,6 +1,7 @@
 //! Gauges of the daemon's current state.
 
 use crate::clock;
+use crate::memory;
 use crate::runtime::{Daemon, lock};
 use node::entry::HedgeCount;
 use prometheus::{Gauge, IntGauge, IntGaugeVec, Opts, Registry};
@@ -34,6 +35,8 @@
     credentials: IntGaugeVec,
     versions: IntGaugeVec,
     connections: IntGaugeVec,
+    memory: IntGaugeVec,
+    resident_memory: IntGauge,
 }
 
 impl Gauges {
@@ -138,6 +141,18 @@
                  because a time limit had passed or the client had gone.",
                 &["listener", "what"],
             )?,
+            memory: int_gauge_vec(
+                registry,
+                "memory_bytes",
+                "Memory held for a use, its maximum, and how often since the start more \
+                 was wanted.",
+                &["use", "what"],
+            )?,
+            resident_memory: int_gauge(
+                registry,
+                "resident_memory_bytes",
+                "Resident memory of the process; -1 if unknown.",
+            )?,
             stated_rate: gauge(
                 registry,
                 "stated_rate",
@@ -183,6 +198,7 @@
         set(&self.links, &links);
         self.log_dropped.set(to_i64(crate::logging::dropped()));
         self.update_connections(daemon);
+        self.update_memory(daemon);
         self.update_credentials(daemon, now);
         self.update_counts(daemon);
     }
@@ -203,6 +219,22 @@
         }
     }
 
+    fn update_memory(&self, daemon: &Daemon) {
+        for share in daemon.memory.all() {
+            let values = [
+                ("held", share.held() as u64),
+                ("max", share.max as u64),
+                ("exceeded", share.exceeded()),
+            ];
+            for (what, value) in values {
+                let gauge = self.memory.with_label_values(&[share.name, what]);
+                gauge.set(to_i64(value));
+            }
+        }
+        let resident = memory::resident_bytes().map(|bytes| to_i64(bytes as u64));
+        self.resident_memory.set(resident.unwrap_or(-1));
+    }
+
     fn update_credentials(&self, daemon: &Daemon, now: Duration) {
         let (needed, keys, lease_end, counts) = daemon.read(|node| {
             let (agent, routing) = (&node.agent, &node.agent.config.routing);
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -9,6 +9,7 @@
 use crate::links::{self, Links};
 use crate::listeners::Ports;
 use crate::logging;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::task_messages::{TaskMessage, TaskTx};
 use conf::Settings;
@@ -70,6 +71,8 @@
     pub(crate) cut_requests: AtomicUsize,
     /// Limits and counts of the listeners' connections.
     pub(crate) ports: Ports,
+    /// Memory that is held for others.
+    pub(crate) memory: Memory,
     /// Number of requests of operators and to endpoints whose bodies have been read and that
     /// are being handled.
     pub(crate) running_calls: AtomicUsize,
@@ -116,6 +119,7 @@
             ending: watch::Sender::new(false),
             cut_requests: AtomicUsize::new(0),
             ports: Ports::new(&cfg),
+            memory: Memory::new(&cfg),
             running_calls: AtomicUsize::new(0),
             metrics: Metrics::new().map_err(io::Error::other)?,
             open_requests: AtomicUsize::new(0),
