Join the short pieces of a response body

Callers saw requests of others end without a response, and a process end. A chunk of one byte became a piece, a frame, a message and a queue's entry, each some hundred bytes, and kept its read buffer in memory; the flow-control window counts the byte alone, so 262,144 of them could wait for a stream.

The gate joins what it has received, and waits up to 10 ms for more while a long response is passed on; the entry joins what waits to be written.

Network-free: push_joins_short_pieces in flow, next_joined_joins_short_chunks in http1.

--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod intake;
 mod liveness;
+mod piece_queue;
 mod send_queue;
 
 pub use intake::{BodyId, Grant, Intake};
 pub use liveness::{Check, Liveness};
+pub use piece_queue::{MIN_PIECE_BYTES, PieceQueue};
 pub use send_queue::SendQueue;
 
 /// Maximum size of a piece of a body in one frame, in bytes. Small frames wait at
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -6,6 +6,11 @@
 
 /// Maximum length of a chunk size or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4 * 1024;
+/// Length from which a piece is returned as it is, in bytes. Shorter ones are copied and
+/// joined, so that they do not keep the read buffer in memory.
+const MIN_PIECE_BYTES: usize = 4 * 1024;
+/// Maximum length of joined pieces, in bytes.
+const MAX_JOINED_BYTES: usize = 16 * 1024;
 /// Maximum number of trailer lines of a chunked body.
 const MAX_TRAILERS: usize = 100;
 
@@ -105,6 +110,27 @@
         }
     }
 
+    /// Removes the next part of the body from `buf` and returns it. Short pieces, as those of a
+    /// chunked body with short chunks, are joined as far as they have been received.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is not valid; pieces before the invalid part are lost.
+    pub fn next_joined(&mut self, buf: &mut BytesMut) -> Result<Piece, BodyError> {
+        let first = match self.next(buf)? {
+            Piece::Bytes(first) if first.len() < MIN_PIECE_BYTES => first,
+            piece => return Ok(piece),
+        };
+        let mut joined = BytesMut::from(first.as_ref());
+        drop(first);
+        while joined.len() < MAX_JOINED_BYTES
+            && let Piece::Bytes(piece) = self.next(buf)?
+        {
+            joined.extend_from_slice(&piece);
+        }
+        Ok(Piece::Bytes(joined.freeze()))
+    }
+
     /// Handles the end of the connection, which completes a body without a
     /// declared length.
     ///
--- a/crates/http1/tests/body.rs
+++ b/crates/http1/tests/body.rs
@@ -32,6 +32,28 @@
     assert_eq!(actual, (body.as_bytes().to_vec(), complete));
 }
 
+/// Guards against a piece for each one-byte chunk of a body, whose costs are many times its
+/// bytes.
+#[test]
+fn next_joined_joins_short_chunks() {
+    let mut buf = BytesMut::from("1\r\nx\r\n".repeat(2_000).as_str());
+    let mut reader = BodyReader::new(Framing::Chunked);
+    let joined = reader.next_joined(&mut buf).unwrap();
+    assert_eq!(joined, Piece::Bytes("x".repeat(2_000).into()));
+    assert_eq!(reader.next_joined(&mut buf), Ok(Piece::NeedMore));
+    buf.extend_from_slice(b"1\r\ny\r\n0\r\n\r\n");
+    assert_eq!(reader.next_joined(&mut buf), Ok(Piece::Bytes("y".into())));
+    assert_eq!(reader.next_joined(&mut buf), Ok(Piece::End));
+    assert!(buf.is_empty());
+}
+
+#[test]
+fn next_joined_returns_error_behind_valid_chunks() {
+    let mut buf = BytesMut::from("1\r\nx\r\nno size\r\n1\r\ny\r\n");
+    let mut reader = BodyReader::new(Framing::Chunked);
+    assert_eq!(reader.next_joined(&mut buf), Err(BodyError::Malformed));
+}
+
 #[test_case("x\r\n"; "no size")]
 #[test_case("3\r\nabcd\r\n"; "longer than its size")]
 #[test_case("fffffffffffffffff\r\n"; "size too large")]
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -10,9 +10,9 @@
 use crate::task_messages::TaskTx;
 use bytes::Bytes;
 use compact_str::CompactString;
+use flow::PieceQueue;
 use http::Method;
 use node::entry;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::task::AbortHandle;
 use wire::{AttemptId, Body, Cancel, Data, Fingerprint, LinkKind, Open, ResponseHead, StreamId};
@@ -112,7 +112,7 @@
     pub(super) complete: bool,
     /// Whether the response was cut off.
     pub(super) broken: bool,
-    chunks: VecDeque<Bytes>,
+    pieces: PieceQueue,
     /// Bytes of the body received so far.
     pub(super) received_bytes: u64,
     declared_len: Option<u64>,
@@ -172,7 +172,7 @@
             response: None,
             complete: false,
             broken: false,
-            chunks: VecDeque::new(),
+            pieces: PieceQueue::default(),
             received_bytes: 0,
             declared_len: None,
             bodyless: outgoing.inbound.method == Method::HEAD,
@@ -213,10 +213,8 @@
 
     fn push(&mut self, bytes: Bytes, end: bool) -> bool {
         self.received_bytes += bytes.len() as u64;
-        if !bytes.is_empty() {
-            self.held.grow(bytes.len());
-            self.chunks.push_back(bytes);
-        }
+        self.held.grow(bytes.len());
+        self.pieces.push(bytes);
         let too_long = self
             .declared_len
             .is_some_and(|len| self.received_bytes > len);
@@ -237,7 +235,7 @@
     /// Returns the next piece of the body for the caller. Grants the gate new
     /// credit once half of the window is consumed.
     pub(super) fn pop(&mut self) -> Option<Bytes> {
-        let bytes = self.chunks.pop_front()?;
+        let bytes = self.pieces.pop()?;
         self.held.shrink(bytes.len());
         self.consumed += bytes.len() as u64;
         if !self.closed && self.consumed >= self.window_bytes / 2 {
@@ -251,12 +249,12 @@
     /// Returns all received pieces of the body, joined.
     pub(super) fn pop_all(&mut self) -> Bytes {
         let first = self.pop().unwrap_or_default();
-        if self.chunks.is_empty() {
+        if self.pieces.is_empty() {
             return first;
         }
         let mut all = first.to_vec();
-        while let Some(chunk) = self.pop() {
-            all.extend_from_slice(&chunk);
+        while let Some(piece) = self.pop() {
+            all.extend_from_slice(&piece);
         }
         all.into()
     }
--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -363,7 +363,7 @@
     /// Returns an error if the body is cut off or not valid.
     pub(super) async fn next_chunk(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            match self.body.next(&mut self.buf) {
+            match self.body.next_joined(&mut self.buf) {
                 Ok(Piece::Bytes(bytes)) => return Ok(Some(bytes)),
                 Ok(Piece::End) => return Ok(None),
                 Ok(Piece::NeedMore) => {}
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -13,20 +13,25 @@
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx};
 use bytes::{Bytes, BytesMut};
+use flow::MIN_PIECE_BYTES;
 use gate::{Outcome, Ticket};
 use http::{HeaderMap, Method};
 use node::Event;
 use node::admission::{self, Effect};
 use std::io;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
+use tokio::time::timeout_at;
 use wire::{Body, Data, Load, Open, RefuseReason, ResetReason};
 
 /// Maximum size of a response body that is sent with the head, in bytes. The pieces
 /// of a longer one let small frames pass.
 const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
 
+/// Maximum time for which a short piece of a response body waits to be joined with others.
+const MAX_JOIN_DELAY: Duration = Duration::from_millis(10);
+
 /// Maximum size of the rest of a response that is read after its request was
 /// cancelled, in bytes.
 const MAX_DISCARDED_BYTES: u64 = 16 * 1024 * 1024;
@@ -267,7 +272,7 @@
 
     async fn stream_rest(&mut self, mut response: UpstreamResponse, mut offset: u64) {
         loop {
-            let bytes = match self.next_chunk(&mut response).await {
+            let bytes = match self.next_joined(&mut response).await {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => break,
                 Err(err) => return self.fail(&err),
@@ -293,6 +298,30 @@
         0
     }
 
+    /// Returns the next part of the response body. Short pieces are joined as long as they
+    /// follow each other quickly, because each costs a frame here and at the entry.
+    async fn next_joined(
+        &mut self,
+        response: &mut UpstreamResponse,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        let Some(first) = self.next_chunk(response).await? else {
+            return Ok(None);
+        };
+        if first.len() >= MIN_PIECE_BYTES {
+            return Ok(Some(first));
+        }
+        let until = tokio::time::Instant::now() + MAX_JOIN_DELAY;
+        let mut joined = BytesMut::from(first.as_ref());
+        while joined.len() < MIN_PIECE_BYTES {
+            match timeout_at(until, self.next_chunk(response)).await {
+                Ok(Ok(Some(piece))) => joined.extend_from_slice(&piece),
+                Ok(Err(err)) => return Err(err),
+                Ok(Ok(None)) | Err(_) => break,
+            }
+        }
+        Ok(Some(joined.freeze()))
+    }
+
     /// Returns the next piece of the response body. After a cancellation the body is
     /// read on only if the upstream would not drop the request otherwise, and up to a
     /// limit: an upstream that sends without end would hold its slot for good.
