Limit the memory of all responses together

Each response was within its flow-control window and the gate's buffer; nothing limited how many there are. 400 callers that read nothing of responses without end brought their entry to 186 MB (chunks of 64 KB) and 142 MB (a body until close), which a machine of 160 MB does not survive.

The entry holds memory for a window before it grants it, from its share of the process's memory: smaller windows as less is left, none when it is short, until something is given back. The gate passes a response on by credit when its own share has no room to buffer it; the first part of a long one needs credit too. A complete body is written without a second copy and counts until it is written; write buffers are flushed at 16 KB and not kept. While memory is short, a caller that takes nothing for a second is cut off.

--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -24,6 +24,11 @@
 /// asks for the rest of a longer one, which a refused request does not send at all.
 const MAX_INLINE_BODY_BYTES: usize = 8 * 1024;
 
+/// Smallest flow-control window of a response, in bytes.
+const MIN_WINDOW_BYTES: usize = 16 * 1024;
+/// Part of the memory that is left for responses which the window of one may take.
+const WINDOW_DIVISOR: usize = 64;
+
 /// The parts of a request that are the same in each of its attempts.
 #[derive(Debug)]
 pub(super) struct OutgoingRequest {
@@ -121,9 +126,11 @@
     link: Arc<Link>,
     stream: StreamId,
     window: Arc<Window>,
-    window_bytes: u64,
+    max_window_bytes: usize,
     consumed: u64,
-    /// Memory for the received pieces of the body.
+    /// Bytes of the body that were not passed on yet.
+    waiting_bytes: usize,
+    /// Memory for what may arrive unread, and for what waits once the response is complete.
     held: Held,
     upload_task: Option<AbortHandle>,
 }
@@ -140,8 +147,7 @@
     ) -> Self {
         let credit = Arc::new(Credit::default());
         let window = Arc::new(Window::default());
-        let window_bytes = daemon.cfg.limits.window_bytes as u64;
-        window.grant(window_bytes);
+        let held = daemon.memory.entry_responses.hold();
         let stream_handle = || StreamHandle {
             tx: tx.clone(),
             attempt: attempt.attempt,
@@ -151,7 +157,6 @@
         };
         let open = outgoing.open(attempt, &daemon.integration.headers);
         let (link, stream) = open_stream(daemon, &attempt.address, stream_handle, &open);
-        send_credit(&link, stream, window_bytes);
         let target = UploadTarget {
             link: link.clone(),
             stream,
@@ -167,7 +172,7 @@
             None => None,
         };
         let upload_task = upload_task.map(|task| task.abort_handle());
-        Self {
+        let mut started = Self {
             id: attempt.attempt,
             response: None,
             complete: false,
@@ -180,13 +185,50 @@
             link,
             stream,
             window,
-            window_bytes,
+            max_window_bytes: daemon.cfg.limits.window_bytes,
             consumed: 0,
-            held: daemon.memory.responses.hold(),
+            waiting_bytes: 0,
+            held,
             upload_task,
+        };
+        if !started.held.share().is_short() {
+            started.open_window();
+        }
+        started
+    }
+
+    /// Lets the gate send the body. Memory for all that may arrive unread is held first; as
+    /// less is left, windows become smaller.
+    fn open_window(&mut self) {
+        let share_bytes = self.held.share().free() / WINDOW_DIVISOR;
+        let bytes = share_bytes.max(MIN_WINDOW_BYTES).min(self.max_window_bytes);
+        if self.held.try_grow(bytes) {
+            self.window.grant(bytes as u64);
+            send_credit(&self.link, self.stream, bytes as u64);
+        }
+    }
+
+    /// Returns whether the gate waits for credit that was not granted for want of memory.
+    pub(super) fn needs_window(&self) -> bool {
+        self.response.is_some() && !self.closed && self.held.bytes() == 0
+    }
+
+    /// Lets the gate send the body if there is memory for it now.
+    pub(super) fn try_open_window(&mut self) {
+        if self.needs_window() {
+            self.open_window();
         }
     }
 
+    /// Returns whether so much of the response has arrived that it is passed on before it is
+    /// complete: beyond `max_buffered` bytes gates send it as it comes, and beyond the window
+    /// nothing arrives before something was passed on.
+    pub(super) fn fills(&self, max_buffered: usize) -> bool {
+        let window_bytes = self.held.bytes();
+        let max = window_bytes.min(max_buffered) as u64;
+        window_bytes > 0 && self.received_bytes >= max
+    }
+
     /// Stores the head of the response and the body bytes in its frame. Returns
     /// false for a second head or if the body does not have its declared
     /// length.
@@ -213,7 +255,7 @@
 
     fn push(&mut self, bytes: Bytes, end: bool) -> bool {
         self.received_bytes += bytes.len() as u64;
-        self.held.grow(bytes.len());
+        self.waiting_bytes += bytes.len();
         self.pieces.push(bytes);
         let too_long = self
             .declared_len
@@ -228,6 +270,8 @@
         if end {
             self.complete = true;
             self.close();
+            let unused = self.held.bytes().saturating_sub(self.waiting_bytes);
+            self.held.shrink(unused);
         }
         true
     }
@@ -236,9 +280,14 @@
     /// credit once half of the window is consumed.
     pub(super) fn pop(&mut self) -> Option<Bytes> {
         let bytes = self.pieces.pop()?;
-        self.held.shrink(bytes.len());
+        self.waiting_bytes -= bytes.len();
+        if self.closed {
+            self.held.shrink(bytes.len());
+            return Some(bytes);
+        }
         self.consumed += bytes.len() as u64;
-        if !self.closed && self.consumed >= self.window_bytes / 2 {
+        let window_bytes = self.held.bytes() as u64;
+        if window_bytes > 0 && self.consumed >= window_bytes / 2 {
             let consumed = std::mem::take(&mut self.consumed);
             self.window.grant(consumed);
             send_credit(&self.link, self.stream, consumed);
@@ -246,17 +295,21 @@
         Some(bytes)
     }
 
-    /// Returns all received pieces of the body, joined.
-    pub(super) fn pop_all(&mut self) -> Bytes {
-        let first = self.pop().unwrap_or_default();
+    /// Returns all received pieces of the body, joined, and the memory that is held for them.
+    pub(super) fn take_all(&mut self) -> (Bytes, Held) {
+        let none = self.held.share().hold();
+        let held = std::mem::replace(&mut self.held, none);
+        let first = self.pieces.pop().unwrap_or_default();
         if self.pieces.is_empty() {
-            return first;
+            return (first, held);
         }
-        let mut all = first.to_vec();
-        while let Some(piece) = self.pop() {
+        let mut all = Vec::with_capacity(self.waiting_bytes);
+        all.extend_from_slice(&first);
+        while let Some(piece) = self.pieces.pop() {
             all.extend_from_slice(&piece);
         }
-        all.into()
+        self.waiting_bytes = 0;
+        (all.into(), held)
     }
 
     /// Returns the length of the response body once it is complete.
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -7,12 +7,13 @@
 use super::unanswered::{CutReason, Unanswered};
 use crate::runtime::Daemon;
 use crate::task_messages::UploadError;
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use compact_str::CompactString;
 use http::Method;
 use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -27,7 +28,14 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Size at which the write buffer is flushed while a chunked body is streamed,
 /// in bytes.
-const FLUSH_THRESHOLD_BYTES: usize = 64 * 1024;
+const FLUSH_THRESHOLD_BYTES: usize = 16 * 1024;
+/// Maximum length of a complete body that is copied behind its head, so that both are written
+/// at once, in bytes.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+/// Capacity of the write buffer that a connection keeps between responses, in bytes.
+const MAX_KEPT_BYTES: usize = 32 * 1024;
+/// Time for which a caller may take nothing of a response while memory is short.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time during which incoming bytes are read and discarded after the write half
 /// is shut down. Unread bytes would reset the connection, and the caller would
 /// lose the last response.
@@ -408,6 +416,9 @@
             }
             return Err(reason);
         }
+        if buf.capacity() > MAX_KEPT_BYTES {
+            buf = BytesMut::new();
+        }
         unanswered.pop();
         if close {
             return Ok(write);
@@ -462,7 +473,7 @@
     } = response;
     let bodyless = *method == Method::HEAD || http1::is_bodyless(status);
     match body {
-        ResponseBody::Complete(bytes) => {
+        ResponseBody::Complete(mut bytes, _held) => {
             let framing = match bytes.len() as u64 {
                 0 => Framing::Empty,
                 len => Framing::Length(len),
@@ -471,10 +482,14 @@
                 .filter(|_| *method == Method::HEAD)
                 .map_or(framing, Framing::Length);
             http1::write_response(buf, status, &headers, framing, keep_alive_s);
-            if !bodyless {
-                buf.extend_from_slice(&bytes);
+            if bodyless || bytes.len() <= MAX_COPIED_BYTES {
+                if !bodyless {
+                    buf.extend_from_slice(&bytes);
+                }
+                return write_out(daemon, write, buf).await;
             }
-            write_out(daemon, write, buf).await
+            write_out(daemon, write, buf).await?;
+            write_out(daemon, write, &mut bytes).await
         }
         ResponseBody::Stream(len, mut driver) => {
             let framing = len.map_or(unknown_length, Framing::Length);
@@ -498,18 +513,27 @@
 }
 
 /// Writes the whole buffer. The idle timeout begins anew with each part that the connection
-/// takes, so that a slow reader is not cut off.
+/// takes, so that a slow reader is not cut off. While memory for responses is short, a caller
+/// that takes nothing is cut off earlier.
 async fn write_out(
     daemon: &Daemon,
     write: &mut OwnedWriteHalf,
-    buf: &mut BytesMut,
+    buf: &mut impl Buf,
 ) -> Result<(), CutReason> {
-    while !buf.is_empty() {
-        let written = timeout(daemon.idle_timeout(), write.write_buf(buf)).await;
-        match written {
-            Ok(Ok(len)) if len > 0 => {}
-            Ok(_) => return Err(CutReason::WriteFailed),
-            Err(_) => return Err(CutReason::NotRead),
+    while buf.has_remaining() {
+        let mut writing = pin!(write.write_buf(buf));
+        let started = Instant::now();
+        loop {
+            let limit = daemon.idle_timeout().saturating_sub(started.elapsed());
+            match timeout(limit.min(STALL_TIMEOUT), &mut writing).await {
+                Ok(Ok(len)) if len > 0 => break,
+                Ok(_) => return Err(CutReason::WriteFailed),
+                Err(_) if limit <= STALL_TIMEOUT => return Err(CutReason::NotRead),
+                Err(_) if daemon.memory.entry_responses.is_short() => {
+                    return Err(CutReason::NotRead);
+                }
+                Err(_) => {}
+            }
         }
     }
     Ok(())
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -6,6 +6,7 @@
 use super::record::RequestRecord;
 use super::upload::Upload;
 use crate::clock;
+use crate::memory::Held;
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx, TaskTx, UploadError};
 use bytes::Bytes;
@@ -105,10 +106,10 @@
                 inner.record.mark_upload_failed(err);
                 return FinalHead::UploadFailed(err);
             }
-            let max_buffered = inner.max_buffered_bytes();
+            let max_buffered = inner.daemon.cfg.limits.buffered_body_bytes;
             let ready = inner
                 .relayed_attempt()
-                .filter(|attempt| attempt.complete || attempt.received_bytes >= max_buffered);
+                .filter(|attempt| attempt.complete || attempt.fills(max_buffered));
             if let Some(head) = ready.and_then(|attempt| attempt.response.clone()) {
                 inner.record.status = u16::try_from(head.status).unwrap_or_default();
                 return FinalHead::Response(head);
@@ -117,14 +118,15 @@
         }
     }
 
-    /// Returns the response body if it was received completely.
-    pub(super) fn complete_body(&mut self) -> Option<Bytes> {
+    /// Returns the response body, and the memory that is held for it, if it was received
+    /// completely.
+    pub(super) fn complete_body(&mut self) -> Option<(Bytes, Held)> {
         let inner = self.inner.as_mut()?;
         let attempt = inner.relayed_attempt()?;
         if !attempt.complete {
             return None;
         }
-        let body = attempt.pop_all();
+        let body = attempt.take_all();
         inner.record.mark_answered();
         Some(body)
     }
@@ -171,9 +173,26 @@
 }
 
 impl Inner {
-    /// Waits for the next message and handles it.
+    /// Waits for the next message and handles it, or for memory that an attempt needs.
     async fn step(&mut self) {
-        match self.rx.recv().await {
+        let needs_window = self.attempts.iter().any(Attempt::needs_window);
+        let message = match needs_window {
+            false => self.rx.recv().await,
+            true => {
+                let daemon = self.daemon.clone();
+                let returned = daemon.memory.entry_responses.returned();
+                self.attempts.iter_mut().for_each(Attempt::try_open_window);
+                tokio::select! {
+                    message = self.rx.recv() => message,
+                    () = returned => return,
+                }
+            }
+        };
+        self.handle(message);
+    }
+
+    fn handle(&mut self, message: Option<TaskMessage>) {
+        match message {
             Some(TaskMessage::Entry(effect)) => self.execute(effect),
             Some(TaskMessage::Stream(attempt, event)) => self.on_stream_event(attempt, event),
             Some(TaskMessage::UploadFailed(err)) => self.on_upload_failed(err),
@@ -306,14 +325,6 @@
         }
     }
 
-    /// Returns the length from which a response is passed on before it is complete: beyond
-    /// what gates buffer they send one as it comes, and beyond the window nothing arrives
-    /// before something was passed on.
-    fn max_buffered_bytes(&self) -> u64 {
-        let limits = &self.daemon.cfg.limits;
-        limits.buffered_body_bytes.min(limits.window_bytes) as u64
-    }
-
     fn relayed_attempt(&mut self) -> Option<&mut Attempt> {
         let id = self.relayed?;
         self.attempt(id)
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -129,7 +129,7 @@
     Response {
         status: status.as_u16(),
         headers,
-        body: ResponseBody::Complete(body.into()),
+        body: ResponseBody::Complete(body.into(), None),
         declared_len: None,
     }
 }
--- a/crates/plumhitchd/src/entry_http/response.rs
+++ b/crates/plumhitchd/src/entry_http/response.rs
@@ -2,6 +2,7 @@
 
 use super::driver::Driver;
 use crate::http_headers::from_wire;
+use crate::memory::Held;
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use wire::ResponseHead;
@@ -26,8 +27,8 @@
 /// Body of a final response.
 #[derive(Debug)]
 pub(super) enum ResponseBody {
-    /// The complete body.
-    Complete(Bytes),
+    /// The complete body, and the memory that is held for it.
+    Complete(Bytes, Option<Held>),
     /// A body that is still being received, with its length if the upstream
     /// declared one.
     Stream(Option<u64>, Box<Driver>),
@@ -41,7 +42,7 @@
         headers.append(name, value);
     }
     let body = match driver.complete_body() {
-        Some(body) => ResponseBody::Complete(body),
+        Some((body, held)) => ResponseBody::Complete(body, Some(held)),
         None => ResponseBody::Stream(head.body_len, Box::new(driver)),
     };
     Response {
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -194,7 +194,7 @@
     }
 
     /// Buffers the response until it is complete, and streams it if it exceeds
-    /// the buffer.
+    /// the buffer or there is no memory for it.
     async fn relay_response(&mut self, mut response: UpstreamResponse) {
         let status = response.status;
         if status != MISDIRECTED {
@@ -210,23 +210,29 @@
             return response.drain_and_release(&self.daemon).await;
         }
         let max_buffered_bytes = self.daemon.cfg.limits.buffered_body_bytes;
+        let mut held = self.daemon.memory.gate_responses.hold();
         let mut buffered = BytesMut::new();
         let mut first = Bytes::new();
         loop {
-            match self.next_chunk(&mut response).await {
-                Ok(Some(bytes)) if first.is_empty() && buffered.is_empty() => first = bytes,
-                Ok(Some(bytes)) => {
-                    buffered.extend_from_slice(&std::mem::take(&mut first));
-                    buffered.extend_from_slice(&bytes);
-                }
+            let piece = match self.next_chunk(&mut response).await {
+                Ok(Some(piece)) => piece,
                 Ok(None) => break,
                 Err(err) => return self.fail(&err),
+            };
+            let fits = held.try_grow(piece.len());
+            if first.is_empty() && buffered.is_empty() {
+                first = piece;
+            } else {
+                buffered.extend_from_slice(&std::mem::take(&mut first));
+                buffered.extend_from_slice(&piece);
             }
-            if first.len() + buffered.len() > max_buffered_bytes {
-                let body = join(first, buffered);
-                let offset = body.len() as u64;
+            if !fits || first.len() + buffered.len() > max_buffered_bytes {
+                let mut body = join(first, buffered);
+                let inline = body.split_to(MAX_INLINE_BODY_BYTES.min(body.len()));
+                let offset = inline.len() as u64;
                 self.reply_sender
-                    .head(status, &response.headers, body, false);
+                    .head(status, &response.headers, inline, false);
+                let offset = self.send_pieces(body, offset).await;
                 return self.stream_rest(response, offset).await;
             }
         }
@@ -270,6 +276,7 @@
         response.headers.contains_key(not_run) || response.status == MISDIRECTED
     }
 
+    /// Passes on the rest of a response as it comes.
     async fn stream_rest(&mut self, mut response: UpstreamResponse, mut offset: u64) {
         loop {
             let bytes = match self.next_joined(&mut response).await {
--- a/crates/plumhitchd/src/memory.rs
+++ b/crates/plumhitchd/src/memory.rs
@@ -17,8 +17,11 @@
 /// Parts into which the memory is divided. What the shares below leave is for the state of
 /// the process itself, what allocations cost beyond their size, and for connections.
 const PARTS: usize = 32;
-/// Share of the responses of upstreams.
-const RESPONSE_PARTS: usize = 3;
+/// Share of responses at the entry.
+const ENTRY_RESPONSE_PARTS: usize = 3;
+/// Share of responses at the gate. It is another one than the entry's: a gate that waited for
+/// what entries hold could wait for entries that wait for gates.
+const GATE_RESPONSE_PARTS: usize = 2;
 /// Share of the requests of callers.
 const REQUEST_PARTS: usize = 3;
 /// Share of the calls of operators and of the embedding program.
@@ -31,8 +34,10 @@
 /// The shares of all uses.
 #[derive(Debug)]
 pub(crate) struct Memory {
-    /// Bodies of responses between the upstream and the caller.
-    pub(crate) responses: Arc<Share>,
+    /// Bodies of responses that were received from gates, or may be, and wait for callers.
+    pub(crate) entry_responses: Arc<Share>,
+    /// Bodies of responses that were received from the upstream and are not complete.
+    pub(crate) gate_responses: Arc<Share>,
     /// Bodies of requests between the caller and the upstream.
     pub(crate) requests: Arc<Share>,
     /// Bodies of calls of operators and to endpoints.
@@ -45,8 +50,9 @@
         let bytes = of_process(cfg.limits.memory_bytes);
         let shares = Self::divide(bytes, cfg.listen.callers.is_some());
         log::info!(
-            "event=memory limit={bytes} responses={} requests={} calls={}",
-            shares.responses.max,
+            "event=memory limit={bytes} entry_responses={} gate_responses={} requests={} calls={}",
+            shares.entry_responses.max,
+            shares.gate_responses.max,
             shares.requests.max,
             shares.calls.max
         );
@@ -56,20 +62,24 @@
     /// Divides a number of bytes. Without callers, calls get their shares.
     fn divide(bytes: usize, has_callers: bool) -> Self {
         let share = |name, parts| Share::new(name, bytes / PARTS * parts);
-        let (responses, requests, calls) = match has_callers {
-            true => (RESPONSE_PARTS, REQUEST_PARTS, CALL_PARTS),
-            false => (0, 0, RESPONSE_PARTS + REQUEST_PARTS + CALL_PARTS),
-        };
+        let all_parts = ENTRY_RESPONSE_PARTS + GATE_RESPONSE_PARTS + REQUEST_PARTS + CALL_PARTS;
+        let parts = |parts| if has_callers { parts } else { 0 };
         Self {
-            responses: share("responses", responses),
-            requests: share("requests", requests),
-            calls: share("calls", calls),
+            entry_responses: share("entry_responses", parts(ENTRY_RESPONSE_PARTS)),
+            gate_responses: share("gate_responses", parts(GATE_RESPONSE_PARTS)),
+            requests: share("requests", parts(REQUEST_PARTS)),
+            calls: share("calls", if has_callers { CALL_PARTS } else { all_parts }),
         }
     }
 
     /// Returns the shares of all uses.
-    pub(crate) fn all(&self) -> [&Arc<Share>; 3] {
-        [&self.responses, &self.requests, &self.calls]
+    pub(crate) fn all(&self) -> [&Arc<Share>; 4] {
+        [
+            &self.entry_responses,
+            &self.gate_responses,
+            &self.requests,
+            &self.calls,
+        ]
     }
 }
 
--- a/crates/plumhitchd/src/memory/share.rs
+++ b/crates/plumhitchd/src/memory/share.rs
@@ -3,6 +3,11 @@
 use crate::logging::LogInterval;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
+/// Part of a share that has to be left so that it is not short.
+const SHORT_DIVISOR: usize = 4;
 
 /// Memory for one use.
 #[derive(Debug)]
@@ -13,6 +18,7 @@
     held: AtomicUsize,
     exceeded: AtomicU64,
     excess_logged: LogInterval,
+    returned: Notify,
 }
 
 impl Share {
@@ -23,6 +29,7 @@
             held: AtomicUsize::new(0),
             exceeded: AtomicU64::new(0),
             excess_logged: LogInterval::default(),
+            returned: Notify::new(),
         })
     }
 
@@ -31,6 +38,21 @@
         self.held.load(Ordering::Acquire)
     }
 
+    /// Returns the number of bytes that are left.
+    pub(crate) fn free(&self) -> usize {
+        self.max.saturating_sub(self.held())
+    }
+
+    /// Returns whether so little is left that work that makes no progress has to end.
+    pub(crate) fn is_short(&self) -> bool {
+        self.free() < self.max / SHORT_DIVISOR
+    }
+
+    /// Returns a future that completes when bytes are given back after this call.
+    pub(crate) fn returned(&self) -> Notified<'_> {
+        self.returned.notified()
+    }
+
     /// Returns how often more than the maximum was wanted.
     pub(crate) fn exceeded(&self) -> u64 {
         self.exceeded.load(Ordering::Relaxed)
@@ -44,11 +66,16 @@
         }
     }
 
-    fn take(&self, bytes: usize) {
-        let held = self.held.fetch_add(bytes, Ordering::AcqRel);
-        if held.saturating_add(bytes) > self.max {
+    /// Takes bytes if that many are left.
+    fn try_take(&self, bytes: usize) -> bool {
+        let update = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= self.max);
+        let taken = self
+            .held
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, update);
+        if taken.is_err() {
             self.record_excess(bytes);
         }
+        taken.is_ok()
     }
 
     fn record_excess(&self, bytes: usize) {
@@ -72,10 +99,23 @@
 }
 
 impl Held {
-    /// Holds more bytes.
-    pub(crate) fn grow(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.share.take(bytes);
+    /// Returns the number of bytes that are held.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the share that the bytes belong to.
+    pub(crate) fn share(&self) -> &Arc<Share> {
+        &self.share
+    }
+
+    /// Holds more bytes if that many are left; returns whether they are.
+    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
+        let is_taken = self.share.try_take(bytes);
+        if is_taken {
+            self.bytes += bytes;
+        }
+        is_taken
     }
 
     /// Gives bytes back.
@@ -83,6 +123,7 @@
         let returned = bytes.min(self.bytes);
         self.bytes -= returned;
         self.share.held.fetch_sub(returned, Ordering::AcqRel);
+        self.share.returned.notify_waiters();
     }
 }
 
