Drop a complete response that its entry no longer wants

A gate that waited for credit to send a complete response kept it for good when the entry cancelled the request or its connection closed: the request had ended for the gate's reducer, which passes no cancellation on then. Since the memory of all responses is limited, entries that are short of memory grant no credit, so each such response would have cost the gate some of its share until it buffered nothing any more.

The task of the request ends by itself when the upstream has finished, and at the latest at the request's deadline.

--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 use wire::{Body, Data, Load, Open, RefuseReason, ResetReason};
 
 /// Maximum size of a response body that is sent with the head, in bytes. The pieces
@@ -53,6 +53,8 @@
     upload_offset: u64,
     /// Bytes of the response received after the request was cancelled.
     discarded_bytes: u64,
+    /// Whether the upstream has finished, so that there is nothing to cancel there.
+    has_ended: bool,
     /// Time of admission, and the gate's load at that time including this
     /// request.
     admitted: Option<(Instant, Load)>,
@@ -88,6 +90,7 @@
             open,
             upload: None,
             discarded_bytes: 0,
+            has_ended: false,
             admitted: None,
             attempt_id,
         }
@@ -237,8 +240,13 @@
             }
         }
         self.report_end(Outcome::Whole(status));
+        self.has_ended = true;
         let body = join(first, buffered);
-        self.send_complete(status, &response.headers, body).await;
+        let max_wait = Duration::from_millis(self.open.deadline_ms);
+        let sending = self.send_complete(status, &response.headers, body);
+        if timeout(max_wait, sending).await.is_err() {
+            self.reply_sender.reset(ResetReason::Deadline);
+        }
         response.release(&self.daemon).await;
     }
 
@@ -370,11 +378,19 @@
         match event {
             StreamEvent::Frame(body) => match *body {
                 Body::Data(data) => self.on_upload_data(data),
-                Body::Cancel(_) => self.report_cancelled(),
+                Body::Cancel(_) => self.on_unwanted(),
                 _ => {}
             },
             StreamEvent::Silent => {}
-            StreamEvent::Lost { .. } => self.report_cancelled(),
+            StreamEvent::Lost { .. } => self.on_unwanted(),
+        }
+    }
+
+    /// Handles that the entry no longer wants the response.
+    fn on_unwanted(&mut self) {
+        match self.has_ended {
+            true => self.reply_sender.closed = true,
+            false => self.report_cancelled(),
         }
     }
 
