Count only what a gate holds of a long response

A gate counted the first part of a long response, up to its buffer and a piece, until the response had ended, although the part had been sent. Some 120 long responses at once used up its share on paper, and it buffered no other response.

What is counted is given back when the first part is sent.

--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -236,6 +236,7 @@
                 self.reply_sender
                     .head(status, &response.headers, inline, false);
                 let offset = self.send_pieces(body, offset).await;
+                drop(held);
                 return self.stream_rest(response, offset).await;
             }
         }
--- a/crates/plumhitchd/tests/slow_entries.rs
+++ b/crates/plumhitchd/tests/slow_entries.rs
@@ -16,6 +16,9 @@
 const BODY_BYTES: usize = 30_000;
 /// Credit for a part of it, in bytes.
 const CREDIT_BYTES: u32 = 5_000;
+/// Length of a body that gates do not buffer, and credit for its first part, in bytes.
+const LONG_BODY_BYTES: usize = 1024 * 1024;
+const LONG_CREDIT_BYTES: u32 = 200_000;
 /// Deadline of the request.
 const DEADLINE_MS: u64 = 60_000;
 
@@ -42,14 +45,9 @@
     frames.send(Frame::new(body)).await.unwrap();
 }
 
-/// Guards against a complete response that stays in the memory of a gate for good: while it
-/// waited for credit, the gate did not notice that the entry no longer wanted it.
-#[test_case(Departure::Cancel, 0; "cancelled without credit")]
-#[test_case(Departure::Close, 0; "closed without credit")]
-#[test_case(Departure::Cancel, CREDIT_BYTES; "cancelled with little credit")]
-#[tokio::test(flavor = "multi_thread")]
-async fn unwanted_response_is_dropped(departure: Departure, credit: u32) {
-    let pair = Pair::start("", "").await;
+/// Sends a gate a request for a response with a body of `len` bytes, as an entry that grants
+/// `credit` bytes for it, and waits for its head.
+async fn request_response(pair: &Pair, len: usize, credit: u32) -> Framed<TcpStream, FrameCodec> {
     let stream = TcpStream::connect(pair.gate.peers).await.unwrap();
     let mut frames = Framed::new(stream, FrameCodec::new());
     let hello = Hello {
@@ -64,7 +62,7 @@
         customer: "tc-utrecht".to_owned(),
         class: "page".to_owned(),
         method: "GET".to_owned(),
-        path: format!("/big?len={BODY_BYTES}&content_length=true"),
+        path: format!("/big?len={len}&content_length=true"),
         deadline_ms: DEADLINE_MS,
         idempotent: true,
         end: true,
@@ -83,12 +81,24 @@
         match frame.unwrap().body {
             Some(Body::Response(head)) => {
                 assert_eq!(head.status, 200);
-                break;
+                return frames;
             }
             Some(Body::Refuse(refuse)) => panic!("{refuse:?}"),
             _ => {}
         }
     }
+    panic!("the connection closed before the response");
+}
+
+/// Guards against a complete response that stays in the memory of a gate for good: while it
+/// waited for credit, the gate did not notice that the entry no longer wanted it.
+#[test_case(Departure::Cancel, 0; "cancelled without credit")]
+#[test_case(Departure::Close, 0; "closed without credit")]
+#[test_case(Departure::Cancel, CREDIT_BYTES; "cancelled with little credit")]
+#[tokio::test(flavor = "multi_thread")]
+async fn unwanted_response_is_dropped(departure: Departure, credit: u32) {
+    let pair = Pair::start("", "").await;
+    let mut frames = request_response(&pair, BODY_BYTES, credit).await;
     wait_until("the response waits", async || held_bytes(&pair).await > 0).await;
     match departure {
         Departure::Cancel => send(&mut frames, Body::Cancel(Cancel { stream: STREAM })).await,
@@ -99,3 +109,20 @@
     })
     .await;
 }
+
+/// Guards against long responses that use up the memory of a gate on paper: it counted the
+/// first part of each to its end, although the part had been sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn sent_part_of_long_response_is_not_counted() {
+    let pair = Pair::start("", "").await;
+    let mut frames = request_response(&pair, LONG_BODY_BYTES, LONG_CREDIT_BYTES).await;
+    let mut received = 0;
+    while received < LONG_CREDIT_BYTES as usize {
+        let frame = frames.next().await.unwrap().unwrap();
+        if let Some(Body::Data(data)) = frame.body {
+            assert!(!data.end);
+            received += data.bytes.len();
+        }
+    }
+    assert_eq!(held_bytes(&pair).await, 0);
+}
