Give back the window of a closed attempt at once

An attempt that was cancelled, as the loser of a hedge, held memory for its whole window until the request's response had ended, although nothing more could arrive for it. Giving back no bytes woke all requests that wait for memory, and took a lock, for each request with a small response.

Not shown by a test of its own.

--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -226,7 +226,7 @@
     pub(super) fn fills(&self, max_buffered: usize) -> bool {
         let window_bytes = self.held.bytes();
         let max = window_bytes.min(max_buffered) as u64;
-        window_bytes > 0 && self.received_bytes >= max
+        !self.closed && window_bytes > 0 && self.received_bytes >= max
     }
 
     /// Stores the head of the response and the body bytes in its frame. Returns
@@ -270,8 +270,6 @@
         if end {
             self.complete = true;
             self.close();
-            let unused = self.held.bytes().saturating_sub(self.waiting_bytes);
-            self.held.shrink(unused);
         }
         true
     }
@@ -333,9 +331,12 @@
         self.close();
     }
 
-    /// Closes the stream and stops the upload; later frames are discarded.
+    /// Closes the stream, gives back the memory for what will not arrive, and stops the
+    /// upload; later frames are discarded.
     pub(super) fn close(&mut self) {
         self.closed = true;
+        let unused = self.held.bytes().saturating_sub(self.waiting_bytes);
+        self.held.shrink(unused);
         self.link.remove(self.stream);
         if let Some(upload_task) = self.upload_task.take() {
             upload_task.abort();
--- a/crates/plumhitchd/src/memory/share.rs
+++ b/crates/plumhitchd/src/memory/share.rs
@@ -121,6 +121,9 @@
     /// Gives bytes back.
     pub(crate) fn shrink(&mut self, bytes: usize) {
         let returned = bytes.min(self.bytes);
+        if returned == 0 {
+            return;
+        }
         self.bytes -= returned;
         self.share.held.fetch_sub(returned, Ordering::AcqRel);
         self.share.returned.notify_waiters();
