Limit the memory of all bodies of calls together

What callers saw: a control machine of 160 MB had 265 MB resident with 40 connections that each send most of a 6 MB configuration and do not finish it, 771 MB with 120 (platform/tests/unfinished_bodies, debug build, VmHWM). Where the limit is enforced, the process is killed.

Cause: each body was within its own length, nothing limited their sum, and hyper kept up to 400 KB of read buffer for each connection.

Change: bodies are counted against the share `calls` while they arrive, in the capacity that is reserved for them, until their call ends. Those above 64 KB leave a quarter of the share, so that announcements and small changes are accepted beside them. A body for which there is no memory, or that declares more than is left, gets 503 with Retry-After; a declared length above the maximum gets 413 before the body is read. The connection closes after these, and the rest is discarded for up to 1 s, so that the client gets the response. The read buffer, and with it a head, has at most 16 KB.

What a body costs once it is parsed is not counted.

--- a/crates/plumhitchd/src/endpoints.rs
+++ b/crates/plumhitchd/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! HTTP endpoints of the program that embeds the daemon.
 
 use crate::handle::Handle;
-use crate::http_server::{self, RunningCall, read_body};
+use crate::http_server::{self, CallBody, RunningCall, read_body, reject_body};
 use crate::integration::{ApiRequest, Endpoint};
 use crate::listeners::{self, Acceptor};
 use crate::runtime::Daemon;
@@ -57,19 +57,23 @@
     ) {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
-        let body = match read_body(&self.daemon, req, self.endpoint.max_body_bytes).await {
-            Ok(body) => body.to_vec(),
+        let max_bytes = self.endpoint.max_body_bytes;
+        let CallBody { bytes, held } = match read_body(&self.daemon, req, max_bytes).await {
+            Ok(body) => body,
             Err(err) => {
                 log::warn!("event=body_refused path={path} reason={err:?}");
-                res.status_code(err.status());
-                return;
+                return reject_body(res, err);
             }
         };
-        let request = ApiRequest { method, path, body };
+        let request = ApiRequest {
+            method,
+            path,
+            body: bytes,
+        };
         let running = RunningCall::new(&self.daemon);
         let handle = Handle::new(self.daemon.clone());
         let response = (self.endpoint.handler)(handle, request).await;
-        drop(running);
+        drop((running, held));
         res.status_code(response.status);
         let json = HeaderValue::from_static("application/json");
         res.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/plumhitchd/src/http_server.rs
+++ b/crates/plumhitchd/src/http_server.rs
@@ -1,13 +1,16 @@
 //! HTTP server for the listeners of operators and of the embedding program.
 
+mod call_body;
 mod timed_stream;
 
+pub(crate) use call_body::{BodyError, CallBody};
+
 use crate::listeners::{Accepted, Acceptor, Port};
 use crate::runtime::Daemon;
 use salvo::conn::http1;
-use salvo::http::header::CONNECTION;
+use salvo::http::header::{CONNECTION, RETRY_AFTER};
 use salvo::http::uri::Scheme;
-use salvo::http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
+use salvo::http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use salvo::hyper::service::{Service as HyperService, service_fn};
 use salvo::rt::tokio::TokioIo;
 use salvo::{Router, Service};
@@ -21,25 +24,10 @@
 
 /// Name of the header that states how long a connection may be idle.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
-/// Why a request body is not available.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum BodyError {
-    /// It did not arrive in time.
-    Late,
-    /// It is too long, or the connection ended.
-    Unreadable,
-}
-
-impl BodyError {
-    /// Returns the status of the response to the request.
-    pub(crate) fn status(self) -> StatusCode {
-        match self {
-            Self::Late => StatusCode::REQUEST_TIMEOUT,
-            Self::Unreadable => StatusCode::PAYLOAD_TOO_LARGE,
-        }
-    }
-}
+/// Maximum length of a head, and of what a connection reads at once, in bytes.
+const MAX_READ_BYTES: usize = 16 * 1024;
+/// Seconds after which a call that found no memory may be made again.
+const RETRY_SECONDS: u64 = 1;
 
 /// Counts a request as being handled until it is dropped.
 pub(crate) struct RunningCall {
@@ -107,7 +95,8 @@
         let daemon = daemon.clone();
         async move {
             let mut res = handled.await?;
-            exchange.end();
+            let has_unread_body = res.headers().contains_key(CONNECTION);
+            exchange.end(has_unread_body);
             state_persistence(&daemon, res.headers_mut());
             Ok::<_, salvo::hyper::Error>(res)
         }
@@ -115,6 +104,7 @@
     let mut builder = http1::Builder::new();
     // The stream limits the time for heads.
     builder.header_read_timeout(None);
+    builder.max_buf_size(MAX_READ_BYTES);
     let mut serving = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
@@ -131,6 +121,9 @@
 
 /// States whether the connection closes after a response, or for how long it may be idle.
 fn state_persistence(daemon: &Daemon, headers: &mut HeaderMap) {
+    if headers.contains_key(CONNECTION) {
+        return;
+    }
     if daemon.is_closing_connections() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
         return;
@@ -141,23 +134,28 @@
     }
 }
 
-/// Reads a request body within the time limit for bodies.
+/// Reads a request body within the time limit for bodies and the memory for calls.
 ///
 /// # Errors
 ///
 /// Returns why there is none.
-pub(crate) async fn read_body<'a>(
+pub(crate) async fn read_body(
     daemon: &Daemon,
-    req: &'a mut Request,
+    req: &mut Request,
     max_bytes: usize,
-) -> Result<&'a [u8], BodyError> {
-    let reading = req.payload_with_max_size(max_bytes);
-    match timeout(daemon.cfg.limits.body_timeout, reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(err)) => {
-            log::warn!("event=body_unreadable reason=\"{err}\"");
-            Err(BodyError::Unreadable)
-        }
-        Err(_) => Err(BodyError::Late),
+) -> Result<CallBody, BodyError> {
+    let reading = call_body::read(&daemon.memory.calls, req, max_bytes);
+    let read = timeout(daemon.cfg.limits.body_timeout, reading).await;
+    read.unwrap_or(Err(BodyError::Late))
+}
+
+/// States why a body was not read: the connection closes, since the start of the next request
+/// on it is unknown.
+pub(crate) fn reject_body(res: &mut Response, err: BodyError) {
+    res.status_code(err.status());
+    let headers = res.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    if matches!(err, BodyError::NoMemory) {
+        headers.insert(RETRY_AFTER, RETRY_SECONDS.into());
     }
 }
--- a/crates/plumhitchd/src/http_server/timed_stream.rs
+++ b/crates/plumhitchd/src/http_server/timed_stream.rs
@@ -7,10 +7,19 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+/// Time during which the rest of an unread body is discarded after the response. Unread bytes
+/// would reset the connection, and the client would lose the response.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of one read of discarded bytes.
+const DRAIN_BYTES: usize = 8 * 1024;
+/// Reads of discarded bytes after which other tasks may run.
+const MAX_DRAINS: usize = 16;
+
 /// Requests of a connection.
 #[derive(Debug, Default)]
 pub(super) struct Exchange {
@@ -18,6 +27,8 @@
     begun: AtomicU64,
     /// Whether a request is being handled.
     is_running: AtomicBool,
+    /// Whether the last request was responded to before its body was read.
+    has_unread_body: AtomicBool,
 }
 
 impl Exchange {
@@ -27,8 +38,11 @@
         self.is_running.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the response to a request is known.
-    pub(super) fn end(&self) {
+    /// Records that the response to a request is known, and whether it comes before the end
+    /// of the request.
+    pub(super) fn end(&self, has_unread_body: bool) {
+        self.has_unread_body
+            .store(has_unread_body, Ordering::Relaxed);
         self.is_running.store(false, Ordering::Relaxed);
     }
 }
@@ -47,6 +61,8 @@
     has_part_of_head: bool,
     /// Time limit that runs.
     limit: Option<Pin<Box<Sleep>>>,
+    /// Time limit for the rest of an unread body.
+    drain_limit: Option<Pin<Box<Sleep>>>,
 }
 
 impl TimedStream {
@@ -64,6 +80,7 @@
             begun: 0,
             has_part_of_head: false,
             limit: None,
+            drain_limit: None,
         }
     }
 
@@ -102,6 +119,27 @@
         }
     }
 
+    /// Reads and discards what the client still sends, until it closes the connection or the
+    /// time for that has passed.
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let until = self
+            .drain_limit
+            .get_or_insert_with(|| Box::pin(sleep(DRAIN_TIMEOUT)));
+        if until.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut bytes = [0; DRAIN_BYTES];
+        for _ in 0..MAX_DRAINS {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {}
+                Ok(()) | Err(_) => return Poll::Ready(()),
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+
     /// Counts a connection whose client no longer responds.
     fn observe_error(&self, err: &io::Error) {
         if err.kind() == io::ErrorKind::TimedOut {
@@ -164,6 +202,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+        if self.exchange.has_unread_body.load(Ordering::Relaxed) {
+            ready!(self.poll_drain(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/plumhitchd/src/memory/share.rs
+++ b/crates/plumhitchd/src/memory/share.rs
@@ -66,9 +66,10 @@
         }
     }
 
-    /// Takes bytes if that many are left.
-    fn try_take(&self, bytes: usize) -> bool {
-        let update = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= self.max);
+    /// Takes bytes if that many and `reserve` are left.
+    fn try_take(&self, bytes: usize, reserve: usize) -> bool {
+        let max = self.max.saturating_sub(reserve);
+        let update = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= max);
         let taken = self
             .held
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, update);
@@ -111,7 +112,13 @@
 
     /// Holds more bytes if that many are left; returns whether they are.
     pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
-        let is_taken = self.share.try_take(bytes);
+        self.try_grow_beside(bytes, 0)
+    }
+
+    /// Holds more bytes if that many are left, and `reserve` for others; returns whether they
+    /// are.
+    pub(crate) fn try_grow_beside(&mut self, bytes: usize, reserve: usize) -> bool {
+        let is_taken = self.share.try_take(bytes, reserve);
         if is_taken {
             self.bytes += bytes;
         }
--- a/crates/plumhitchd/src/operators_http.rs
+++ b/crates/plumhitchd/src/operators_http.rs
@@ -7,7 +7,7 @@
 pub(crate) use token::Token;
 
 use crate::handle::Handle;
-use crate::http_server::{self, BodyError, read_body};
+use crate::http_server::{self, BodyError, read_body, reject_body};
 use crate::listeners::Acceptor;
 use crate::metrics;
 use crate::runtime::Daemon;
@@ -66,6 +66,8 @@
 struct HttpResponse {
     status: StatusCode,
     body: Vec<u8>,
+    /// Why the body of the request was not read.
+    body_error: Option<BodyError>,
 }
 
 #[async_trait]
@@ -89,6 +91,9 @@
         res.headers_mut()
             .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
         res.status_code(response.status);
+        if let Some(err) = response.body_error {
+            reject_body(res, err);
+        }
         res.body(ResBody::Once(response.body.into()));
     }
 }
@@ -158,11 +163,19 @@
         max: usize,
     ) -> Result<T, HttpResponse> {
         let refuse = |err: BodyError| {
-            let why = format!("the body can't be read in time or is longer than {max} bytes");
-            error(err.status(), &why)
+            let why = match err {
+                BodyError::NoMemory => "there is no memory for the body; send the same again",
+                BodyError::Late | BodyError::Unreadable => {
+                    &format!("the body can't be read in time or is longer than {max} bytes")
+                }
+            };
+            HttpResponse {
+                body_error: Some(err),
+                ..error(err.status(), why)
+            }
         };
-        let bytes = read_body(&self.daemon, req, max).await.map_err(refuse)?;
-        serde_json::from_slice(bytes)
+        let body = read_body(&self.daemon, req, max).await.map_err(refuse)?;
+        serde_json::from_slice(&body.bytes)
             .map_err(|err| error(StatusCode::BAD_REQUEST, &format!("not valid: {err}")))
     }
 
@@ -249,6 +262,7 @@
         Ok(HttpResponse {
             status: StatusCode::OK,
             body: text?.into_bytes(),
+            body_error: None,
         })
     }
 }
@@ -282,12 +296,17 @@
     HttpResponse {
         status,
         body: Vec::new(),
+        body_error: None,
     }
 }
 
 fn json(status: StatusCode, body: &impl Serialize) -> HttpResponse {
     let body = serde_json::to_vec(body).unwrap_or_default();
-    HttpResponse { status, body }
+    HttpResponse {
+        status,
+        body,
+        body_error: None,
+    }
 }
 
 fn error(status: StatusCode, why: &str) -> HttpResponse {
