Count silence of an upstream only while it has a request to respond to

What callers saw: none of them fails by this alone. An entry passes over a sound upstream for up to 2 s after a hedge was faster there once.

Cause: the time without a response ran from the first request on, also after the attempt there had been cancelled because its hedge responded, or because the caller had gone. An attempt that was cancelled after 60 ms counted as 200 ms of silence 140 ms later, although the upstream had nothing to respond to.

Change: the silence of an upstream stops when its last request in flight ends and goes on with the next one, so that several attempts which hedges end early still add up to an upstream that does not respond.

Tests: attempt_that_its_hedge_overtook_soon_does_not_make_its_upstream_unresponsive failed before and passes; attempts_that_hedges_overtake_make_their_upstream_unresponsive_together passes before and after and holds the sum. All tests of pick and node pass.

--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -311,7 +311,7 @@
         {
             push(cx.tx, Effect::Cancel(id, sent.number));
             if let Some(picker) = self.pickers.get_mut(&active.request.service) {
-                picker.record_end(&sent.upstream);
+                picker.record_end(cx.now, &sent.upstream);
             }
         }
         if active.is_not_run() {
--- a/crates/node/src/entry/outcome.rs
+++ b/crates/node/src/entry/outcome.rs
@@ -168,7 +168,7 @@
         {
             picker.record_response_bytes(&active.class_name, bytes);
             picker.record_progress(cx.now, &sent.upstream, load);
-            picker.record_end(&sent.upstream);
+            picker.record_end(cx.now, &sent.upstream);
         }
         release_allowance(&active, cx);
         settle_claim(&active, SettleKind::Finished, status, cx);
@@ -376,7 +376,7 @@
         let service = active.request.service.clone();
         if let Some(picker) = self.pickers.get_mut(&service) {
             picker.record_reply(cx.now, &upstream, reply, load);
-            picker.record_end(&upstream);
+            picker.record_end(cx.now, &upstream);
         }
         if state == AttemptState::NotRun {
             self.record_version_not_run(&service, &version);
@@ -405,8 +405,8 @@
         if let Some(picker) = picker {
             for (name, sent_at, is_later) in upstreams {
                 match is_later {
-                    true => picker.record_overtaken(&name, sent_at),
-                    false => picker.record_end(&name),
+                    true => picker.record_overtaken(cx.now, &name, sent_at),
+                    false => picker.record_end(cx.now, &name),
                 }
             }
         }
--- a/crates/node/tests/routed.rs
+++ b/crates/node/tests/routed.rs
@@ -497,33 +497,107 @@
     assert_eq!(sent.upstream, "u2");
 }
 
-/// Guards against an upstream that counts as unresponsive because a hedge there was
-/// cancelled when the first attempt responded.
-#[test]
-fn hedge_that_was_overtaken_does_not_make_its_upstream_unresponsive() {
-    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
-    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 60));
-    let first = forwarded(&arrive(&mut node, 3_500, 1, "/read/x")).unwrap();
+/// Request with a hedge in flight.
+struct HedgedRequest {
+    id: u64,
+    hedged_ms: u64,
+    first: entry::Attempt,
+    hedge: entry::Attempt,
+}
+
+/// Sends a request and lets time pass until it is hedged.
+fn send_hedged(node: &mut Node, at_ms: u64, id: u64) -> HedgedRequest {
+    let first = forwarded(&arrive(node, at_ms, id, "/read/x")).unwrap();
     let hedge = (1..60_u64).find_map(|n| {
-        let effects = run(&mut node, 3_500 + n * 10, Event::Tick { unix_ms: 0 });
-        forwarded(&effects).map(|attempt| (3_500 + n * 10, attempt))
+        let effects = run(node, at_ms + n * 10, Event::Tick { unix_ms: 0 });
+        forwarded(&effects).map(|attempt| (at_ms + n * 10, attempt))
     });
-    let (at_ms, hedge) = hedge.unwrap();
+    let (hedged_ms, hedge) = hedge.unwrap();
     assert_ne!(first.upstream, hedge.upstream);
-    let started = entry::Event::ResponseStarted(1, first.attempt, 200, None);
-    let effects = run(&mut node, at_ms + 1, Event::Entry(started));
+    HedgedRequest {
+        id,
+        hedged_ms,
+        first,
+        hedge,
+    }
+}
+
+/// Lets an attempt respond, which cancels the other.
+fn overtake(node: &mut Node, at_ms: u64, id: u64, winner: &entry::Attempt, loser: &entry::Attempt) {
+    let started = entry::Event::ResponseStarted(id, winner.attempt, 200, None);
+    let effects = run(node, at_ms, Event::Entry(started));
     assert!(effects.iter().any(|effect| matches!(
         effect,
-        Effect::Entry(entry::Effect::Cancel(1, number)) if *number == hedge.attempt
+        Effect::Entry(entry::Effect::Cancel(cancelled, number))
+            if *cancelled == id && *number == loser.attempt
     )));
-    let ended = entry::Event::Ended(1, first.attempt, 100, None);
-    run(&mut node, at_ms + 1, Event::Entry(ended));
+    let ended = entry::Event::Ended(id, winner.attempt, 100, None);
+    run(node, at_ms, Event::Entry(ended));
+}
+
+/// Guards against an upstream that counts as unresponsive because a hedge there was
+/// cancelled when the first attempt responded.
+#[test]
+fn hedge_that_was_overtaken_does_not_make_its_upstream_unresponsive() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 60));
+    let HedgedRequest {
+        id,
+        hedged_ms: at_ms,
+        first,
+        hedge,
+    } = send_hedged(&mut node, 3_500, 1);
+    overtake(&mut node, at_ms + 1, id, &first, &hedge);
     send_load_update(&mut node, at_ms + 200, &first.upstream, 700);
     send_load_update(&mut node, at_ms + 200, &hedge.upstream, 100);
     let next = forwarded(&arrive(&mut node, at_ms + 300, 2, "/read/x")).unwrap();
     assert_eq!(next.upstream, hedge.upstream);
 }
 
+/// Guards against an upstream that counts as unresponsive because an attempt there was
+/// cancelled when its hedge responded, long before the time in which it had to respond.
+#[test]
+fn attempt_that_its_hedge_overtook_soon_does_not_make_its_upstream_unresponsive() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 20));
+    let hedged = send_hedged(&mut node, 3_500, 1);
+    let at_ms = hedged.hedged_ms + 1;
+    assert!(
+        at_ms < 3_600,
+        "hedged {} ms after it was sent",
+        at_ms - 3_500
+    );
+    overtake(&mut node, at_ms, hedged.id, &hedged.hedge, &hedged.first);
+    send_load_update(&mut node, at_ms + 300, &hedged.hedge.upstream, 700);
+    send_load_update(&mut node, at_ms + 300, &hedged.first.upstream, 100);
+    let next = forwarded(&arrive(&mut node, at_ms + 310, 2, "/read/x")).unwrap();
+    assert_eq!(next.upstream, hedged.first.upstream);
+}
+
+/// Guards against an upstream that never responds and is chosen again and again, because
+/// hedges end each attempt there before it is overdue.
+#[test]
+fn attempts_that_hedges_overtake_make_their_upstream_unresponsive_together() {
+    let mut node = prepared_node(7, &[("u1", "ams"), ("u2", "ams")]);
+    (10..30).for_each(|id| serve(&mut node, 3_000 + id * 10, id, 40));
+    let mut at_ms = 3_500;
+    let first = send_hedged(&mut node, at_ms, 1);
+    let silent = first.first.upstream.clone();
+    let other = first.hedge.upstream.clone();
+    at_ms = first.hedged_ms + 1;
+    overtake(&mut node, at_ms, first.id, &first.hedge, &first.first);
+    send_load_update(&mut node, at_ms, &other, 130);
+    send_load_update(&mut node, at_ms, &silent, 100);
+    let second = send_hedged(&mut node, at_ms + 10, 2);
+    assert_eq!(second.first.upstream, silent);
+    at_ms = second.hedged_ms + 1;
+    overtake(&mut node, at_ms, second.id, &second.hedge, &second.first);
+    send_load_update(&mut node, at_ms, &other, 130);
+    send_load_update(&mut node, at_ms, &silent, 100);
+    let third = forwarded(&arrive(&mut node, at_ms + 10, 3, "/read/x")).unwrap();
+    assert_eq!(third.upstream, other);
+}
+
 /// Sends requests of which every gate refuses each for lack of a slot, until the entry asks
 /// no gate any more. Returns the effects of the last.
 fn exhaust_room(node: &mut Node, at_ms: u64) -> Vec<Effect> {
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -376,20 +376,17 @@
     /// Records that an attempt that began at `sent_at` was cancelled because an earlier one
     /// responded first. Its upstream had less time than the other, so the missing response
     /// does not show that it is unresponsive.
-    pub fn record_overtaken(&mut self, upstream: &str, sent_at: Duration) {
-        self.record_end(upstream);
-        if let Some(stats) = self.all_stats.get_mut(upstream)
-            && stats.own_in_flight == 0
-            && stats.unanswered_since == Some(sent_at)
-        {
-            stats.unanswered_since = None;
+    pub fn record_overtaken(&mut self, now: Duration, upstream: &str, sent_at: Duration) {
+        if let Some(stats) = self.all_stats.get_mut(upstream) {
+            stats.record_end(now);
+            stats.forget_silence(sent_at);
         }
     }
 
     /// Records that an attempt has ended.
-    pub fn record_end(&mut self, upstream: &str) {
+    pub fn record_end(&mut self, now: Duration, upstream: &str) {
         if let Some(stats) = self.all_stats.get_mut(upstream) {
-            stats.own_in_flight = stats.own_in_flight.saturating_sub(1);
+            stats.record_end(now);
         }
     }
 
--- a/crates/pick/src/stats.rs
+++ b/crates/pick/src/stats.rs
@@ -27,6 +27,35 @@
     pub(crate) interval: Duration,
 }
 
+/// Time in which requests awaited a response of an upstream that sent none. Between its
+/// requests an upstream has nothing to respond to, so that time is left out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Silence {
+    /// Start, later by the time left out.
+    pub(crate) since: Duration,
+    /// When the last request in flight ended.
+    until: Option<Duration>,
+}
+
+impl Silence {
+    fn new(now: Duration) -> Self {
+        Self {
+            since: now,
+            until: None,
+        }
+    }
+
+    /// Returns the silence with a request in flight again.
+    fn resume(self, now: Duration) -> Self {
+        Self::new(now.saturating_sub(self.length(now)))
+    }
+
+    /// Returns the time without a response so far.
+    pub(crate) fn length(&self, now: Duration) -> Duration {
+        self.until.unwrap_or(now).saturating_sub(self.since)
+    }
+}
+
 /// Statistics about one upstream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamStats {
@@ -37,8 +66,8 @@
     pub(crate) latency: Option<(f64, Duration)>,
     /// Start of the ramp, if the upstream joined or returned after its peers.
     pub(crate) ramp_start: Option<Duration>,
-    /// Time of the first request since the last activity.
-    pub(crate) unanswered_since: Option<Duration>,
+    /// Silence of the upstream since its last activity, while requests awaited a response.
+    pub(crate) silence: Option<Silence>,
     pub(crate) last_sent: Duration,
     pub(crate) last_activity: Option<Duration>,
     pub(crate) unavailable_until: Duration,
@@ -68,14 +97,34 @@
         self.last_sent = now;
         // Requests that arrive before the reply states the next pause must wait too.
         self.pause.until = now + self.pause.interval;
-        self.unanswered_since = self.unanswered_since.or(Some(now));
+        let silence = self.silence.map(|silence| silence.resume(now));
+        self.silence = silence.or(Some(Silence::new(now)));
+    }
+
+    /// Records that a request ended, whether with a response or cancelled.
+    pub(crate) fn record_end(&mut self, now: Duration) {
+        self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        if self.own_in_flight == 0
+            && let Some(silence) = &mut self.silence
+        {
+            silence.until.get_or_insert(now);
+        }
+    }
+
+    /// Records that the only request in flight ended, which was sent at `sent_at`, and that
+    /// the missing response shows nothing about the upstream.
+    pub(crate) fn forget_silence(&mut self, sent_at: Duration) {
+        let is_since = |silence: &Silence| silence.since == sent_at;
+        if self.own_in_flight == 0 && self.silence.as_ref().is_some_and(is_since) {
+            self.silence = None;
+        }
     }
 
     /// Records activity of the upstream, with the load that the gate sent. The
     /// entry still counts the request that the activity belongs to, but the
     /// gate no longer does.
     pub(crate) fn record_activity(&mut self, now: Duration, load: Option<Load>) {
-        self.unanswered_since = None;
+        self.silence = None;
         self.last_activity = Some(now);
         if let Some(load) = load.filter(|l| *l != Load::default()) {
             let at_gate = load.in_flight + load.waiting;
--- a/crates/pick/src/straggler.rs
+++ b/crates/pick/src/straggler.rs
@@ -53,12 +53,12 @@
     last_peer_activity: Option<Duration>,
     now: Duration,
 ) -> bool {
-    let (Some(since), Some(peer)) = (stats.unanswered_since, last_peer_activity) else {
+    let (Some(silence), Some(peer)) = (stats.silence, last_peer_activity) else {
         return false;
     };
     let threshold = Duration::from_secs_f64(median.unwrap_or_default() * UNRESPONSIVE_FACTOR);
-    let overdue = now.saturating_sub(since) >= threshold.max(MIN_UNRESPONSIVE_TIME);
-    overdue && peer > since && now.saturating_sub(stats.last_sent) < UNRESPONSIVE_RETRY
+    let overdue = silence.length(now) >= threshold.max(MIN_UNRESPONSIVE_TIME);
+    overdue && peer > silence.since && now.saturating_sub(stats.last_sent) < UNRESPONSIVE_RETRY
 }
 
 /// Returns the average latency, or the service time reported by the gate if
--- a/crates/pick/tests/finish.rs
+++ b/crates/pick/tests/finish.rs
@@ -166,7 +166,7 @@
                 Reply::Success(ms(latency)),
                 Some(load(1, 100)),
             );
-            picker.record_end(&upstream);
+            picker.record_end(at, &upstream);
         }
     }
     let counts = choose(&mut picker, 1_200, 0);
--- a/crates/pick/tests/scenarios.rs
+++ b/crates/pick/tests/scenarios.rs
@@ -86,7 +86,7 @@
 
     fn reply(&mut self, name: &str, reply: Reply, load: Option<Load>) {
         self.picker.record_reply(self.now, name, reply, load);
-        self.picker.record_end(name);
+        self.picker.record_end(self.now, name);
     }
 
     fn scores(&self) -> Result<String, Box<dyn Error>> {
@@ -220,7 +220,7 @@
             }
             "end" => {
                 for name in args.rest_pos() {
-                    self.picker.record_end(&name.value);
+                    self.picker.record_end(self.now, &name.value);
                 }
             }
             "scores" => out = self.scores()?,
