Use a control replica's disk again once it works

Operators saw a replica that was out until its process restarted after its disk had met one error other than a lack of space or descriptors.

Cause: after such an error nothing more is written, as what a failed sync has left on the disk is unknown, and nothing ended that state.

What the process had synced (state, newest segment up to its synced length) must be there. If anything is missing (folder replaced, or by an older one) the files are set aside and a new replica joins, as for a corrupt folder. A folder that cannot be read or written at the start is tried again likewise. The node starts from an empty state machine when its replica is replaced.

Ruled out: a new id after each error. A fault that meets a majority for a moment would cost the cluster its data. A file that can never be read stays as it is, too.

Not tried at real processes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -140,14 +140,15 @@
         self.held.link_closed(link);
     }
 
-    /// Replaces a replica whose data folder could not be opened. It has neither led nor
-    /// applied anything.
+    /// Replaces a replica whose data folder could not be opened, or whose disk has failed.
+    /// The new one restores or applies everything again.
     pub fn replace_replica(&mut self, now: Duration, mut replica: Replica, tx: &mut Vec<Effect>) {
         if self.replica.role() == Role::Faulty {
             // The settings may have been reloaded since the start.
             let configured = self.replica.configured_replicas().to_vec();
             replica.set_configured_replicas(configured);
             self.replica = replica;
+            self.state_machine = StateMachine::default();
             self.drive(now, Input::Tick, tx);
         }
     }
--- a/crates/node/tests/control_disks.rs
+++ b/crates/node/tests/control_disks.rs
@@ -11,7 +11,8 @@
 use node::Event;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use replica::{Replica, Role};
+use replica::{DiskError, Replica, Role};
+use std::io::ErrorKind;
 use std::time::Duration;
 use wire::{
     ChangeOperation, ChangeOutcome, ChangeRequest, ChangeResult, OperationKind, control_reply,
@@ -26,6 +27,12 @@
 const ATTEMPT_TIME: Duration = Duration::from_secs(1);
 /// Times that each disk is full.
 const ROUNDS: usize = 2;
+/// Seeds of disks that fail in turn.
+const FAILED_SEEDS: u64 = 6;
+/// Longest time until a replica meets the error of its disk.
+const FAULT_TIME: Duration = Duration::from_secs(10);
+/// Longest time until a change is acknowledged after the last disk works again.
+const FAILED_ACK_TIME: Duration = Duration::from_secs(6);
 /// Voters that the group maintains.
 const VOTERS: usize = 3;
 
@@ -155,6 +162,20 @@
         self.run(Duration::from_millis(ms));
     }
 
+    /// Runs until a replica has stopped because of its disk.
+    fn run_until_faulty(&mut self, i: usize) -> bool {
+        let end = self.sim.now + FAULT_TIME;
+        while self.sim.now < end {
+            let node = self.sim.daemons[i].node.as_ref();
+            let control = node.and_then(|node| node.control.as_ref()).unwrap();
+            if control.replica().role() == Role::Faulty {
+                return true;
+            }
+            self.run(Duration::from_millis(20));
+        }
+        false
+    }
+
     /// Fills the disks in turn, in a drawn order.
     fn fill_disks(&mut self) {
         let mut order: Vec<usize> = (0..self.controls).collect();
@@ -327,3 +348,43 @@
     let control = sim.daemons[i].node().control.as_ref().unwrap();
     control.replica().role()
 }
+
+/// Guards against changes that are not acknowledged any more after the disks of all control
+/// machines have failed in turn, each of which works again: each replica was out until its
+/// process restarted. A replica that is back holds the changes once, not twice.
+#[test]
+fn changes_are_acknowledged_after_disks_failed_in_turn() {
+    for seed in 1..=FAILED_SEEDS {
+        let mut shuffle = Shuffle::new(seed);
+        for failing in (0..shuffle.controls).chain(0..shuffle.controls) {
+            shuffle.run_ms(100..3_000);
+            shuffle.sim.daemons[failing].disk.fail(io_error());
+            let failed = shuffle.run_until_faulty(failing);
+            assert!(failed, "seed {seed}: {failing} goes on without its disk");
+            let is_complete = shuffle.sim.rng.random_bool(0.5);
+            shuffle.sim.daemons[failing].disk.mend(is_complete);
+            shuffle.sim.open_disk(failing);
+        }
+        let accepted = shuffle.operator.accepted;
+        shuffle.run(FAILED_ACK_TIME);
+        assert!(shuffle.operator.accepted > accepted, "seed {seed}");
+        let controls = shuffle
+            .sim
+            .daemons
+            .iter()
+            .filter_map(|d| d.node.as_ref()?.control.as_ref());
+        let versions: Vec<u64> = controls.map(|c| c.config().version).collect();
+        let newest = versions.iter().max().unwrap();
+        assert!(
+            versions.iter().all(|v| v + 1 >= *newest),
+            "seed {seed}: {versions:?}"
+        );
+    }
+}
+
+fn io_error() -> DiskError {
+    DiskError::Io {
+        path: "memory".to_owned(),
+        kind: ErrorKind::Other,
+    }
+}
--- a/crates/plumhitchd/src/disk.rs
+++ b/crates/plumhitchd/src/disk.rs
@@ -1,9 +1,12 @@
 //! The thread that writes and syncs the control replica's files.
 
+mod outage;
+
 use crate::clock;
 use crate::runtime::Daemon;
 use conf::Settings;
 use node::Event;
+use outage::Outage;
 use replica::disk::Disk;
 use replica::{DiskError, DiskOp, Recovered, Replica, ReplicaOptions};
 use std::io;
@@ -53,8 +56,7 @@
     Replica::new(options, recovered, clock::now())
 }
 
-/// Starts the disk thread. It opens the data folder if a temporary error has prevented
-/// that so far.
+/// Starts the disk thread. It opens the data folder if an error has prevented that so far.
 ///
 /// # Errors
 ///
@@ -70,7 +72,7 @@
     let run = move || {
         let _guard = runtime.enter();
         let disk = match opened {
-            Err(reason) if reason.is_temporary() => open_later(&daemon, &reason),
+            Err(reason) if may_end(&reason) => open_later(&daemon, &reason),
             opened => opened.ok(),
         };
         if let Some(disk) = disk {
@@ -81,19 +83,27 @@
     Ok(())
 }
 
-/// Tries to open the data folder until there is no temporary error, and passes the
-/// recovered replica on.
+/// Returns whether the folder can be opened later, once an error has ended.
+fn may_end(reason: &DiskError) -> bool {
+    !matches!(reason, DiskError::UnknownFormat { .. })
+}
+
+/// Tries to open the data folder until it succeeds, and passes the recovered replica on.
 fn open_later(daemon: &Arc<Daemon>, reason: &DiskError) -> Option<Disk> {
     let path = daemon.cfg.control.data_dir.as_deref()?;
+    let mut outage = Outage::default();
     let mut full_since = None;
-    wait_to_retry(reason, &mut full_since);
+    wait_to_open(reason, &mut full_since, &mut outage);
     let opened = loop {
         match Disk::open_or_set_aside(path) {
-            Err(reason) if reason.is_temporary() => wait_to_retry(&reason, &mut full_since),
+            Err(reason) if may_end(&reason) => {
+                wait_to_open(&reason, &mut full_since, &mut outage);
+            }
             opened => break opened,
         }
     };
     log_writable(full_since);
+    outage.end();
     match opened {
         Ok((disk, recovered)) => {
             let replica = replica(&daemon.cfg, recovered);
@@ -108,22 +118,58 @@
     }
 }
 
+/// Waits before the data folder is opened again.
+fn wait_to_open(reason: &DiskError, full_since: &mut Option<Duration>, outage: &mut Outage) {
+    match reason.is_temporary() {
+        true => wait_to_retry(reason, full_since),
+        false => outage.wait(reason),
+    }
+}
+
 /// Performs operations until the daemon ends. Those that queue up meanwhile share one
-/// sync.
+/// sync. After an error the folder is opened again.
 fn perform_ops(daemon: &Arc<Daemon>, mut disk: Disk, rx: &mpsc::Receiver<DiskOp>) {
+    let mut outage = Outage::default();
     while let Ok(first) = rx.recv() {
         let mut ops = vec![first];
         ops.extend(rx.try_iter());
         let mut full_since = None;
         let done = disk.perform_batch(ops, |reason| wait_to_retry(reason, &mut full_since));
         log_writable(full_since);
+        let reason = done.iter().find_map(|d| d.result.clone().err());
         for done in done {
             daemon.handle_event(Event::DiskDone(done));
         }
-        disk.record_synced();
+        match reason {
+            Some(reason) => reopen(daemon, &mut disk, rx, reason, &mut outage),
+            None => disk.record_synced(),
+        }
     }
 }
 
+/// Opens the data folder again until it succeeds, and passes the recovered replica on in
+/// place of the one that the error has stopped.
+fn reopen(
+    daemon: &Arc<Daemon>,
+    disk: &mut Disk,
+    rx: &mpsc::Receiver<DiskOp>,
+    mut reason: DiskError,
+    outage: &mut Outage,
+) {
+    let recovered = loop {
+        outage.wait(&reason);
+        match disk.reopen() {
+            Ok(recovered) => break recovered,
+            Err(err) => reason = err,
+        }
+    };
+    outage.end();
+    // They come from the replica that the error has stopped.
+    rx.try_iter().for_each(drop);
+    let replica = replica(&daemon.cfg, recovered);
+    daemon.handle_event(Event::ReplicaRecovered(replica));
+}
+
 fn log_writable(full_since: Option<Duration>) {
     if let Some(since) = full_since {
         let ms = clock::now().saturating_sub(since).as_millis();
--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -29,13 +29,15 @@
 //! A write for which the disk has no space, or the process no descriptor, is undone and
 //! tried again until there is one. To the replica this is a disk that takes long: it must
 //! not end its part in the cluster, because the other replicas' disks may fill up next.
-//! Any other error does, since what a failed sync has left on the disk is unknown.
+//! Any other error does until the folder has been read again and everything in it has been
+//! written to new files, since what a failed sync has left on the disk is unknown.
 
 mod active_segment;
 mod error;
 mod file;
 mod format;
 mod recovery;
+mod reopen;
 mod set_aside;
 mod synced_record;
 mod term_index;
@@ -78,8 +80,10 @@
     snapshots: Vec<u64>,
     /// What the record of synced bytes states, if it was written since the start.
     recorded: Option<Synced>,
+    /// Id, term and vote as last synced.
+    state: Option<HardState>,
     failed: bool,
-    _lock: File,
+    lock: Option<File>,
 }
 
 impl Disk {
@@ -123,11 +127,11 @@
     ) -> Result<(Self, Recovered), DiskError> {
         files.create_folder(path)?;
         let lock = files.lock(&path.join(LOCK_NAME))?;
-        let mut contents = recover(&mut files, path);
+        let mut contents = recover(&mut files, path, None);
         if sets_aside && let Err(error @ DiskError::Corrupt { .. }) = &contents {
             let prefix = set_aside(&mut files, path)?;
             log_set_aside(error, path, &prefix);
-            contents = recover(&mut files, path);
+            contents = recover(&mut files, path, None);
         }
         let FolderContents {
             mut recovered,
@@ -143,8 +147,9 @@
             term_index: TermIndex::new(snapshot, &recovered.entries),
             snapshots: snapshot.map(|s| s.index).into_iter().collect(),
             recorded: None,
+            state: recovered.hard_state,
             failed: false,
-            _lock: lock,
+            lock: Some(lock),
         };
         Ok((disk, recovered))
     }
@@ -184,13 +189,9 @@
     /// Records how much of the log is synced, so that damage to it is not taken for a torn
     /// write. Without the record, only less is told apart.
     pub fn record_synced(&mut self) {
-        let (Some(segment), Some(active)) = (self.segments.last(), &self.active) else {
+        let Some(synced) = self.synced() else {
             return;
         };
-        let synced = Synced {
-            sequence: segment.sequence,
-            len: active.len() as u64,
-        };
         if self.failed || self.recorded == Some(synced) {
             return;
         }
@@ -200,6 +201,15 @@
         self.recorded = Some(synced);
     }
 
+    /// Returns how much of the newest segment is synced, if it was written since the start.
+    fn synced(&self) -> Option<Synced> {
+        let (segment, active) = (self.segments.last()?, self.active.as_ref()?);
+        Some(Synced {
+            sequence: segment.sequence,
+            len: active.len() as u64,
+        })
+    }
+
     /// Performs one write, several appends, or the last of several state
     /// updates.
     fn perform_writes(
@@ -267,7 +277,9 @@
 
     fn save_state(&mut self, state: &HardState) -> Result<(), DiskError> {
         let frame = encode_frame(state).ok_or(DiskError::TooLong)?;
-        self.files.replace(&self.folder, STATE_NAME, &frame)
+        self.files.replace(&self.folder, STATE_NAME, &frame)?;
+        self.state = Some(*state);
+        Ok(())
     }
 
     fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), DiskError> {
--- a/crates/replica/src/disk/active_segment.rs
+++ b/crates/replica/src/disk/active_segment.rs
@@ -3,7 +3,7 @@
 use super::error::DiskError;
 use super::file::Files;
 use std::fs::File;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// The newest segment of the log, to which frames are appended.
 #[derive(Debug)]
@@ -32,6 +32,23 @@
         })
     }
 
+    /// Creates the file with its first frames, all or none of them.
+    pub(super) fn create_whole(
+        files: &mut Files,
+        folder: &Path,
+        name: &str,
+        frames: &[u8],
+    ) -> Result<Self, DiskError> {
+        files.replace(folder, name, frames)?;
+        let path = folder.join(name);
+        Ok(Self {
+            f: files.open_to_append(&path)?,
+            path,
+            len: frames.len(),
+            torn: false,
+        })
+    }
+
     pub(super) fn len(&self) -> usize {
         self.len
     }
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -6,7 +6,7 @@
 use rustix::io::Errno;
 use std::fmt;
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::path::Path;
 
 /// Kind of a file operation that changes the folder.
@@ -119,10 +119,7 @@
     /// Creates a file with the given contents and syncs the file and its folder. After
     /// an error it can be tried again: what the first attempt has left is replaced.
     pub(super) fn create(&mut self, path: &Path, bytes: &[u8]) -> Result<File, DiskError> {
-        let f = self
-            .check(FileOp::Open)
-            .and_then(|()| OpenOptions::new().append(true).create(true).open(path));
-        let mut f = f.map_err(|e| io_error(path, &e))?;
+        let mut f = self.open_to_append(path)?;
         self.set_len(&f, path, 0)?;
         let written = self.write_and_sync(&mut f, bytes);
         written.map_err(|e| io_error(path, &e))?;
@@ -131,6 +128,14 @@
         Ok(f)
     }
 
+    /// Opens a file, which is created if needed, to append to it.
+    pub(super) fn open_to_append(&mut self, path: &Path) -> Result<File, DiskError> {
+        let f = self
+            .check(FileOp::Open)
+            .and_then(|()| OpenOptions::new().append(true).create(true).open(path));
+        f.map_err(|e| io_error(path, &e))
+    }
+
     /// Appends to a file and syncs it. If that fails, any part may have been written.
     pub(super) fn append(
         &mut self,
@@ -250,8 +255,21 @@
 /// Reads a file. A folder in its place is corruption; an error of the disk or a lack of
 /// permission is not, since the data may be sound.
 pub(super) fn read(path: &Path) -> Result<Vec<u8>, DiskError> {
-    fs::read(path).map_err(|e| match Errno::from_io_error(&e) {
+    fs::read(path).map_err(|e| read_error(path, &e))
+}
+
+/// Reads the first bytes of a file, as [`read`] does.
+pub(super) fn read_start(path: &Path, len: u64) -> Result<Vec<u8>, DiskError> {
+    let mut buf = Vec::new();
+    File::open(path)
+        .and_then(|f| f.take(len).read_to_end(&mut buf))
+        .map_err(|e| read_error(path, &e))?;
+    Ok(buf)
+}
+
+fn read_error(path: &Path, error: &io::Error) -> DiskError {
+    match Errno::from_io_error(error) {
         Some(Errno::ISDIR) => corrupt(path, 0, "the file cannot be read"),
-        _ => io_error(path, &e),
-    })
+        _ => io_error(path, error),
+    }
 }
--- a/crates/replica/src/disk/recovery.rs
+++ b/crates/replica/src/disk/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery of a replica's state from its data folder at start.
 
 use super::error::DiskError;
-use super::file::{Files, corrupt, list, read};
+use super::file::{Files, corrupt, list, read, read_start};
 use super::format::{
     Batch, FORMAT_VERSION, Frame, STATE_NAME, SegmentHeader, TEMPORARY_SUFFIX, parse_segment_name,
     parse_snapshot_name, read_frame, segment_name, snapshot_name,
@@ -12,6 +12,9 @@
 use std::path::Path;
 use wire::{LogEntry, LogIndex, Term};
 
+/// Maximum length of the frame that holds a segment's header.
+const MAX_HEADER_BYTES: u64 = 256;
+
 /// A segment file in the folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Segment {
@@ -28,21 +31,35 @@
 }
 
 /// Reads all files of the folder, removes temporary files and outdated
-/// snapshots, and truncates a torn tail.
-pub(super) fn recover(files: &mut Files, folder: &Path) -> Result<FolderContents, DiskError> {
+/// snapshots, and truncates a torn tail. `known` states what is synced if the record of it
+/// may be outdated.
+pub(super) fn recover(
+    files: &mut Files,
+    folder: &Path,
+    known: Option<Synced>,
+) -> Result<FolderContents, DiskError> {
     let names = list(folder)?;
     remove_temporary_files(files, folder, &names)?;
     let hard_state = read_state(folder, &names)?;
     let snapshot = read_snapshot(files, folder, &names)?;
     let sequences = segment_sequences(folder, &names)?;
-    let synced = Synced::read(folder, &names)?;
+    let recorded = Synced::read(folder, &names)?;
+    let synced = known.or(recorded);
     let mut replay = Replay::new(snapshot.as_ref());
     let mut segments = Vec::new();
     let newest = sequences.last().copied();
     if synced.is_some_and(|s| newest.is_none_or(|newest| newest < s.sequence)) {
         return Err(corrupt(folder, 0, "the newest log segment is missing"));
     }
+    let first = first_needed(folder, &sequences, replay.base)?;
     for sequence in sequences {
+        if sequence < first {
+            segments.push(Segment {
+                sequence,
+                max_index: 0,
+            });
+            continue;
+        }
         let source = SegmentSource {
             folder,
             sequence,
@@ -155,6 +172,27 @@
     Ok(sequences)
 }
 
+/// Returns the newest segment that starts no later than after the snapshot. Nothing in
+/// older ones is part of the log.
+fn first_needed(folder: &Path, sequences: &[u64], base: LogIndex) -> Result<u64, DiskError> {
+    for sequence in sequences.iter().rev().copied() {
+        let header = read_header(&folder.join(segment_name(sequence)))?;
+        if header.is_some_and(|h| h.prev_index <= base) {
+            return Ok(sequence);
+        }
+    }
+    Ok(0)
+}
+
+/// Reads the header of a segment. Returns `None` if it is incomplete or invalid.
+fn read_header(path: &Path) -> Result<Option<SegmentHeader>, DiskError> {
+    let buf = read_start(path, MAX_HEADER_BYTES)?;
+    let Frame::Complete { payload, .. } = read_frame(&buf, 0) else {
+        return Ok(None);
+    };
+    Ok(SegmentHeader::decode(payload).ok())
+}
+
 /// A segment to read.
 #[derive(Clone, Copy)]
 struct SegmentSource<'a> {
--- a/crates/replica/src/disk/set_aside.rs
+++ b/crates/replica/src/disk/set_aside.rs
@@ -11,6 +11,8 @@
 use std::path::Path;
 
 const DAMAGED_PREFIX: &str = "damaged-";
+/// Name of the empty file that stands for a replica whose files are all gone.
+const LOST_NAME: &str = "lost";
 /// Maximum number of damaged folders whose files are kept.
 const MAX_KEPT: usize = 2;
 /// Maximum bytes that are kept of a damaged folder. Further files are emptied.
@@ -41,6 +43,9 @@
         // Without the state file, the remaining ones are never taken for a sound folder.
         files.sync_folder(folder)?;
     }
+    if numbers.is_empty() && !names.iter().any(|name| is_replica_file(name)) {
+        files.create(&folder.join(format!("{prefix}{LOST_NAME}")), &[])?;
+    }
     let outdated = (numbers.len() + 1).saturating_sub(MAX_KEPT);
     for number in &numbers[..outdated] {
         remove_damaged(files, folder, &names, *number)?;
--- a/crates/replica/src/memory_disk.rs
+++ b/crates/replica/src/memory_disk.rs
@@ -13,6 +13,8 @@
     synced: Recovered,
     unsynced: VecDeque<DiskOp>,
     error: Option<DiskError>,
+    /// The first operation that failed, which may be complete on the disk.
+    failed: Option<DiskOp>,
 }
 
 impl MemoryDisk {
@@ -53,10 +55,12 @@
     pub fn sync_next(&mut self) -> Option<DiskDone> {
         let op = self.unsynced.pop_front()?;
         let result = self.error.clone().map_or(Ok(()), Err);
-        if result.is_ok() {
-            apply(&mut self.synced, op.write);
+        let id = op.id;
+        match result {
+            Ok(()) => apply(&mut self.synced, op.write),
+            Err(_) => drop(self.failed.get_or_insert(op)),
         }
-        Some(DiskDone { id: op.id, result })
+        Some(DiskDone { id, result })
     }
 
     /// Discards unsynced operations, as when a VM loses power.
@@ -82,6 +86,17 @@
         self.error = Some(error);
     }
 
+    /// Lets a disk that failed work again. The operation that failed first is complete on
+    /// it or has left nothing.
+    pub fn mend(&mut self, has_failed_write: bool) {
+        self.error = None;
+        self.unsynced.clear();
+        let failed = self.failed.take().filter(|_| has_failed_write);
+        if let Some(op) = failed {
+            apply(&mut self.synced, op.write);
+        }
+    }
+
     /// Loses the last synced entries without a trace, as when a file is cut.
     pub fn lose_entries(&mut self, count: usize) {
         let entries = &mut self.synced.entries;
--- a/crates/replica/tests/disk_faults.rs
+++ b/crates/replica/tests/disk_faults.rs
@@ -1,5 +1,5 @@
-//! Randomised faults of file operations: a disk without space for a while, and a process
-//! that is killed between two operations.
+//! Randomised faults of file operations: a disk without space for a while, one that fails
+//! for a while, and a process that is killed between two operations.
 //!
 //! To run more seeds than CI does:
 //! `SHUFFLE_SEEDS=2000 cargo test --release -p replica --test disk_faults`
@@ -27,6 +27,10 @@
 const REFUSED_RATIO: f64 = 0.5;
 /// Probability with which the process is killed during a batch.
 const KILLED_RATIO: f64 = 0.2;
+/// Probability with which the disk fails during a batch.
+const BROKEN_RATIO: f64 = 0.2;
+/// Attempts to open the folder again while the disk fails.
+const FAILED_ATTEMPTS: usize = 3;
 /// Maximum length of a command in bytes.
 const MAX_COMMAND_BYTES: usize = 2_000;
 
@@ -36,6 +40,8 @@
     full: bool,
     /// Number of file operations after which the process is killed.
     killed_after: Option<usize>,
+    /// Number of file operations after which the disk fails.
+    broken_after: Option<usize>,
 }
 
 impl Faults {
@@ -45,6 +51,11 @@
             Some(operations) => *operations -= 1,
             None => {}
         }
+        match &mut self.broken_after {
+            Some(0) => return Err(ErrorKind::ReadOnlyFilesystem.into()),
+            Some(operations) => *operations -= 1,
+            None => {}
+        }
         match self.full && self.rng.random_bool(REFUSED_RATIO) {
             true => Err(ErrorKind::StorageFull.into()),
             false => Ok(()),
@@ -76,6 +87,7 @@
             rng: SmallRng::seed_from_u64(seed),
             full: false,
             killed_after: None,
+            broken_after: None,
         }));
         let (disk, _) = open(dir.path(), &faults);
         let mut shuffle = Self {
@@ -100,6 +112,8 @@
             faults.full = self.rng.random_bool(FULL_RATIO);
             let killed = self.rng.random_bool(KILLED_RATIO);
             faults.killed_after = killed.then(|| self.rng.random_range(0..12));
+            let broken = !killed && self.rng.random_bool(BROKEN_RATIO);
+            faults.broken_after = broken.then(|| self.rng.random_range(0..12));
         }
         self.perform(writes);
         if self.rng.random_bool(0.2) {
@@ -131,7 +145,7 @@
                 Ok(()) => possible = vec![next],
                 // The operation that was interrupted may be complete on the disk.
                 Err(DiskError::Io {
-                    kind: ErrorKind::Other,
+                    kind: ErrorKind::Other | ErrorKind::ReadOnlyFilesystem,
                     ..
                 }) => possible.push(next),
                 Err(DiskError::Stopped) => {}
@@ -140,8 +154,38 @@
         }
         match possible.len() {
             1 => self.model = possible.remove(0),
+            _ if self.is_broken() && self.rng.random_bool(0.8) => self.reopen(&possible),
             _ => self.restart(&possible),
         }
+        self.faults.lock().unwrap().broken_after = None;
+    }
+
+    fn is_broken(&self) -> bool {
+        self.faults.lock().unwrap().broken_after == Some(0)
+    }
+
+    /// Opens the folder again in the same process: first while the disk fails after a few
+    /// operations, then while it works or is full.
+    fn reopen(&mut self, possible: &[MemoryDisk]) {
+        for _ in 0..self.rng.random_range(0..=FAILED_ATTEMPTS) {
+            let operations = self.rng.random_range(0..20);
+            self.faults.lock().unwrap().broken_after = Some(operations);
+            if let Ok(recovered) = self.disk.reopen() {
+                return self.check(possible, &recovered);
+            }
+        }
+        self.faults.lock().unwrap().broken_after = None;
+        let recovered = loop {
+            match self.disk.reopen() {
+                Ok(recovered) => break recovered,
+                Err(DiskError::Full) => {
+                    let is_full = self.rng.random_bool(0.5);
+                    self.faults.lock().unwrap().full &= is_full;
+                }
+                Err(error) => panic!("seed {}: {error}", self.seed),
+            }
+        };
+        self.check(possible, &recovered);
     }
 
     /// Restarts the process. The folder has to hold the data of one of the models.
@@ -149,13 +193,19 @@
         {
             let mut faults = self.faults.lock().unwrap();
             faults.killed_after = None;
+            faults.broken_after = None;
             faults.full = self.rng.random_bool(FULL_RATIO);
         }
         let unused = tempfile::tempdir().unwrap();
         self.disk = Disk::open(unused.path()).unwrap().0;
         let (disk, recovered) = open(self.dir.path(), &self.faults);
         self.disk = disk;
-        let found = possible.iter().find(|model| model.recover() == recovered);
+        self.check(possible, &recovered);
+    }
+
+    /// Asserts that the folder holds the data of one of the models.
+    fn check(&mut self, possible: &[MemoryDisk], recovered: &Recovered) {
+        let found = possible.iter().find(|model| model.recover() == *recovered);
         let Some(found) = found else {
             let expected: Vec<Recovered> = possible.iter().map(MemoryDisk::recover).collect();
             panic!("seed {}: {recovered:?}, not one of {expected:?}", self.seed);
@@ -243,10 +293,11 @@
 }
 
 /// Guards against a replica that ends its part in the cluster for good, or loses or
-/// corrupts its log, because its disk was full for a while: when what a failed write left
-/// could not be removed at once either.
+/// corrupts its log, because its disk was full or failed for a while: when what a failed
+/// write left could not be removed at once either, and when the disk fails again while the
+/// folder is reopened.
 #[test]
-fn full_disks_and_kills_preserve_data() {
+fn full_and_failed_disks_and_kills_preserve_data() {
     for seed in seeds::shuffle_seeds(1, CI_SEEDS) {
         println!("seed {seed}");
         let mut shuffle = Shuffle::new(seed);
--- a/crates/replica/tests/shuffle.rs
+++ b/crates/replica/tests/shuffle.rs
@@ -101,13 +101,17 @@
         }
     }
 
-    /// Restarts a server that is down, or replaces the disk of a faulty one and
-    /// restarts it.
+    /// Restarts a server that is down. The disk of a faulty one is replaced, or works again
+    /// and is reopened.
     fn restart(&mut self, name: &str) {
         let server = self.simulation.server(name);
         let faulty = server.replica.as_ref().map(Replica::role) == Some(Role::Faulty);
         if faulty {
-            server.disk.wipe();
+            match self.rng.random_range(0..4) {
+                0 => server.disk.wipe(),
+                1 => server.disk.set_aside(),
+                n => server.disk.mend(n == 2),
+            }
         }
         if faulty || server.replica.is_none() {
             self.simulation.restart(name);
