Count the buffered bodies of requests, and join their short pieces

What callers saw: with 200 uploads without end through one entry, to instances that read nothing, 177 MB resident at the entry and 253 MB at a gate, on machines of 160 MB; where that is enforced, the processes are killed.

Cause: each body was within the buffer of its request and each upload within its window, and nothing limited their sums. Each short chunk was a piece of its own from the caller's connection to the upstream.

Change: short pieces are joined at the caller's connection and where they wait for the upstream; the connection's queue has two pieces in place of eight, and other tasks run between reads of short chunks. What an entry buffers after the first piece counts against the share `requests`; without memory the request gets 503 `no-memory` with Retry-After before anything ran. At a gate, a body that is received before its request runs, and the window of an upload, count too. Windows take at most half of the share, get smaller as less is left, and are never below 16 KB, so that a request with a slot goes on.

--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -39,12 +39,14 @@
     buffered_rest: Bytes,
     fingerprint: Fingerprint,
     body_buffered: bool,
+    /// Memory for the body.
+    _body_held: Held,
 }
 
 impl OutgoingRequest {
     pub(super) fn new(
         inbound: Inbound,
-        mut body_start: Bytes,
+        (mut body_start, body_held): (Bytes, Held),
         fingerprint: Fingerprint,
         body_buffered: bool,
     ) -> Self {
@@ -58,6 +60,7 @@
             buffered_rest,
             fingerprint,
             body_buffered,
+            _body_held: body_held,
         }
     }
 
--- a/crates/plumhitchd/src/entry_http/body.rs
+++ b/crates/plumhitchd/src/entry_http/body.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 /// Pieces that the channel holds before the connection stops reading.
-const MAX_QUEUED_PIECES: usize = 8;
+const MAX_QUEUED_PIECES: usize = 2;
 
 /// A piece of a body, or why the rest cannot be read.
 pub(super) type BodyPiece = Result<Bytes, UploadError>;
--- a/crates/plumhitchd/src/entry_http/body_buffer.rs
+++ b/crates/plumhitchd/src/entry_http/body_buffer.rs
@@ -2,8 +2,10 @@
 //! body that is buffered completely can be sent again in a retry.
 
 use super::body::BodyRx;
+use crate::memory::{Held, Share};
 use crate::task_messages::UploadError;
 use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
 
 /// The buffered beginning of a body, and the unread rest if it exceeds the
 /// buffer.
@@ -13,6 +15,8 @@
     pub(super) start: Bytes,
     /// The unread rest, unless `start` is the complete body.
     pub(super) rest: Option<BodyRx>,
+    /// Memory for `start` without its first piece, which every request may have.
+    pub(super) held: Held,
 }
 
 impl BufferedBody {
@@ -28,17 +32,22 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body cannot be read or is longer than `max` bytes.
+/// Returns an error if the body cannot be read, is longer than `max` bytes, or if there is no
+/// memory for it.
 pub(super) async fn buffer_body(
+    share: &Arc<Share>,
     mut body: BodyRx,
     max_buffered: usize,
     max: u64,
 ) -> Result<BufferedBody, UploadError> {
+    let mut held = share.hold();
     let mut start = Bytes::new();
     let mut joined = BytesMut::new();
     while let Some(bytes) = body.next().await? {
         if start.is_empty() && joined.is_empty() {
             start = bytes;
+        } else if !held.try_grow(bytes.len()) {
+            return Err(UploadError::NoMemory);
         } else {
             joined.extend_from_slice(&std::mem::take(&mut start));
             joined.extend_from_slice(&bytes);
@@ -48,16 +57,16 @@
             return Err(UploadError::TooLong);
         }
         if len > max_buffered {
-            return Ok(join(start, joined, Some(body)));
+            return Ok(join(start, joined, Some(body), held));
         }
     }
-    Ok(join(start, joined, None))
+    Ok(join(start, joined, None, held))
 }
 
-fn join(start: Bytes, joined: BytesMut, rest: Option<BodyRx>) -> BufferedBody {
+fn join(start: Bytes, joined: BytesMut, rest: Option<BodyRx>, held: Held) -> BufferedBody {
     let start = match joined.is_empty() {
         true => start,
         false => joined.freeze(),
     };
-    BufferedBody { start, rest }
+    BufferedBody { start, rest, held }
 }
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -9,6 +9,7 @@
 use crate::task_messages::UploadError;
 use bytes::{Buf, BytesMut};
 use compact_str::CompactString;
+use flow::MIN_PIECE_BYTES;
 use http::Method;
 use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
 use std::pin::pin;
@@ -18,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{sleep, timeout};
 
 /// Maximum number of queued responses of a connection; no further request is
@@ -272,14 +273,18 @@
         tx: BodyTx,
     ) -> Result<(), CutReason> {
         let mut reader = BodyReader::new(framing);
+        let mut is_short = false;
         loop {
-            match reader.next(&mut self.buf) {
+            match reader.next_joined(&mut self.buf) {
                 Ok(Piece::Bytes(bytes)) => {
+                    is_short = bytes.len() < MIN_PIECE_BYTES;
                     // The task stops reading once it has a response; the rest
                     // of the body is then discarded.
                     let _ = tx.send(Ok(bytes)).await;
                 }
                 Ok(Piece::End) => return Ok(()),
+                // Short chunks take much time for few bytes: other tasks run in between.
+                Ok(Piece::NeedMore) if std::mem::take(&mut is_short) => yield_now().await,
                 Ok(Piece::NeedMore) => match self.read_more_of_body(waits_for_continue).await {
                     Ok(()) => waits_for_continue = false,
                     Err(BodyEnd::Cut(reason)) => {
--- a/crates/plumhitchd/src/entry_http/record.rs
+++ b/crates/plumhitchd/src/entry_http/record.rs
@@ -108,6 +108,7 @@
         match err {
             UploadError::TooLong => self.mark_rejected("body-too-long"),
             UploadError::TimedOut => self.mark_rejected("body-timeout"),
+            UploadError::NoMemory => self.mark_rejected("no-memory"),
             UploadError::Aborted => self.known = false,
         }
     }
--- a/crates/plumhitchd/src/entry_http/refusal.rs
+++ b/crates/plumhitchd/src/entry_http/refusal.rs
@@ -40,15 +40,20 @@
         response.headers.insert(WWW_AUTHENTICATE, scheme);
     }
     if let Some(after) = refusal.retry_after {
-        let value = match daemon.integration.fractional_retry_after {
-            true => HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())).ok(),
-            false => Some(HeaderValue::from(ceil_seconds(after))),
-        };
-        response.headers.extend(value.map(|v| (RETRY_AFTER, v)));
+        state_retry_after(daemon, &mut response, after);
     }
     response
 }
 
+/// States after which time the caller may retry.
+fn state_retry_after(daemon: &Daemon, response: &mut Response, after: Duration) {
+    let value = match daemon.integration.fractional_retry_after {
+        true => HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())).ok(),
+        false => Some(HeaderValue::from(ceil_seconds(after))),
+    };
+    response.headers.extend(value.map(|v| (RETRY_AFTER, v)));
+}
+
 /// Builds the response to a request whose headers are not acceptable.
 pub(super) fn bad_request(daemon: &Daemon, bad: &BadRequest) -> Response {
     let run = RunState::NotRun;
@@ -94,10 +99,26 @@
             "body-timeout",
             "the rest of the body did not arrive",
         ),
+        UploadError::NoMemory => return no_memory(daemon),
     };
     build(daemon, status, &body_without_retry(reason, run, message))
 }
 
+/// Builds the response to a request for whose body there is no memory.
+fn no_memory(daemon: &Daemon) -> Response {
+    let after = daemon.cfg.routing.retry_after;
+    let body = RefusalBody {
+        reason: "no-memory",
+        run: run_name(RunState::NotRun),
+        message: "there is no memory to buffer the body",
+        retry_after_ms: u64::try_from(after.as_millis()).ok(),
+        status: None,
+    };
+    let mut response = build(daemon, StatusCode::SERVICE_UNAVAILABLE, &body);
+    state_retry_after(daemon, &mut response, after);
+    response
+}
+
 /// Returns the HTTP status for a body that stopped arriving. Clients take 408 to mean that
 /// the request was not run.
 fn timeout_status(run: RunState) -> StatusCode {
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -32,10 +32,11 @@
     if daemon.read(|node| node.entry.is_stopping()) {
         return refuse_stopping(&daemon, &mut record);
     }
+    let share = &daemon.memory.requests;
     let max_buffered = limits.buffered_body_bytes;
     let buffered = tokio::select! {
         biased;
-        buffered = buffer_body(body, max_buffered, daemon.max_body_bytes()) => buffered,
+        buffered = buffer_body(share, body, max_buffered, daemon.max_body_bytes()) => buffered,
         () = daemon.wait_until_ending() => return refuse_stopping(&daemon, &mut record),
     };
     let body = match buffered {
@@ -102,7 +103,12 @@
         body_buffered: body.rest.is_none(),
         received_at: record.received_at,
     };
-    let outgoing = OutgoingRequest::new(inbound, body.start, fingerprint, request.body_buffered);
+    let outgoing = OutgoingRequest::new(
+        inbound,
+        (body.start, body.held),
+        fingerprint,
+        request.body_buffered,
+    );
     let mut driver = Driver::new(daemon.clone(), record, (tx, rx), outgoing, body.rest);
     let basis = daemon.handle_arrival(request);
     driver.set_basis(basis);
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod reply_sender;
 mod statement;
+mod upload_queue;
 mod upstream_request;
 
 pub(crate) use body_intake::BodyIntake;
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -8,8 +8,10 @@
 use super::load_report;
 use super::reply_sender::{RefusalDelays, ReplySender};
 use super::statement;
-use super::upstream_request::{self, UploadPiece, UploadReader};
+use super::upload_queue::{self, UploadTx};
+use super::upstream_request::{self, UploadReader};
 use crate::links::{Credit, Link, Window};
+use crate::memory::Held;
 use crate::runtime::{Daemon, lock};
 use crate::task_messages::{StreamEvent, TaskMessage, TaskRx};
 use bytes::{Bytes, BytesMut};
@@ -18,10 +20,8 @@
 use http::{HeaderMap, Method};
 use node::Event;
 use node::admission::{self, Effect};
-use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 use wire::{Body, Data, Load, Open, RefuseReason, ResetReason};
 
@@ -36,6 +36,13 @@
 /// cancelled, in bytes.
 const MAX_DISCARDED_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Smallest flow-control window of an upload, in bytes.
+const MIN_UPLOAD_WINDOW_BYTES: usize = 16 * 1024;
+/// Part of the memory that is left for requests which the window of one may take.
+const UPLOAD_WINDOW_DIVISOR: usize = 64;
+/// Part of the memory for requests that windows leave to buffered bodies.
+const UPLOAD_RESERVE_DIVISOR: usize = 2;
+
 /// HTTP status of the response of another upstream than the one that was addressed.
 const MISDIRECTED: u16 = 421;
 
@@ -49,7 +56,9 @@
     credit: Arc<Credit>,
     window: Arc<Window>,
     open: Open,
-    upload: Option<mpsc::UnboundedSender<UploadPiece>>,
+    upload: Option<UploadTx>,
+    /// Memory for a body that is received before the request runs.
+    body_held: Held,
     upload_offset: u64,
     /// Bytes of the response received after the request was cancelled.
     discarded_bytes: u64,
@@ -71,6 +80,7 @@
         open: Open,
     ) -> Self {
         let attempt_id = attempt_id(&daemon, &open);
+        let body_held = daemon.memory.requests.hold();
         Self {
             reply_sender: ReplySender {
                 daemon: daemon.clone(),
@@ -87,6 +97,7 @@
             upload_offset: open.body.len() as u64,
             open,
             upload: None,
+            body_held,
             discarded_bytes: 0,
             admitted: None,
             attempt_id,
@@ -178,21 +189,36 @@
     }
 
     fn upload_reader(&mut self) -> UploadReader {
-        let (tx, rx) = mpsc::unbounded_channel();
+        let (tx, rx) = upload_queue::queue();
         self.upload = Some(tx);
-        let window_bytes = self.daemon.cfg.limits.window_bytes as u64;
+        let mut held = self.daemon.memory.requests.hold();
+        let window_bytes = self.upload_window(&mut held) as u64;
         let reader = UploadReader {
             rx,
             link: self.reply_sender.link.clone(),
             stream: self.reply_sender.stream,
             window: self.window.clone(),
             window_bytes,
+            _held: held,
             consumed: 0,
         };
         reader.grant_credit(window_bytes);
         reader
     }
 
+    /// Returns the window of an upload. As less memory is left, windows become smaller; the
+    /// smallest is granted in any case, because the request has a slot of the upstream.
+    fn upload_window(&self, held: &mut Held) -> usize {
+        let max = self.daemon.cfg.limits.window_bytes;
+        let wanted = held.share().free() / UPLOAD_WINDOW_DIVISOR;
+        let wanted = wanted.max(MIN_UPLOAD_WINDOW_BYTES).min(max);
+        let reserve = held.share().max / UPLOAD_RESERVE_DIVISOR;
+        match held.try_grow_beside(wanted, reserve) {
+            true => wanted,
+            false => MIN_UPLOAD_WINDOW_BYTES.min(max),
+        }
+    }
+
     /// Buffers the response until it is complete, and streams it if it exceeds
     /// the buffer or there is no memory for it.
     async fn relay_response(&mut self, mut response: UpstreamResponse) {
@@ -393,7 +419,7 @@
         }
         self.upload_offset += data.bytes.len() as u64;
         if !data.bytes.is_empty() {
-            let _ = upload.send(Ok(data.bytes));
+            upload.push(data.bytes);
         }
         if data.end {
             self.upload = None;
@@ -408,7 +434,7 @@
         }
         self.reply_sender.closed = true;
         if let Some(upload) = self.upload.take() {
-            let _ = upload.send(Err(io::ErrorKind::ConnectionAborted.into()));
+            upload.cut_off();
         }
         let upstream = self.daemon.cfg.upstream.as_ref();
         let path = upstream.and_then(|u| u.cancel_path.clone());
--- a/crates/plumhitchd/src/gate_http/job/receive.rs
+++ b/crates/plumhitchd/src/gate_http/job/receive.rs
@@ -20,6 +20,11 @@
         let deadline = Duration::from_millis(self.open.deadline_ms);
         let body_len = self.open.body_len.unwrap_or_default();
         let missing = body_len.saturating_sub(self.upload_offset);
+        if !self.has_memory_for(missing) {
+            self.log_refusal(RefuseReason::NoSlot, self.daemon.load());
+            self.reply_sender.refuse(RefuseReason::NoSlot);
+            return false;
+        }
         let stream = body_intake::Stream {
             link: self.reply_sender.link.clone(),
             id: self.reply_sender.stream,
@@ -48,6 +53,11 @@
         }
     }
 
+    /// Holds memory for bytes of the body; returns whether there was any.
+    fn has_memory_for(&mut self, bytes: u64) -> bool {
+        usize::try_from(bytes).is_ok_and(|bytes| self.body_held.try_grow(bytes))
+    }
+
     /// Returns the complete body, or `None` if the entry cancels the request or is
     /// lost.
     async fn collect_body(&mut self) -> Option<Bytes> {
--- a/crates/plumhitchd/src/gate_http/upstream_request.rs
+++ b/crates/plumhitchd/src/gate_http/upstream_request.rs
@@ -2,8 +2,10 @@
 //! forwarded.
 
 use super::exchange::{Echo, UpstreamRequest};
+use super::upload_queue::UploadRx;
 use crate::http_headers::from_wire;
 use crate::links::{Link, Window};
+use crate::memory::Held;
 use crate::runtime::Daemon;
 use bytes::Bytes;
 use http::header::{HOST, HeaderName, HeaderValue};
@@ -11,7 +13,6 @@
 use http1::Framing;
 use std::io;
 use std::sync::Arc;
-use tokio::sync::mpsc;
 use wire::{Header, Open, StreamId};
 
 /// A piece of a request body, or an error if the body is cut off.
@@ -21,11 +22,13 @@
 /// bytes are consumed.
 #[derive(Debug)]
 pub(super) struct UploadReader {
-    pub(super) rx: mpsc::UnboundedReceiver<UploadPiece>,
+    pub(super) rx: UploadRx,
     pub(super) link: Arc<Link>,
     pub(super) stream: StreamId,
     pub(super) window: Arc<Window>,
     pub(super) window_bytes: u64,
+    /// Memory for the window.
+    pub(super) _held: Held,
     pub(super) consumed: u64,
 }
 
--- a/crates/plumhitchd/src/task_messages.rs
+++ b/crates/plumhitchd/src/task_messages.rs
@@ -45,4 +45,6 @@
     Aborted,
     /// The rest of the body stopped arriving.
     TimedOut,
+    /// There is no memory to buffer the body.
+    NoMemory,
 }
