--- a/crates/node/tests/control_disks.rs
+++ b/crates/node/tests/control_disks.rs
@@ -351,7 +351,7 @@
 
 /// Guards against changes that are not acknowledged any more after the disks of all control
 /// machines have failed in turn, each of which works again: each replica was out until its
-/// process restarted. A replica that is back holds the changes once, not twice.
+/// process restarted.
 #[test]
 fn changes_are_acknowledged_after_disks_failed_in_turn() {
     for seed in 1..=FAILED_SEEDS {
