Grant credit only for body bytes that came with credit

The first 8 KB of a response come with its head, without credit. The entry granted credit for them as if they had used it, so that up to 8 KB more than its window could arrive than it held memory for: half as much again for the smallest window of 16 KB.

--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -130,7 +130,10 @@
     stream: StreamId,
     window: Arc<Window>,
     max_window_bytes: usize,
+    /// Credited bytes of the body that were passed on since credit was last granted.
     consumed: u64,
+    /// Bytes of the body that came with the head, without credit, and were not passed on yet.
+    uncredited_bytes: usize,
     /// Bytes of the body that were not passed on yet.
     waiting_bytes: usize,
     /// Memory for what may arrive unread, and for what waits once the response is complete.
@@ -190,6 +193,7 @@
             window,
             max_window_bytes: daemon.cfg.limits.window_bytes,
             consumed: 0,
+            uncredited_bytes: 0,
             waiting_bytes: 0,
             held,
             upload_task,
@@ -243,6 +247,7 @@
         self.bodyless |= BODYLESS.contains(&head.status);
         self.declared_len = head.body_len.filter(|_| !self.bodyless);
         let end = head.end;
+        self.uncredited_bytes = body.len();
         self.response = Some(head);
         self.push(body, end)
     }
@@ -286,7 +291,9 @@
             self.held.shrink(bytes.len());
             return Some(bytes);
         }
-        self.consumed += bytes.len() as u64;
+        let uncredited = bytes.len().min(self.uncredited_bytes);
+        self.uncredited_bytes -= uncredited;
+        self.consumed += (bytes.len() - uncredited) as u64;
         let window_bytes = self.held.bytes() as u64;
         if window_bytes > 0 && self.consumed >= window_bytes / 2 {
             let consumed = std::mem::take(&mut self.consumed);
