Leave room for the longest call in a process with little memory

The share of calls was a sixteenth of the memory, 4 MB of 64 MB, so that a change of up to 7 MB, which a daemon accepts, would have been rejected with 503 for good. It has at least 10 MB now: long bodies leave a quarter of it.

--- a/crates/plumhitchd/src/memory.rs
+++ b/crates/plumhitchd/src/memory.rs
@@ -26,6 +26,10 @@
 const REQUEST_PARTS: usize = 3;
 /// Share of the calls of operators and of the embedding program.
 const CALL_PARTS: usize = 2;
+/// Shares of all uses.
+const ALL_PARTS: usize = ENTRY_RESPONSE_PARTS + GATE_RESPONSE_PARTS + REQUEST_PARTS + CALL_PARTS;
+/// Smallest share of calls, in bytes: the longest call is accepted while there are no others.
+const MIN_CALL_BYTES: usize = 10 * 1024 * 1024;
 /// File that states the memory of the process in pages.
 const PAGES_FILE: &str = "/proc/self/statm";
 /// Size of a page on which the file above is based, in bytes.
@@ -62,13 +66,13 @@
     /// Divides a number of bytes. Without callers, calls get their shares.
     fn divide(bytes: usize, has_callers: bool) -> Self {
         let share = |name, parts| Share::new(name, bytes / PARTS * parts);
-        let all_parts = ENTRY_RESPONSE_PARTS + GATE_RESPONSE_PARTS + REQUEST_PARTS + CALL_PARTS;
+        let call_parts = if has_callers { CALL_PARTS } else { ALL_PARTS };
         let parts = |parts| if has_callers { parts } else { 0 };
         Self {
             entry_responses: share("entry_responses", parts(ENTRY_RESPONSE_PARTS)),
             gate_responses: share("gate_responses", parts(GATE_RESPONSE_PARTS)),
             requests: share("requests", parts(REQUEST_PARTS)),
-            calls: share("calls", if has_callers { CALL_PARTS } else { all_parts }),
+            calls: Share::new("calls", (bytes / PARTS * call_parts).max(MIN_CALL_BYTES)),
         }
     }
 
