Cut off no caller that reads steadily while memory is short

Cause: cut off callers that took nothing for a second while little memory for responses was left. But what is held is mostly windows of responses that have not begun, and a socket takes bytes only when a large part of its buffer is empty, which takes seconds for a steady reader.

Change: the rule is gone; the idle time of connections is the only limit, as before. Ruled out for now: a rule by bytes that wait and by what the peer acknowledged, which needs the state of the socket.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -12,9 +12,8 @@
 use flow::MIN_PIECE_BYTES;
 use http::Method;
 use http1::{BodyReader, Framing, HeadError, Piece, RequestHead};
-use std::pin::pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -35,8 +34,6 @@
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Capacity of the write buffer that a connection keeps between responses, in bytes.
 const MAX_KEPT_BYTES: usize = 32 * 1024;
-/// Time for which a caller may take nothing of a response while memory is short.
-const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time during which incoming bytes are read and discarded after the write half
 /// is shut down. Unread bytes would reset the connection, and the caller would
 /// lose the last response.
@@ -518,27 +515,18 @@
 }
 
 /// Writes the whole buffer. The idle timeout begins anew with each part that the connection
-/// takes, so that a slow reader is not cut off. While memory for responses is short, a caller
-/// that takes nothing is cut off earlier.
+/// takes, so that a slow reader is not cut off.
 async fn write_out(
     daemon: &Daemon,
     write: &mut OwnedWriteHalf,
     buf: &mut impl Buf,
 ) -> Result<(), CutReason> {
     while buf.has_remaining() {
-        let mut writing = pin!(write.write_buf(buf));
-        let started = Instant::now();
-        loop {
-            let limit = daemon.idle_timeout().saturating_sub(started.elapsed());
-            match timeout(limit.min(STALL_TIMEOUT), &mut writing).await {
-                Ok(Ok(len)) if len > 0 => break,
-                Ok(_) => return Err(CutReason::WriteFailed),
-                Err(_) if limit <= STALL_TIMEOUT => return Err(CutReason::NotRead),
-                Err(_) if daemon.memory.entry_responses.is_short() => {
-                    return Err(CutReason::NotRead);
-                }
-                Err(_) => {}
-            }
+        let written = timeout(daemon.idle_timeout(), write.write_buf(buf)).await;
+        match written {
+            Ok(Ok(len)) if len > 0 => {}
+            Ok(_) => return Err(CutReason::WriteFailed),
+            Err(_) => return Err(CutReason::NotRead),
         }
     }
     Ok(())
--- a/crates/plumhitchd/src/memory/share.rs
+++ b/crates/plumhitchd/src/memory/share.rs
@@ -43,7 +43,7 @@
         self.max.saturating_sub(self.held())
     }
 
-    /// Returns whether so little is left that work that makes no progress has to end.
+    /// Returns whether so little is left that memory is held for what arrives, not for what may.
     pub(crate) fn is_short(&self) -> bool {
         self.free() < self.max / SHORT_DIVISOR
     }
