Record what is synced as soon as a folder is opened again

Found by the review of: until the next operation the record named the old segment, so that damage to the new one, which holds all entries in long frames, would have been taken for a torn write and cut off.

--- a/crates/replica/src/disk/reopen.rs
+++ b/crates/replica/src/disk/reopen.rs
@@ -97,6 +97,7 @@
         self.recorded = None;
         self.remove_covered_segments()?;
         self.failed = false;
+        self.record_synced();
         Ok(recovered)
     }
 }
