--- a/crates/plumhitchd/src/http_server/call_body.rs
+++ b/crates/plumhitchd/src/http_server/call_body.rs
@@ -104,14 +104,20 @@
         if len > self.held.bytes() {
             let step = MIN_STEP_BYTES.max(self.bytes.len() / STEP_DIVISOR);
             let wanted = len.max(self.held.bytes() + step).min(max_bytes);
-            let reserve = reserve(self.held.share(), wanted);
-            let more = wanted - self.held.bytes();
-            if !self.held.try_grow_beside(more, reserve) {
+            if !self.try_hold(wanted, len) && !self.try_hold(len, len) {
                 return Err(BodyError::NoMemory);
             }
-            self.bytes.reserve_exact(wanted - self.bytes.len());
+            self.bytes
+                .reserve_exact(self.held.bytes() - self.bytes.len());
         }
         self.bytes.extend_from_slice(piece);
         Ok(())
     }
+
+    /// Holds memory for `bytes` in all, for a body that has `len` bytes now.
+    fn try_hold(&mut self, bytes: usize, len: usize) -> bool {
+        let reserve = reserve(self.held.share(), len);
+        let more = bytes - self.held.bytes();
+        self.held.try_grow_beside(more, reserve)
+    }
 }
