review: case 10, a request that crashes an instance after its client has left is never stopped

Cause: the end of a cancelled request is dropped as evidence at the first response that comes more than 500 ms after it, while the instance still works on the request. Change: a script that shows it; the stand-in of case 9 has a mode for it.

--- a/review/stand-in-2/poison.rs
+++ b/review/stand-in-2/poison.rs
@@ -1,8 +1,9 @@
 //! Stand-ins for a small deployment: operator, clients and instances, around the project's own
 //! processes. A request that crashes each instance that begins to run it comes again and again,
-//! with the same path, caller and body; its body is sent with a length or in chunks.
+//! with the same path, caller and body; its body is sent with a length or in chunks. With `left`
+//! it always has a length, its client leaves soon, and the instance works on until it crashes.
 //!
-//! poison PROGRAM FOLDER RECORD: exit 0 if the rule held, 1 if it was broken, 2 if the case
+//! poison PROGRAM FOLDER RECORD [left]: exit 0 if the rule held, 1 if it was broken, 2 if the case
 //! could not run.
 
 use std::collections::HashMap;
@@ -29,6 +30,10 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time for which a crashed instance is down.
 const DOWN: Duration = Duration::from_secs(2);
+/// Time after which the client leaves, and time for which the instance works on the request
+/// before it crashes, with `left`.
+const LEAVES: Duration = Duration::from_millis(150);
+const WORK: Duration = Duration::from_millis(850);
 /// Retries that the rule allows.
 const MAX_RETRIES: usize = 3;
 
@@ -56,7 +61,11 @@
 impl Log {
     fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{:8.3} s  {text}", self.started.elapsed().as_secs_f64());
+        let _ = writeln!(
+            file,
+            "{:8.3} s  {text}",
+            self.started.elapsed().as_secs_f64()
+        );
     }
 }
 
@@ -67,8 +76,9 @@
 fn settings(net: u8, folder: &str, machine: usize) -> String {
     let is_core = machine < CORES;
     let ip = address(net, machine, 1).ip();
-    let seeds: Vec<String> =
-        (0..3).map(|n| format!("\"{}\"", address(net, n, CONTROL))).collect();
+    let seeds: Vec<String> = (0..3)
+        .map(|n| format!("\"{}\"", address(net, n, CONTROL)))
+        .collect();
     let seeds = seeds.join(",");
     let zone = ["nl-a", "nl-b", "nl-c", "nl-d"][machine % 4];
     let (class, serves) = match is_core {
@@ -117,7 +127,9 @@
     let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok());
     match status {
         Some(status) => Ok((status, answer)),
-        None => Err(read.err().map_or("closed without an answer".to_owned(), |e| e.to_string())),
+        None => Err(read
+            .err()
+            .map_or("closed without an answer".to_owned(), |e| e.to_string())),
     }
 }
 
@@ -131,7 +143,15 @@
 }
 
 /// One attempt of a client at the machine `to`.
-fn attempt(to: SocketAddr, method: &str, path: &str, id: &str, body: &[u8], chunked: bool) -> Answer {
+fn attempt(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    body: &[u8],
+    chunked: bool,
+    limit: Duration,
+) -> Answer {
     let length = match (method, chunked) {
         ("GET", _) => String::new(),
         (_, true) => "Transfer-Encoding: chunked\r\n".to_owned(),
@@ -142,10 +162,15 @@
          Plumhitch-Deadline-Remaining: 1000\r\nConnection: close\r\n{length}\r\n"
     );
     let framed = match chunked {
-        true => [format!("{:x}\r\n", body.len()).as_bytes(), body, b"\r\n0\r\n\r\n"].concat(),
+        true => [
+            format!("{:x}\r\n", body.len()).as_bytes(),
+            body,
+            b"\r\n0\r\n\r\n",
+        ]
+        .concat(),
         false => body.to_vec(),
     };
-    call(to, &head, &framed, Duration::from_secs(2))
+    call(to, &head, &framed, limit)
 }
 
 fn config() -> String {
@@ -173,6 +198,7 @@
     net: u8,
     machine: usize,
     trouble: bool,
+    left: bool,
     log: Arc<Log>,
     boot: AtomicU64,
     started: Mutex<Instant>,
@@ -205,7 +231,10 @@
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
                         let _ = stream.set_nodelay(true);
-                        self.connections.lock().unwrap().extend(stream.try_clone().ok());
+                        self.connections
+                            .lock()
+                            .unwrap()
+                            .extend(stream.try_clone().ok());
                         let serving = self.clone();
                         thread::spawn(move || serving.serve(stream, boot));
                     }
@@ -225,7 +254,10 @@
     }
 
     fn announce(&self, boot: u64) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_millis();
         for sequence in 1.. {
             if !self.is_boot(boot) {
                 return;
@@ -238,7 +270,12 @@
                 self.cold_ms()
             );
             let path = format!("/api/instances/{}", self.id());
-            let _ = json_call(address(self.net, self.machine, CONTROL), "PUT", &path, &body);
+            let _ = json_call(
+                address(self.net, self.machine, CONTROL),
+                "PUT",
+                &path,
+                &body,
+            );
             thread::sleep(Duration::from_millis(1_500));
         }
     }
@@ -277,20 +314,36 @@
                 self.cold_ms()
             ));
         }
-        let attempt = headers.get("plumhitch-attempt-id").cloned().unwrap_or_default();
-        if headers.get("plumhitch-target-instance").is_some_and(|target| *target != id) {
+        let attempt = headers
+            .get("plumhitch-attempt-id")
+            .cloned()
+            .unwrap_or_default();
+        if headers
+            .get("plumhitch-target-instance")
+            .is_some_and(|target| *target != id)
+        {
             return Some(format!(
                 "HTTP/1.1 421 Misdirected Request\r\nPlumhitch-Attempt-Id: {attempt}\r\n\
                  Plumhitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             ));
         }
-        let caller = headers.get("plumhitch-caller-service").cloned().unwrap_or_default();
+        let caller = headers
+            .get("plumhitch-caller-service")
+            .cloned()
+            .unwrap_or_default();
         if path == "/book/deadly" {
             self.log.reached.lock().unwrap().push(attempt.clone());
             self.log.line(&format!(
                 "instance {id} begins to run {attempt}: {method} {path}, caller {caller}, body {:?}",
                 String::from_utf8_lossy(body)
             ));
+            if self.left {
+                let boot = self.boot.load(Ordering::SeqCst);
+                thread::sleep(WORK);
+                if !self.is_boot(boot) {
+                    return None;
+                }
+            }
             if self.trouble {
                 self.log.crashes.lock().unwrap().push(Instant::now());
                 self.log.line(&format!("instance {id} crashes"));
@@ -327,7 +380,10 @@
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
     let mut body = Vec::new();
-    if let Some(length) = headers.get("content-length").and_then(|l| l.parse::<usize>().ok()) {
+    if let Some(length) = headers
+        .get("content-length")
+        .and_then(|l| l.parse::<usize>().ok())
+    {
         body.resize(length, 0);
         read.read_exact(&mut body).ok()?;
     } else if headers.contains_key("transfer-encoding") {
@@ -357,7 +413,12 @@
             return false;
         }
         if !accepted {
-            let answer = json_call(address(net, n % CORES, CONTROL), "PUT", "/api/config", &body);
+            let answer = json_call(
+                address(net, n % CORES, CONTROL),
+                "PUT",
+                "/api/config",
+                &body,
+            );
             accepted = matches!(answer, Ok((200, _)));
             if accepted {
                 log.line("the configuration is acknowledged");
@@ -395,8 +456,9 @@
     let mut args = std::env::args().skip(1);
     let (program, folder, record) = (args.next(), args.next(), args.next());
     let (Some(program), Some(folder), Some(record)) = (program, folder, record) else {
-        return Err("poison PROGRAM FOLDER RECORD".to_owned());
+        return Err("poison PROGRAM FOLDER RECORD [left]".to_owned());
     };
+    let left = args.next().as_deref() == Some("left");
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let log = Arc::new(Log {
         started: Instant::now(),
@@ -428,6 +490,7 @@
             net,
             machine,
             trouble,
+            left,
             log: log.clone(),
             boot: AtomicU64::new(0),
             started: Mutex::new(Instant::now()),
@@ -442,8 +505,11 @@
     thread::spawn(move || {
         for n in 0_u64.. {
             let to = address(net, CORES + n as usize % SIDES, OUTBOUND);
-            thread::spawn(move || attempt(to, "GET", &format!("/read/{n}"), &format!("r{n}"), b"", false));
-            thread::sleep(Duration::from_millis(100));
+            thread::spawn(move || {
+                let (path, id) = (format!("/read/{n}"), format!("r{n}"));
+                attempt(to, "GET", &path, &id, b"", false, Duration::from_secs(2))
+            });
+            thread::sleep(Duration::from_millis(if left { 12 } else { 100 }));
         }
     });
     // Machines are in touch once their processes have run for `contact`.
@@ -460,10 +526,14 @@
             0..6 => Duration::from_millis(3_500),
             _ => Duration::from_millis(1_400),
         };
-        let (id, chunked) = (format!("deadly-{n}"), n % 2 == 1);
+        let (id, chunked) = (format!("deadly-{n}"), !left && n % 2 == 1);
         let machine = CORES + n % SIDES;
         sent.push((id.clone(), Instant::now()));
-        let framing = if chunked { "in chunks" } else { "with a length" };
+        let framing = if chunked {
+            "in chunks"
+        } else {
+            "with a length"
+        };
         log.line(&format!("client sends {id} {framing} to machine {machine}"));
         let answer = attempt(
             address(net, machine, OUTBOUND),
@@ -472,6 +542,7 @@
             &id,
             b"court 7, Saturday",
             chunked,
+            if left { LEAVES } else { Duration::from_secs(2) },
         );
         match answer {
             Ok((status, _)) => log.line(&format!("client gets {status} for {id}")),
@@ -487,7 +558,9 @@
     let reached = log.reached.lock().unwrap().clone();
     let retries: Vec<&str> = match crashes.get(2) {
         Some(third) => {
-            let late = sent.iter().filter(|(id, at)| *at > *third + CONTACT && reached.contains(id));
+            let late = sent
+                .iter()
+                .filter(|(id, at)| *at > *third + CONTACT && reached.contains(id));
             late.map(|(id, _)| id.as_str()).collect()
         }
         None => Vec::new(),
--- a/review/stand-in-2/removal.rs
+++ b/review/stand-in-2/removal.rs
@@ -55,14 +55,18 @@
         fs::create_dir_all(format!("{folder}/data"))?;
         let path = format!("{folder}/settings.toml");
         fs::write(&path, settings(self.net, &folder, machine, bootstrap))?;
-        let log = File::options().create(true).append(true).open(format!("{folder}/log"))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(format!("{folder}/log"))?;
         let child = Command::new(&self.program)
             .args(["--settings", &path])
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.processes.resize_with(self.processes.len().max(machine + 1), || None);
+        self.processes
+            .resize_with(self.processes.len().max(machine + 1), || None);
         self.processes[machine] = Some(child);
         Ok(())
     }
@@ -72,7 +76,9 @@
         let Some(mut child) = self.processes[machine].take() else {
             return Ok(());
         };
-        Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        Command::new("kill")
+            .args(["-TERM", &child.id().to_string()])
+            .status()?;
         let until = Instant::now() + Duration::from_secs(6);
         while child.try_wait()?.is_none() && Instant::now() < until {
             sleep(Duration::from_millis(10));
@@ -92,7 +98,9 @@
     }
 
     fn running(&self) -> Vec<usize> {
-        (0..self.processes.len()).filter(|n| self.processes[*n].is_some()).collect()
+        (0..self.processes.len())
+            .filter(|n| self.processes[*n].is_some())
+            .collect()
     }
 }
 
@@ -102,8 +110,9 @@
 
 fn settings(net: u8, folder: &str, machine: usize, bootstrap: bool) -> String {
     let ip = address(net, machine, 1).ip();
-    let seeds: Vec<String> =
-        (0..3).map(|n| format!("\"{}\"", address(net, n, CONTROL))).collect();
+    let seeds: Vec<String> = (0..3)
+        .map(|n| format!("\"{}\"", address(net, n, CONTROL)))
+        .collect();
     let seeds = seeds.join(",");
     let zone = ["nl-a", "nl-b", "nl-c", "nl-d"][machine % 4];
     format!(
@@ -132,7 +141,10 @@
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     let length = match method {
         "GET" => String::new(),
-        _ => format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()),
+        _ => format!(
+            "Content-Type: application/json\r\nContent-Length: {}\r\n",
+            body.len()
+        ),
     };
     let head =
         format!("{method} /api/config HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n{length}\r\n");
@@ -179,7 +191,9 @@
         let machine = running[n % running.len()];
         let answer = call(address(machines.net, machine, CONTROL), "PUT", body);
         if let Some((status, _)) = answer {
-            log.line(&format!("machine {machine} answers {status} to version {version}"));
+            log.line(&format!(
+                "machine {machine} answers {status} to version {version}"
+            ));
             if status == 200 {
                 return Ok(());
             }
@@ -210,23 +224,35 @@
         return Err("removal PROGRAM FOLDER RECORD".to_owned());
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let mut log = Log { started: Instant::now(), file: File::create(record).map_err(text)? };
+    let mut log = Log {
+        started: Instant::now(),
+        file: File::create(record).map_err(text)?,
+    };
     // A part of the loopback network on which nothing listens.
     let first = (std::process::id() % 200) as u8;
     let is_free = |net: &u8| TcpListener::bind(address(*net, 0, CONTROL)).is_ok();
     let net = (first + 1..=250).find(is_free).ok_or("no free addresses")?;
-    let mut machines = Machines { net, program, folder, processes: Vec::new() };
+    let mut machines = Machines {
+        net,
+        program,
+        folder,
+        processes: Vec::new(),
+    };
     for machine in 0..CORES {
         machines.start(machine, true).map_err(text)?;
     }
     order(&machines, &mut log, &config(7, 0, 1_000), 7)?;
     sleep(CATCH_UP + Duration::from_secs(1));
     machines.start(CORES, false).map_err(text)?;
-    log.line(&format!("machine {CORES} starts with an empty disk, to replace machine {REMOVED}"));
+    log.line(&format!(
+        "machine {CORES} starts with an empty disk, to replace machine {REMOVED}"
+    ));
     sleep(CATCH_UP + Duration::from_secs(1));
     log.line(&format!("machine {REMOVED} gets SIGTERM"));
     machines.stop(REMOVED).map_err(text)?;
-    log.line(&format!("the process of machine {REMOVED} has ended; the machine is gone"));
+    log.line(&format!(
+        "the process of machine {REMOVED} has ended; the machine is gone"
+    ));
     let exited = Instant::now();
     order(&machines, &mut log, &config(9, 7, 1_200), 9)?;
     sleep(AFTER_EXIT.saturating_sub(exited.elapsed()));
@@ -253,9 +279,18 @@
             refused += usize::from(status != 200);
             if status == 200 {
                 let is_newest = answer.contains("\"version\":9") && answer.contains("1200ms");
-                log.line(&format!("machine {machine} answers a read, version 9: {is_newest}"));
-                let held = if is_newest { "comes back" } else { "is not the acknowledged one" };
-                println!("the configuration {held} {:.1} s after", back.elapsed().as_secs_f64());
+                log.line(&format!(
+                    "machine {machine} answers a read, version 9: {is_newest}"
+                ));
+                let held = if is_newest {
+                    "comes back"
+                } else {
+                    "is not the acknowledged one"
+                };
+                println!(
+                    "the configuration {held} {:.1} s after",
+                    back.elapsed().as_secs_f64()
+                );
                 return Ok(is_newest);
             }
         }
