--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,7 @@
 folder=$(mktemp -d) || exit 2
 "$root/target/review-2/removal" "$root/target/release/plumhitch-platform" "$folder" "$here/record.txt" &
 pid=$!
-trap 'kill "$pid" 2>/dev/null' INT TERM
+trap 'kill -9 "$pid" $(ps -o pid= --ppid "$pid") 2>/dev/null' INT TERM
 wait "$pid"
 status=$?
 rm -rf "$folder"
