Sync what a start has read before anything depends on it

Cause: a process that is killed between a write and its sync leaves the write in the cache of the system. The next start counted it as synced, acknowledged it, and started a segment whose header names it as its predecessor; nothing synced the first file again. The next loss of power took the entry away, and the sound folder was set aside as damaged.

Change: the first disk operation of a start, DiskWrite::Recovered, syncs the files that were read and their folder. Until then the replica sends nothing and counts no entry as synced. Disk does the same before any other first write. MemoryDisk, the shuffle and the fuzz of disk faults draw kills with writes left in the cache, and losses of power later.

Why it works: no message leaves before all that it can rest on is durable, and no header is written before its predecessor is.

Ruled out: a torn write taken for damage (the record of synced bytes claimed nothing missing).

--- a/crates/replica/src/disk.rs
+++ b/crates/replica/src/disk.rs
@@ -31,6 +31,9 @@
 //! not end its part in the cluster, because the other replicas' disks may fill up next.
 //! Any other error does until the folder has been read again and everything in it has been
 //! written to new files, since what a failed sync has left on the disk is unknown.
+//!
+//! A process may end between a write and its sync. What is read at the start is therefore
+//! synced by the first operation, [`DiskWrite::Recovered`] or any other, before it writes.
 
 mod active_segment;
 mod error;
@@ -75,6 +78,8 @@
     segments: Vec<Segment>,
     /// The segment being written; `None` until the first write after the start.
     active: Option<ActiveSegment>,
+    /// Files that were read at the start and not synced since.
+    unsynced: Vec<PathBuf>,
     term_index: TermIndex,
     /// Indexes of the snapshots in the folder. All but the newest are outdated.
     snapshots: Vec<u64>,
@@ -136,7 +141,13 @@
         let FolderContents {
             mut recovered,
             segments,
+            snapshots,
+            sources,
         } = contents?;
+        if recovered.hard_state.is_none() {
+            // The process that created the folder may have ended before it synced its name.
+            files.sync_parent(path)?;
+        }
         recovered.set_aside = names_set_aside(path)?;
         let snapshot = recovered.snapshot.as_ref();
         let disk = Self {
@@ -144,8 +155,9 @@
             files,
             segments,
             active: None,
+            unsynced: sources,
             term_index: TermIndex::new(snapshot, &recovered.entries),
-            snapshots: snapshot.map(|s| s.index).into_iter().collect(),
+            snapshots,
             recorded: None,
             state: recovered.hard_state,
             failed: false,
@@ -241,17 +253,34 @@
 
     /// Performs a write. After a temporary error it can be tried again.
     fn write(&mut self, write: &DiskWrite) -> Result<(), DiskError> {
-        if self.active.is_none() {
+        self.sync_recovered()?;
+        let writes = !matches!(write, DiskWrite::Recovered);
+        if writes && self.active.is_none() {
+            self.remove_outdated_snapshots()?;
             self.start_segment()?;
             self.remove_covered_segments()?;
         }
         match write {
+            DiskWrite::Recovered => Ok(()),
             DiskWrite::State(state) => self.save_state(state),
             DiskWrite::Snapshot(snapshot) => self.save_snapshot(snapshot),
             DiskWrite::Append(entries) => self.append(entries),
         }
     }
 
+    /// Syncs the files that were read at the start, and their names.
+    fn sync_recovered(&mut self) -> Result<(), DiskError> {
+        if self.unsynced.is_empty() {
+            return Ok(());
+        }
+        for path in &self.unsynced {
+            self.files.sync(path)?;
+        }
+        self.files.sync_folder(&self.folder)?;
+        self.unsynced.clear();
+        Ok(())
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), DiskError> {
         if self
             .active
@@ -362,7 +391,7 @@
 fn entries_of(write: DiskWrite) -> Vec<LogEntry> {
     match write {
         DiskWrite::Append(entries) => entries,
-        DiskWrite::State(_) | DiskWrite::Snapshot(_) => Vec::new(),
+        DiskWrite::State(_) | DiskWrite::Snapshot(_) | DiskWrite::Recovered => Vec::new(),
     }
 }
 
--- a/crates/replica/src/disk/file.rs
+++ b/crates/replica/src/disk/file.rs
@@ -26,9 +26,10 @@
     Remove,
 }
 
-/// Called before each file operation in tests. The operation fails with the returned
-/// error; of a write, the first half of the bytes is written.
-pub type FaultInjector = Box<dyn FnMut(FileOp) -> io::Result<()> + Send>;
+/// Called before each file operation in tests, with the path of the file or folder; of a
+/// renaming, the old path. The operation fails with the returned error; of a write, the
+/// first half of the bytes is written.
+pub type FaultInjector = Box<dyn FnMut(FileOp, &Path) -> io::Result<()> + Send>;
 
 /// The operations on the files of a folder.
 #[derive(Default)]
@@ -49,8 +50,8 @@
         }
     }
 
-    fn check(&mut self, op: FileOp) -> io::Result<()> {
-        self.inject_fault.as_mut().map_or(Ok(()), |f| f(op))
+    fn check(&mut self, op: FileOp, path: &Path) -> io::Result<()> {
+        self.inject_fault.as_mut().map_or(Ok(()), |f| f(op, path))
     }
 
     /// Creates a folder if it does not exist.
@@ -58,11 +59,32 @@
         if path.is_dir() {
             return Ok(());
         }
-        let created = self.check(FileOp::Open);
+        let created = self.check(FileOp::Open, path);
         let created = created.and_then(|()| fs::create_dir_all(path));
         created.map_err(|e| io_error(path, &e))?;
-        path.parent()
-            .map_or(Ok(()), |parent| self.sync_folder(parent))
+        self.sync_parent(path)
+    }
+
+    /// Syncs the name of a folder in its parent. A parent that this process must not read
+    /// belongs to whoever created the folder, and is left to them.
+    pub(super) fn sync_parent(&mut self, path: &Path) -> Result<(), DiskError> {
+        let Some(parent) = path.parent() else {
+            return Ok(());
+        };
+        match self.sync_folder(parent) {
+            Err(DiskError::Io { path, kind }) if kind == ErrorKind::PermissionDenied => {
+                log::warn!("event=parent_folder_not_synced path={path} reason=\"{kind}\"");
+                Ok(())
+            }
+            synced => synced,
+        }
+    }
+
+    /// Syncs what was written to a file, whichever process wrote it.
+    pub(super) fn sync(&mut self, path: &Path) -> Result<(), DiskError> {
+        let synced = self.check(FileOp::Sync, path);
+        let synced = synced.and_then(|()| File::open(path)?.sync_all());
+        synced.map_err(|e| io_error(path, &e))
     }
 
     /// Syncs a folder, so that created, renamed and removed files survive a crash.
@@ -72,20 +94,18 @@
         } else {
             path
         };
-        let synced = self.check(FileOp::Sync);
-        let synced = synced.and_then(|()| File::open(path)?.sync_all());
-        synced.map_err(|e| io_error(path, &e))
+        self.sync(path)
     }
 
     pub(super) fn remove(&mut self, path: &Path) -> Result<(), DiskError> {
-        let removed = self.check(FileOp::Remove);
+        let removed = self.check(FileOp::Remove, path);
         let removed = removed.and_then(|()| fs::remove_file(path));
         removed.map_err(|e| io_error(path, &e))
     }
 
     /// Moves a file. The folders are not synced.
     pub(super) fn rename(&mut self, from: &Path, to: &Path) -> Result<(), DiskError> {
-        let renamed = self.check(FileOp::Rename);
+        let renamed = self.check(FileOp::Rename, from);
         let renamed = renamed.and_then(|()| fs::rename(from, to));
         renamed.map_err(|e| io_error(from, &e))
     }
@@ -95,7 +115,7 @@
         if !path.is_dir() {
             return self.remove(path);
         }
-        let removed = self.check(FileOp::Remove);
+        let removed = self.check(FileOp::Remove, path);
         let removed = removed.and_then(|()| fs::remove_dir_all(path));
         removed.map_err(|e| io_error(path, &e))
     }
@@ -105,13 +125,13 @@
         let f = OpenOptions::new().write(true).open(path);
         let f = f.map_err(|e| io_error(path, &e))?;
         self.set_len(&f, path, len)?;
-        self.check(FileOp::Sync)
+        self.check(FileOp::Sync, path)
             .and_then(|()| f.sync_all())
             .map_err(|e| io_error(path, &e))
     }
 
     pub(super) fn set_len(&mut self, f: &File, path: &Path, len: usize) -> Result<(), DiskError> {
-        let set = self.check(FileOp::SetLen);
+        let set = self.check(FileOp::SetLen, path);
         let set = set.and_then(|()| f.set_len(len as u64));
         set.map_err(|e| io_error(path, &e))
     }
@@ -121,7 +141,7 @@
     pub(super) fn create(&mut self, path: &Path, bytes: &[u8]) -> Result<File, DiskError> {
         let mut f = self.open_to_append(path)?;
         self.set_len(&f, path, 0)?;
-        let written = self.write_and_sync(&mut f, bytes);
+        let written = self.write_and_sync(&mut f, path, bytes);
         written.map_err(|e| io_error(path, &e))?;
         path.parent()
             .map_or(Ok(()), |folder| self.sync_folder(folder))?;
@@ -131,7 +151,7 @@
     /// Opens a file, which is created if needed, to append to it.
     pub(super) fn open_to_append(&mut self, path: &Path) -> Result<File, DiskError> {
         let f = self
-            .check(FileOp::Open)
+            .check(FileOp::Open, path)
             .and_then(|()| OpenOptions::new().append(true).create(true).open(path));
         f.map_err(|e| io_error(path, &e))
     }
@@ -143,9 +163,9 @@
         path: &Path,
         bytes: &[u8],
     ) -> Result<(), DiskError> {
-        let written = self.write(f, bytes);
+        let written = self.write(f, path, bytes);
         let synced = written.and_then(|()| {
-            self.check(FileOp::Sync)?;
+            self.check(FileOp::Sync, path)?;
             f.sync_data()
         });
         synced.map_err(|e| io_error(path, &e))
@@ -153,11 +173,11 @@
 
     /// Writes the first bytes of a file without syncing it, and creates it if needed.
     pub(super) fn overwrite(&mut self, path: &Path, bytes: &[u8]) -> Result<(), DiskError> {
-        let f = self.check(FileOp::Open).and_then(|()| {
+        let f = self.check(FileOp::Open, path).and_then(|()| {
             let mut options = OpenOptions::new();
             options.write(true).create(true).truncate(false).open(path)
         });
-        let written = f.and_then(|mut f| self.write(&mut f, bytes));
+        let written = f.and_then(|mut f| self.write(&mut f, path, bytes));
         written.map_err(|e| io_error(path, &e))
     }
 
@@ -171,10 +191,10 @@
     ) -> Result<(), DiskError> {
         let path = folder.join(name);
         let temporary = folder.join(format!("{name}{TEMPORARY_SUFFIX}"));
-        let f = self.check(FileOp::Open);
+        let f = self.check(FileOp::Open, &temporary);
         let written = f.and_then(|()| {
             let mut f = File::create(&temporary)?;
-            self.write_and_sync(&mut f, bytes)
+            self.write_and_sync(&mut f, &temporary, bytes)
         });
         written.map_err(|e| io_error(&temporary, &e))?;
         self.rename(&temporary, &path)?;
@@ -183,7 +203,7 @@
 
     /// Opens a file and holds an exclusive lock on it until it is closed.
     pub(super) fn lock(&mut self, path: &Path) -> Result<File, DiskError> {
-        let f = self.check(FileOp::Open).and_then(|()| {
+        let f = self.check(FileOp::Open, path).and_then(|()| {
             OpenOptions::new()
                 .write(true)
                 .create(true)
@@ -201,17 +221,17 @@
         }
     }
 
-    fn write(&mut self, f: &mut File, bytes: &[u8]) -> io::Result<()> {
-        if let Err(error) = self.check(FileOp::Write) {
+    fn write(&mut self, f: &mut File, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        if let Err(error) = self.check(FileOp::Write, path) {
             f.write_all(&bytes[..bytes.len() / 2])?;
             return Err(error);
         }
         f.write_all(bytes)
     }
 
-    fn write_and_sync(&mut self, f: &mut File, bytes: &[u8]) -> io::Result<()> {
-        self.write(f, bytes)?;
-        self.check(FileOp::Sync)?;
+    fn write_and_sync(&mut self, f: &mut File, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        self.write(f, path, bytes)?;
+        self.check(FileOp::Sync, path)?;
         f.sync_all()
     }
 }
--- a/crates/replica/src/disk/recovery.rs
+++ b/crates/replica/src/disk/recovery.rs
@@ -1,4 +1,8 @@
 //! Recovery of a replica's state from its data folder at start.
+//!
+//! What is read may be in the cache of the system only: the process before may have ended
+//! between a write and its sync. It has to be synced before anything depends on it, the
+//! removal of outdated files included.
 
 use super::error::DiskError;
 use super::file::{Files, corrupt, list, read, read_start};
@@ -9,7 +13,7 @@
 use super::synced_record::Synced;
 use crate::stored::{HardState, Recovered, Snapshot};
 use prost::Message;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use wire::{LogEntry, LogIndex, Term};
 
 /// Maximum length of the frame that holds a segment's header.
@@ -23,15 +27,19 @@
     pub(super) max_index: LogIndex,
 }
 
-/// Recovered state and segments of a data folder.
+/// Recovered state and files of a data folder.
 #[derive(Debug, Default)]
 pub(super) struct FolderContents {
     pub(super) recovered: Recovered,
     pub(super) segments: Vec<Segment>,
+    /// Indexes of the snapshots in ascending order. All but the last are outdated.
+    pub(super) snapshots: Vec<LogIndex>,
+    /// Files that the recovered state was read from, which may not be synced.
+    pub(super) sources: Vec<PathBuf>,
 }
 
-/// Reads all files of the folder, removes temporary files and outdated
-/// snapshots, and truncates a torn tail. `known` states what is synced if the record of it
+/// Reads all files of the folder, removes temporary files, and truncates a torn tail.
+/// `known` states what is synced if the record of it
 /// may be outdated.
 pub(super) fn recover(
     files: &mut Files,
@@ -41,7 +49,8 @@
     let names = list(folder)?;
     remove_temporary_files(files, folder, &names)?;
     let hard_state = read_state(folder, &names)?;
-    let snapshot = read_snapshot(files, folder, &names)?;
+    let snapshots = snapshot_indexes(&names);
+    let snapshot = read_snapshot(folder, &snapshots)?;
     let sequences = segment_sequences(folder, &names)?;
     let recorded = Synced::read(folder, &names)?;
     let synced = known.or(recorded);
@@ -70,6 +79,16 @@
     }
     let has_log = snapshot.is_some() || !replay.entries.is_empty();
     check_required_files(folder, hard_state.is_some(), has_log, &segments)?;
+    let state_name = hard_state.map(|_| STATE_NAME.to_owned());
+    let snapshot_name = snapshots.last().copied().map(snapshot_name);
+    let read_segments = segments.iter().map(|s| s.sequence);
+    let read_segments = read_segments.filter(|sequence| *sequence >= first);
+    let sources = state_name
+        .into_iter()
+        .chain(snapshot_name)
+        .chain(read_segments.map(segment_name))
+        .map(|name| folder.join(name))
+        .collect();
     let recovered = Recovered {
         hard_state,
         snapshot,
@@ -79,6 +98,8 @@
     Ok(FolderContents {
         recovered,
         segments,
+        snapshots,
+        sources,
     })
 }
 
@@ -119,24 +140,19 @@
     read_single_frame::<HardState>(&folder.join(STATE_NAME)).map(Some)
 }
 
-fn read_snapshot(
-    files: &mut Files,
-    folder: &Path,
-    names: &[String],
-) -> Result<Option<Snapshot>, DiskError> {
-    let mut indexes: Vec<LogIndex> = names
-        .iter()
-        .filter_map(|n| parse_snapshot_name(n))
-        .collect();
+fn snapshot_indexes(names: &[String]) -> Vec<LogIndex> {
+    let indexes = names.iter().filter_map(|n| parse_snapshot_name(n));
+    let mut indexes: Vec<LogIndex> = indexes.collect();
     indexes.sort_unstable();
-    let Some(newest) = indexes.pop() else {
+    indexes
+}
+
+/// Reads the newest snapshot.
+fn read_snapshot(folder: &Path, indexes: &[LogIndex]) -> Result<Option<Snapshot>, DiskError> {
+    let Some(newest) = indexes.last() else {
         return Ok(None);
     };
-    let snapshot = read_single_frame::<Snapshot>(&folder.join(snapshot_name(newest)))?;
-    for index in indexes {
-        files.remove(&folder.join(snapshot_name(index)))?;
-    }
-    Ok(Some(snapshot))
+    read_single_frame::<Snapshot>(&folder.join(snapshot_name(*newest))).map(Some)
 }
 
 /// Reads a file that consists of one frame. Such files are synced before they
--- a/crates/replica/src/disk/reopen.rs
+++ b/crates/replica/src/disk/reopen.rs
@@ -45,6 +45,7 @@
             let prefix = set_aside(&mut self.files, &self.folder)?;
             log_set_aside(error, &self.folder, &prefix);
             (self.state, self.active) = (None, None);
+            self.unsynced.clear();
             contents = self.read_back();
         }
         let mut contents = contents?;
@@ -71,6 +72,8 @@
         let FolderContents {
             recovered,
             mut segments,
+            snapshots,
+            ..
         } = contents;
         if let Some(state) = &recovered.hard_state {
             self.save_state(state)?;
@@ -91,10 +94,12 @@
         });
         let snapshot = recovered.snapshot.as_ref();
         self.term_index = TermIndex::new(snapshot, &recovered.entries);
-        self.snapshots = snapshot.map(|s| s.index).into_iter().collect();
+        self.snapshots = snapshots;
         self.segments = segments;
         self.active = Some(active);
+        self.unsynced.clear();
         self.recorded = None;
+        self.remove_outdated_snapshots()?;
         self.remove_covered_segments()?;
         self.failed = false;
         self.record_synced();
--- a/crates/replica/src/io.rs
+++ b/crates/replica/src/io.rs
@@ -117,6 +117,9 @@
     /// Replaces the snapshot and drops the entries that it covers. Drops all
     /// entries if the log's entry at its index has another term.
     Snapshot(Snapshot),
+    /// Writes nothing new, but syncs what was recovered at the start. The process before
+    /// may have ended between a write and its sync.
+    Recovered,
 }
 
 /// A finished disk operation.
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -21,15 +21,14 @@
 }
 
 impl Log {
-    /// Creates the log from the data recovered at start, all of which is
-    /// synced.
+    /// Creates the log from the data recovered at start. The data counts as synced once
+    /// it has been synced again.
     pub(crate) fn recovered(snapshot: Option<Snapshot>, entries: Vec<LogEntry>) -> Self {
         let mut log = Self::default();
         if let Some(snapshot) = snapshot {
             log.reset(snapshot);
         }
         entries.into_iter().for_each(|e| log.push(e));
-        log.synced = log.last_index();
         log
     }
 
--- a/crates/replica/src/memory_disk.rs
+++ b/crates/replica/src/memory_disk.rs
@@ -12,6 +12,9 @@
 pub struct MemoryDisk {
     synced: Recovered,
     unsynced: VecDeque<DiskOp>,
+    /// Writes of a process that ended before it synced them. They can be read, but are
+    /// lost with the power.
+    cached: Vec<DiskWrite>,
     error: Option<DiskError>,
     /// The first operation that failed, which may be complete on the disk.
     failed: Option<DiskOp>,
@@ -57,6 +60,7 @@
         let result = self.error.clone().map_or(Ok(()), Err);
         let id = op.id;
         match result {
+            Ok(()) if op.write == DiskWrite::Recovered => self.sync_cached(),
             Ok(()) => apply(&mut self.synced, op.write),
             Err(_) => drop(self.failed.get_or_insert(op)),
         }
@@ -66,11 +70,26 @@
     /// Discards unsynced operations, as when a VM loses power.
     pub fn discard_unsynced(&mut self) {
         self.unsynced.clear();
+        self.cached.clear();
+    }
+
+    /// Ends the process without a loss of power: the oldest unsynced operation may have
+    /// been written, which a restarted replica then reads.
+    pub fn kill(&mut self, has_written: bool) {
+        let oldest = self.unsynced.drain(..).next().filter(|_| has_written);
+        self.cached.extend(oldest.map(|op| op.write));
+    }
+
+    fn sync_cached(&mut self) {
+        for write in self.cached.drain(..) {
+            apply(&mut self.synced, write);
+        }
     }
 
     /// Simulates a torn write: keeps the first half of the entries of the
     /// oldest unsynced append and discards all other unsynced operations.
     pub fn tear_unsynced(&mut self) {
+        self.cached.clear();
         if let Some(DiskOp {
             write: DiskWrite::Append(mut entries),
             ..
@@ -87,10 +106,11 @@
     }
 
     /// Lets a disk that failed work again. The operation that failed first is complete on
-    /// it or has left nothing.
+    /// it or has left nothing. What can be read back is written again.
     pub fn mend(&mut self, has_failed_write: bool) {
         self.error = None;
         self.unsynced.clear();
+        self.sync_cached();
         let failed = self.failed.take().filter(|_| has_failed_write);
         if let Some(op) = failed {
             apply(&mut self.synced, op.write);
@@ -132,12 +152,17 @@
     /// Returns the state that a restarted replica recovers.
     #[must_use]
     pub fn recover(&self) -> Recovered {
-        self.synced.clone()
+        let mut recovered = self.synced.clone();
+        for write in &self.cached {
+            apply(&mut recovered, write.clone());
+        }
+        recovered
     }
 }
 
 fn apply(stored: &mut Recovered, write: DiskWrite) {
     match write {
+        DiskWrite::Recovered => {}
         DiskWrite::Append(entries) => append(&mut stored.entries, entries),
         DiskWrite::State(state) => stored.hard_state = Some(state),
         DiskWrite::Snapshot(snapshot) => {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -198,6 +198,7 @@
                 state: snapshot.state.clone(),
             });
         }
+        self.sync_recovered(tx);
         self.bootstrap(tx);
         self.ensure_id(tx);
         self.refresh_role(tx);
--- a/crates/replica/src/replica/storage.rs
+++ b/crates/replica/src/replica/storage.rs
@@ -15,6 +15,7 @@
 /// Action that follows when an operation is synced.
 #[derive(Debug)]
 enum AfterSync {
+    Recovered { last: LogIndex },
     Appended { last: LogIndex },
     StateSaved,
     SnapshotTaken(Snapshot),
@@ -94,11 +95,12 @@
         self.pending.pop_front().map(|p| p.after)
     }
 
-    /// Limits pending appends to entries before an index, so that replaced
+    /// Limits pending syncs of entries to those before an index, so that replaced
     /// entries do not count as synced.
     fn cap_appends_before(&mut self, index: LogIndex) {
         for pending in &mut self.pending {
-            if let AfterSync::Appended { last } = &mut pending.after {
+            if let AfterSync::Recovered { last } | AfterSync::Appended { last } = &mut pending.after
+            {
                 *last = (*last).min(index.saturating_sub(1));
             }
         }
@@ -128,6 +130,18 @@
         id
     }
 
+    /// Syncs what was recovered at the start. Nothing that depends on it is sent before:
+    /// the process before may have ended between a write and its sync, and a loss of power
+    /// would take that write away.
+    pub(super) fn sync_recovered(&mut self, tx: &mut Vec<Output>) {
+        if self.hard_state.id == 0 {
+            return;
+        }
+        let last = self.log.last_index();
+        let id = self.start_write(DiskWrite::Recovered, AfterSync::Recovered { last }, tx);
+        self.storage.unsynced_state = Some(id);
+    }
+
     /// Appends entries that directly follow the log's last one, in memory and
     /// on disk.
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>, tx: &mut Vec<Output>) {
@@ -186,7 +200,7 @@
             return;
         };
         match after {
-            AfterSync::Appended { last } => {
+            AfterSync::Recovered { last } | AfterSync::Appended { last } => {
                 self.log.mark_synced(last);
                 self.handle_append_synced(tx);
             }
--- a/crates/replica/tests/disk.rs
+++ b/crates/replica/tests/disk.rs
@@ -384,6 +384,6 @@
     match write {
         DiskWrite::State(state) => assert_eq!(recovered.hard_state, Some(state)),
         DiskWrite::Snapshot(snapshot) => assert_eq!(recovered.snapshot, Some(snapshot)),
-        DiskWrite::Append(_) => unreachable!(),
+        DiskWrite::Append(_) | DiskWrite::Recovered => unreachable!(),
     }
 }
--- a/crates/replica/tests/disk_faults.rs
+++ b/crates/replica/tests/disk_faults.rs
@@ -1,19 +1,21 @@
 //! Randomised faults of file operations: a disk without space for a while, one that fails
-//! for a while, and a process that is killed between two operations.
+//! for a while, a process that is killed between two operations, and losses of power.
 //!
 //! To run more seeds than CI does:
 //! `SHUFFLE_SEEDS=2000 cargo test --release -p replica --test disk_faults`
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod power;
 mod seeds;
 
+use power::{Power, Unsynced};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use replica::disk::{Disk, FaultInjector, FileOp};
 use replica::{DiskError, DiskOp, DiskWrite, HardState, MemoryDisk, Recovered, Snapshot};
 use std::io::{self, ErrorKind};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use tempfile::TempDir;
 use wire::{LogEntry, Membership};
@@ -29,6 +31,8 @@
 const KILLED_RATIO: f64 = 0.2;
 /// Probability with which the disk fails during a batch.
 const BROKEN_RATIO: f64 = 0.2;
+/// Probability with which the power is lost when a process ends.
+const POWER_LOSS_RATIO: f64 = 0.3;
 /// Attempts to open the folder again while the disk fails.
 const FAILED_ATTEMPTS: usize = 3;
 /// Maximum length of a command in bytes.
@@ -42,10 +46,19 @@
     killed_after: Option<usize>,
     /// Number of file operations after which the disk fails.
     broken_after: Option<usize>,
+    folder: PathBuf,
+    power: Power,
 }
 
 impl Faults {
-    fn check(&mut self, _op: FileOp) -> io::Result<()> {
+    /// Refuses an operation or lets it be performed.
+    fn check(&mut self, op: FileOp, path: &Path) -> io::Result<()> {
+        self.refuse()?;
+        self.power.record(&self.folder, op, path);
+        Ok(())
+    }
+
+    fn refuse(&mut self) -> io::Result<()> {
         match &mut self.killed_after {
             Some(0) => return Err(ErrorKind::Other.into()),
             Some(operations) => *operations -= 1,
@@ -65,7 +78,7 @@
 
 fn injector(faults: &Arc<Mutex<Faults>>) -> FaultInjector {
     let faults = faults.clone();
-    Box::new(move |op| faults.lock().unwrap().check(op))
+    Box::new(move |op, path| faults.lock().unwrap().check(op, path))
 }
 
 /// A data folder under faults, and the data that it has to hold.
@@ -88,6 +101,8 @@
             full: false,
             killed_after: None,
             broken_after: None,
+            folder: dir.path().to_owned(),
+            power: Power::new(),
         }));
         let (disk, _) = open(dir.path(), &faults);
         let mut shuffle = Self {
@@ -188,8 +203,18 @@
         self.check(possible, &recovered);
     }
 
-    /// Restarts the process. The folder has to hold the data of one of the models.
+    /// Restarts the process, in some cases with a loss of power. The folder has to hold the
+    /// data of one of the models. Nothing depends on what a start has read before it is
+    /// synced.
     fn restart(&mut self, possible: &[MemoryDisk]) {
+        self.restart_once(possible);
+        while self.rng.random_bool(POWER_LOSS_RATIO) {
+            self.restart_once(possible);
+        }
+        self.perform(vec![DiskWrite::Recovered]);
+    }
+
+    fn restart_once(&mut self, possible: &[MemoryDisk]) {
         {
             let mut faults = self.faults.lock().unwrap();
             faults.killed_after = None;
@@ -198,6 +223,15 @@
         }
         let unused = tempfile::tempdir().unwrap();
         self.disk = Disk::open(unused.path()).unwrap().0;
+        if self.rng.random_bool(POWER_LOSS_RATIO) {
+            let rng = &mut self.rng;
+            let unsynced = match rng.random_bool(0.5) {
+                true => Unsynced::Lost,
+                false => Unsynced::Random(rng),
+            };
+            let mut faults = self.faults.lock().unwrap();
+            faults.power.cut(self.dir.path(), unsynced);
+        }
         let (disk, recovered) = open(self.dir.path(), &self.faults);
         self.disk = disk;
         self.check(possible, &recovered);
@@ -314,7 +348,7 @@
     let performed = Arc::new(Mutex::new(Vec::new()));
     let perform = |writes: Vec<DiskWrite>| {
         let performed = performed.clone();
-        let record = move |op| {
+        let record = move |op, _: &Path| {
             performed.lock().unwrap().push(op);
             Ok(())
         };
--- a/crates/replica/tests/disk_reopen.rs
+++ b/crates/replica/tests/disk_reopen.rs
@@ -57,7 +57,7 @@
     let dir = tempfile::tempdir().unwrap();
     let failing = Failing::default();
     let failing_ops = failing.clone();
-    let check = move |op| match *failing_ops.lock().unwrap() == Some(op) {
+    let check = move |op, _: &Path| match *failing_ops.lock().unwrap() == Some(op) {
         true => Err(io::Error::from(ErrorKind::Other)),
         false => Ok(()),
     };
--- a/crates/replica/tests/shuffle.rs
+++ b/crates/replica/tests/shuffle.rs
@@ -77,7 +77,11 @@
     fn inject_fault(&mut self) {
         let name = self.random_server();
         let other = self.random_server();
-        match self.rng.random_range(0..27) {
+        match self.rng.random_range(0..32) {
+            27..=31 => {
+                let has_written = self.rng.random_bool(0.7);
+                self.simulation.kill(&name, has_written);
+            }
             0 => self.simulation.crash(&name),
             1 => self.simulation.crash_mid_write(&name),
             2..=5 => self.restart(&name),
--- a/crates/replica/tests/simulation/mod.rs
+++ b/crates/replica/tests/simulation/mod.rs
@@ -177,14 +177,14 @@
         self.input(name, Input::Tick);
     }
 
-    /// Crashes a server, which loses its unsynced data.
+    /// Cuts a server's power: it loses its unsynced data.
     pub(crate) fn crash(&mut self, name: &str) {
         let server = self.server(name);
         server.replica = None;
         server.disk.discard_unsynced();
     }
 
-    /// Crashes a server during a write, so that part of its unsynced data is
+    /// Cuts a server's power during a write, so that part of its unsynced data is
     /// kept.
     pub(crate) fn crash_mid_write(&mut self, name: &str) {
         let server = self.server(name);
@@ -192,6 +192,14 @@
         server.disk.tear_unsynced();
     }
 
+    /// Ends a server's process without a loss of power. What it was writing may be in the
+    /// cache of the system.
+    pub(crate) fn kill(&mut self, name: &str, has_written: bool) {
+        let server = self.server(name);
+        server.replica = None;
+        server.disk.kill(has_written);
+    }
+
     /// Swaps a server's disk with the one that was removed before, or with an
     /// empty one.
     pub(crate) fn swap_disk(&mut self, name: &str) {
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use replica::{
-    DiskDone, DiskOp, HardState, Input, MemoryDisk, Output, Recovered, Replica, ReplicaOptions,
-    Role,
+    DiskDone, DiskOp, DiskWrite, HardState, Input, MemoryDisk, Output, Recovered, Replica,
+    ReplicaOptions, Role,
 };
 use std::time::Duration;
 use test_case::test_case;
@@ -24,7 +24,22 @@
 }
 
 impl SingleReplica {
+    /// Starts the replica and syncs what it has recovered.
     fn new() -> Self {
+        let (mut single, recovered) = Self::started();
+        single.done(&recovered);
+        single
+    }
+
+    /// Starts the replica; returns the sync of what it has recovered.
+    fn started() -> (Self, DiskOp) {
+        let mut single = Self::stopped();
+        let ops = disk_ops(&single.input(Input::Tick));
+        assert_eq!(ops[0].write, DiskWrite::Recovered);
+        (single, ops[0].clone())
+    }
+
+    fn stopped() -> Self {
         let mut options = ReplicaOptions::new("n1", 1);
         options.election_timeout = Duration::from_millis(200);
         let recovered = Recovered {
@@ -115,6 +130,14 @@
     })
 }
 
+fn vote_request(pre: bool) -> Kind {
+    Kind::VoteRequest(wire::VoteRequest {
+        pre,
+        last_index: 2,
+        last_term: 1,
+    })
+}
+
 fn appended(index: u64, round: u64) -> Kind {
     Kind::AppendReply(AppendReply {
         success: true,
@@ -300,12 +323,7 @@
 #[test]
 fn vote_request_answered_after_sync() {
     let mut single = SingleReplica::new();
-    let req = wire::VoteRequest {
-        pre: false,
-        last_index: 2,
-        last_term: 1,
-    };
-    let tx = single.message(2, 2, Kind::VoteRequest(req));
+    let tx = single.message(2, 2, vote_request(false));
     assert!(kinds(&tx).is_empty());
     let ops = disk_ops(&tx);
     assert!(kinds(&single.done(&ops[0])).is_empty());
@@ -313,6 +331,34 @@
     assert_eq!(sent, [vote(false)]);
 }
 
+/// Guards against a replica that answers out of what it has read at the start before that
+/// is synced: the process before may have ended between a write and its sync, and a loss of
+/// power takes the write away.
+#[test_case(append((2, 1), Vec::new()), &appended(2, 1); "entries")]
+#[test_case(vote_request(true), &vote(true); "pre-vote")]
+fn recovered_data_answers_after_sync(req: Kind, reply: &Kind) {
+    let (mut single, recovered) = SingleReplica::started();
+    let term = 1 + u64::from(*reply == vote(true));
+    let tx = single.message(2, term, req);
+    assert!(kinds(&tx).is_empty());
+    assert_eq!(kinds(&single.done(&recovered)).last(), Some(reply));
+}
+
+/// Guards against an index that is acknowledged after its entry was replaced while the
+/// recovered entries were synced.
+#[test]
+fn recovered_entries_replaced_before_sync_are_not_acknowledged() {
+    let (mut single, recovered) = SingleReplica::started();
+    let replaced = single.message(2, 2, append((1, 1), vec![entry(2, 2, "new")]));
+    let acknowledged_early = acknowledged(&single.done(&recovered));
+    assert!(acknowledged_early.iter().all(|i| *i <= 1));
+    let indexes: Vec<u64> = disk_ops(&replaced)
+        .iter()
+        .flat_map(|op| acknowledged(&single.done(op)))
+        .collect();
+    assert_eq!(indexes.last(), Some(&2));
+}
+
 #[test]
 fn disk_done_for_replaced_entries_acknowledges_nothing() {
     let mut single = SingleReplica::new();
