Name the leader to a replica that is left out of the membership

Cause: while a removed machine's successor joins, a voter that is down for seconds may be replaced in place of the removed one, since silence doesn't tell them apart. Back again, it was told nothing and asked to join after ten election timeouts only, so that one of five voters didn't exist when two more were lost.

Change: a voter that refuses a pre-vote because it hears a leader names it (VoteReply.leader). The candidate asks that leader to join at once and takes the place of the voter that is gone.

Why it works: the fact that the cluster has a leader which leaves this replica out is known to every voter it asks; a request of a member changes nothing.

Ruled out: a better choice of the voter to replace; the one silent for longest was the wrong one.

--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -64,6 +64,7 @@
     pub(super) fn follow_leader(&mut self, leader: Member, tx: &mut Vec<Output>) {
         self.election.leader = Some(leader);
         self.election.last_leader_contact = Some(self.now);
+        self.join_state.forget_reported_leader();
         self.reset_election_deadline();
         self.refresh_role(tx);
     }
@@ -91,9 +92,11 @@
         } else {
             self.try_grant_vote(term, candidate.id, req, tx)
         };
+        let leader = self.active_leader().filter(|_| !granted);
         let reply = VoteReply {
             pre: req.pre,
             granted,
+            leader: leader.map(|m| m.address.clone()).unwrap_or_default(),
         };
         let reply_term = if req.pre && granted {
             term
@@ -110,6 +113,9 @@
         reply: &VoteReply,
         tx: &mut Vec<Output>,
     ) {
+        if self.role == Role::Candidate && !reply.leader.is_empty() {
+            self.join_state.record_leader(&reply.leader);
+        }
         let pre_vote_granted = reply.pre && reply.granted;
         if term > self.hard_state.term && !pre_vote_granted {
             self.adopt_term(term, tx);
@@ -148,6 +154,7 @@
     /// Records this replica as the leader and sets its role.
     pub(super) fn enter_leader_role(&mut self, tx: &mut Vec<Output>) {
         self.election.leader = Some(self.own_member());
+        self.join_state.forget_reported_leader();
         self.election.votes.clear();
         self.set_role(Role::Leader, tx);
     }
@@ -230,14 +237,17 @@
         true
     }
 
-    /// Returns whether this replica leads or has received a message from a
-    /// leader within the minimum election timeout. It then votes for no other
-    /// candidate.
-    fn has_active_leader(&self) -> bool {
-        let known = self.election.leader.is_some();
+    /// Returns this replica if it leads, or the leader from which it has received a message
+    /// within the minimum election timeout. It then votes for no other candidate.
+    fn active_leader(&self) -> Option<&Member> {
         let last_contact = self.election.last_leader_contact;
         let recent = last_contact.is_some_and(|at| self.now < at + self.options.election_timeout);
-        self.leader_state.is_some() || known && recent
+        let active = self.leader_state.is_some() || recent;
+        self.election.leader.as_ref().filter(|_| active)
+    }
+
+    fn has_active_leader(&self) -> bool {
+        self.active_leader().is_some()
     }
 
     fn is_up_to_date(&self, req: &VoteRequest) -> bool {
--- a/crates/replica/src/replica/join.rs
+++ b/crates/replica/src/replica/join.rs
@@ -24,6 +24,8 @@
     next_request: Duration,
     target_index: usize,
     leader_hint: Option<String>,
+    /// Whether a voter is in contact with a leader that sends nothing to this replica.
+    leader_reported: bool,
     /// Whether a message from a replica of any cluster was received, or the data folder
     /// held a replica before.
     cluster_seen: bool,
@@ -36,10 +38,21 @@
             next_request: now,
             target_index: 0,
             leader_hint: None,
+            leader_reported: false,
             cluster_seen,
         }
     }
 
+    /// Records a leader that a voter is in contact with, while this replica campaigns.
+    pub(super) fn record_leader(&mut self, address: &str) {
+        self.leader_hint = Some(address.to_owned());
+        self.leader_reported = true;
+    }
+
+    pub(super) fn forget_reported_leader(&mut self) {
+        self.leader_reported = false;
+    }
+
     pub(super) fn has_seen_cluster(&self) -> bool {
         self.cluster_seen
     }
@@ -72,9 +85,10 @@
     }
 
     /// Sends join requests to the configured replicas in turn until a leader
-    /// sends its log. A learner without a leader requests again, and so does a
-    /// voter after a longer time, because it may have been removed without
-    /// receiving that change.
+    /// sends its log. A learner without a leader requests again. So does a voter, which
+    /// may have been removed without receiving that change: at once if another voter is in
+    /// contact with a leader, otherwise after a longer time. A request of a member changes
+    /// nothing.
     pub(super) fn tick_join(&mut self, tx: &mut Vec<Output>) {
         if !self.should_request_join() || self.now < self.join_state.next_request {
             return;
@@ -145,10 +159,11 @@
     }
 
     /// Returns whether the replica has been without a leader for long enough to
-    /// send a join request.
+    /// send a join request, or is the only one without.
     fn should_request_join(&self) -> bool {
         let timeouts = match self.role {
             Role::Empty | Role::Learner => LEARNER_JOIN_ELECTION_TIMEOUTS,
+            Role::Follower | Role::Candidate if self.join_state.leader_reported => return true,
             Role::Follower | Role::Candidate => VOTER_JOIN_ELECTION_TIMEOUTS,
             Role::Leader | Role::Faulty => return false,
         };
--- /dev/null
+++ b/crates/replica/tests/member_losses.rs
@@ -0,0 +1,94 @@
+//! Losses of members in each order around changes of the membership. A cluster of five
+//! voters tolerates the loss of two at any time. A member that is back, or new, counts as lost
+//! for [`CATCH_UP_MS`].
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod simulation;
+
+use replica::Role;
+use simulation::{ELECTION_TIMEOUT, Simulation};
+
+/// Time after which a member that has started again counts as present: six election
+/// timeouts, well below the time after which an unreachable leader is searched for.
+const CATCH_UP_MS: u64 = 6 * ELECTION_TIMEOUT.as_millis() as u64;
+/// Time within which the cluster has to serve again after its last losses.
+const RECOVERY_MS: u64 = 20_000;
+
+/// Starts `n1` to `n5`, of which `n1` to `n3` bootstrap the cluster.
+fn five_voters() -> Simulation {
+    let mut simulation = Simulation::new(1);
+    simulation.bootstrap(5, 5);
+    simulation
+}
+
+/// Asserts that each voter runs, and that nothing is lost with the disks of any two.
+fn assert_tolerates_two_losses(simulation: &mut Simulation) {
+    let voters = simulation.voters();
+    let running = simulation.running();
+    let missing: Vec<&String> = voters.iter().filter(|v| !running.contains(v)).collect();
+    assert!(missing.is_empty(), "{missing:?} of {voters:?} do not run");
+    let leader = simulation.leader().unwrap();
+    simulation.propose(&leader, "acknowledged");
+    simulation.run(100);
+    let acknowledged = simulation.acknowledged();
+    for name in &voters[1..3] {
+        simulation.crash(name);
+        simulation.server(name).disk.wipe();
+    }
+    simulation.run(CATCH_UP_MS / 3);
+    for name in &voters[1..3] {
+        simulation.restart(name);
+    }
+    let deadline = simulation.now + RECOVERY_MS;
+    while simulation.acknowledged() == acknowledged {
+        assert!(
+            simulation.now < deadline,
+            "no command is committed:\n{}",
+            simulation.status()
+        );
+        if let Some(leader) = simulation.leader() {
+            simulation.propose(&leader, "after the losses");
+        }
+        simulation.run(100);
+    }
+    simulation.run(RECOVERY_MS / 4);
+    simulation.assert_all_applied();
+}
+
+/// Guards against a voter that was replaced while it was down, in place of one that is gone
+/// for good, and that asks to join again only after seconds: until then a voter exists on
+/// paper only, and the loss of two more ends the cluster.
+#[test]
+fn voter_replaced_while_down_takes_the_place_of_removed_one() {
+    let mut simulation = five_voters();
+    simulation.crash("n1");
+    simulation.run(300);
+    simulation.crash("n5");
+    simulation.remove("n5");
+    simulation.run(600);
+    simulation.add("n6");
+    simulation.run(CATCH_UP_MS);
+    assert!(simulation.voters().contains(&"n6".to_owned()));
+    simulation.restart("n1");
+    simulation.run(CATCH_UP_MS);
+    assert_tolerates_two_losses(&mut simulation);
+}
+
+/// Guards against join requests without end of a voter that is one and is merely cut off
+/// from the leader in one direction.
+#[test]
+fn voter_that_hears_no_leader_stays_voter() {
+    let mut simulation = five_voters();
+    let leader = simulation.leader().unwrap();
+    let deaf = simulation.voters().into_iter().find(|v| *v != leader);
+    let deaf = deaf.unwrap();
+    let before = simulation.voters();
+    simulation.blocked_links.insert((leader, deaf.clone()));
+    simulation.run(CATCH_UP_MS);
+    simulation.blocked_links.clear();
+    simulation.run(CATCH_UP_MS);
+    assert_eq!(simulation.voters(), before);
+    let replica = simulation.server(&deaf).replica.as_ref().unwrap();
+    assert_eq!(replica.role(), Role::Follower);
+}
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -155,7 +155,11 @@
 }
 
 fn vote(pre: bool) -> Kind {
-    Kind::VoteReply(VoteReply { pre, granted: true })
+    Kind::VoteReply(VoteReply {
+        pre,
+        granted: true,
+        leader: String::new(),
+    })
 }
 
 fn disk_ops(tx: &[Output]) -> Vec<DiskOp> {
--- a/crates/wire/src/replica.rs
+++ b/crates/wire/src/replica.rs
@@ -127,6 +127,10 @@
     /// Whether the vote is granted.
     #[prost(bool, tag = "2")]
     pub granted: bool,
+    /// Address of the leader that a sender who refuses its vote is in contact with; empty
+    /// if there is none. Versions that lack the field send none.
+    #[prost(string, tag = "3")]
+    pub leader: String,
 }
 
 /// Appends entries to a follower's log.
