Pass leadership and vote on before a control process stops

Cause: with a fixed number of voters a successor is a learner until a voter has been silent for 1.8 s. A process that got SIGTERM reported nothing, so that one of five voters existed on paper only while three of five had to run.

Change: at SIGTERM the replica leaves before the process ends, within 2 s. A leader passes its leadership to a voter with its whole log (TimeoutNow, VoteRequest.leadership_transfer). A voter asks to leave (LeaveRequest); the leader adds a learner, removes the voter and confirms once that is committed, or at once if there is no learner. New log events control_left and control_leave_unconfirmed.

A departure that nobody can take over keeps its vote, as in a restart.

Ruled out: a voter of each new replica at once; six voters tolerate no more than five.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -134,6 +134,11 @@
         self.drive(now, Input::Initialise, tx);
     }
 
+    /// Passes leadership and vote on, because the process is about to stop.
+    pub fn leave(&mut self, now: Duration, tx: &mut Vec<Effect>) {
+        self.drive(now, Input::Leave, tx);
+    }
+
     /// Drops the reads and heartbeats that came over a closed connection.
     pub fn link_closed(&mut self, link: LinkId) {
         self.reads.link_closed(link);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -64,6 +64,9 @@
     DiskDone(replica::DiskDone),
     /// The settings were reloaded and list these control replicas.
     Replicas(Vec<SocketAddr>),
+    /// The process is about to stop. The control replica passes its leadership and its vote
+    /// on, while the daemon still serves.
+    LeaveControl,
     /// The daemon begins a graceful shutdown.
     Stop {
         /// Time since the VM booted at which requests in progress are cut off, if any.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -115,6 +115,11 @@
                 control.set_configured_replicas(&replicas);
             }
         }
+        Event::LeaveControl => {
+            if let Some(control) = &mut node.control {
+                control.leave(now, tx);
+            }
+        }
         Event::Stop { until } => {
             with_admission(node, now, tx, Admission::stop);
             node.entry.stop(now, until);
--- a/crates/plumhitchd/src/stop.rs
+++ b/crates/plumhitchd/src/stop.rs
@@ -20,6 +20,10 @@
 /// Interval between checks for requests in progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum time for the control replica to pass its leadership and vote on. Without a leader
+/// nobody confirms that it has.
+const MAX_LEAVE_TIME: Duration = Duration::from_secs(2);
+
 /// Waits for the stop signal, then until no request is in progress or the
 /// configured time limit has passed.
 pub(crate) async fn wait(daemon: &Arc<Daemon>, signals: &mut StopSignals) {
@@ -31,6 +35,8 @@
     log::info!("event=stop_begun bound_ms={bound_ms}");
     daemon.closing.send_replace(true);
     daemon.stopping.store(true, Ordering::Relaxed);
+    daemon.handle_event(Event::LeaveControl);
+    let leave_begun = Instant::now();
     let linger = daemon.cfg.stop.linger;
     let longest_linger = drain_timeout.map(|timeout| timeout / MAX_LINGER_PART);
     tokio::time::sleep(longest_linger.map_or(linger, |longest| longest.min(linger))).await;
@@ -39,10 +45,36 @@
     daemon.refusing.send_replace(true);
     wait_for_connections(daemon, deadline).await;
     wait_until_idle(daemon, deadline).await;
+    wait_until_left(daemon, leave_begun, deadline).await;
     cut_off(daemon);
     tokio::time::sleep(FLUSH_TIME).await;
 }
 
+/// Waits until the control replica has left the cluster, so that the losses that the cluster
+/// tolerates after the end of this process are as many as before.
+async fn wait_until_left(daemon: &Daemon, begun: Instant, deadline: Option<Instant>) {
+    if daemon.read(|node| node.control.is_none()) {
+        return;
+    }
+    let latest = begun + MAX_LEAVE_TIME;
+    let latest = deadline.map_or(latest, |deadline| deadline.min(latest));
+    while !has_left(daemon) && Instant::now() < latest {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let ms = begun.elapsed().as_millis();
+    match has_left(daemon) {
+        true => log::info!("event=control_left ms={ms}"),
+        false => log::warn!("event=control_leave_unconfirmed waited_ms={ms}"),
+    }
+}
+
+fn has_left(daemon: &Daemon) -> bool {
+    daemon.read(|node| {
+        let control = node.control.as_ref();
+        control.is_none_or(|c| c.replica().has_left())
+    })
+}
+
 /// Lets connections read no more requests, and gives the callers of those that are still in
 /// progress a final response.
 fn cut_off(daemon: &Arc<Daemon>) {
--- a/crates/replica/src/io.rs
+++ b/crates/replica/src/io.rs
@@ -38,6 +38,9 @@
     /// Creates a new cluster with this replica as its only voter. Ignored if
     /// the replica belongs to a cluster or has received a message from one.
     Initialise,
+    /// Reports that the process is about to stop. The replica passes its leadership and its
+    /// vote on; see [`Replica::has_left`](crate::Replica::has_left).
+    Leave,
 }
 
 /// An action requested by the replica.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -7,6 +7,7 @@
 mod follower;
 mod join;
 mod leader;
+mod leave;
 mod membership;
 mod read;
 mod snapshot;
@@ -20,6 +21,7 @@
 use follower::FollowerState;
 use join::JoinState;
 use leader::LeaderState;
+use leave::Departure;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -42,6 +44,8 @@
     follower_state: FollowerState,
     leader_state: Option<LeaderState>,
     join_state: JoinState,
+    /// Present once the process is about to stop.
+    departure: Option<Departure>,
     /// Names of the files of a former replica that were set aside.
     set_aside: Vec<String>,
     storage: Storage,
@@ -79,6 +83,7 @@
             follower_state: FollowerState::default(),
             leader_state: None,
             join_state: JoinState::new(now, !recovered.set_aside.is_empty()),
+            departure: None,
             set_aside: recovered.set_aside,
             storage: Storage::new(recovered.fault),
             snapshot_requested: false,
@@ -104,6 +109,7 @@
             Input::DiskDone(done) => self.handle_disk_done(done, tx),
             Input::SnapshotTaken { index, state } => self.handle_snapshot_taken(index, state, tx),
             Input::Initialise => self.initialise(tx),
+            Input::Leave => self.leave(tx),
         }
     }
 
@@ -209,6 +215,7 @@
         self.tick_leader(tx);
         self.tick_membership(tx);
         self.tick_join(tx);
+        self.tick_leave(tx);
     }
 
     fn handle_message(&mut self, message: ReplicaMessage, tx: &mut Vec<Output>) {
@@ -245,6 +252,9 @@
             Kind::AppendReply(reply) => self.handle_append_reply(term, sender.id, &reply, tx),
             Kind::SnapshotChunk(chunk) => self.handle_snapshot_chunk(term, sender, chunk, tx),
             Kind::SnapshotReply(reply) => self.handle_snapshot_reply(term, sender.id, &reply, tx),
+            Kind::LeaveRequest(req) => self.handle_leave_request(&sender, &req, tx),
+            Kind::LeaveReply(reply) => self.handle_leave_reply(&reply),
+            Kind::TimeoutNow(_) => self.handle_timeout_now(term, sender.id, tx),
             Kind::JoinRequest(_) | Kind::JoinReply(_) => {}
         }
     }
--- a/crates/replica/src/replica/append.rs
+++ b/crates/replica/src/replica/append.rs
@@ -25,7 +25,8 @@
             .leader_state
             .as_ref()
             .is_some_and(|l| l.uncommitted_bytes + len <= MAX_UNCOMMITTED_BYTES);
-        if !fits || len == 0 || len > MAX_COMMAND_BYTES {
+        let is_valid = len > 0 && len <= MAX_COMMAND_BYTES;
+        if !fits || !is_valid || self.is_transferring_leadership() {
             tx.push(Output::Rejected {
                 token,
                 unknown: false,
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -54,7 +54,8 @@
 
 impl Replica {
     pub(super) fn tick_election(&mut self, tx: &mut Vec<Output>) {
-        let may_campaign = self.leader_state.is_none() && self.is_voter(self.hard_state.id);
+        let is_voter = self.is_voter(self.hard_state.id) && !self.is_leaving();
+        let may_campaign = self.leader_state.is_none() && is_voter;
         if may_campaign && self.now >= self.election.deadline && !self.disk_is_stalled() {
             self.start_pre_vote(tx);
         }
@@ -165,17 +166,19 @@
     fn start_pre_vote(&mut self, tx: &mut Vec<Output>) {
         self.become_candidate(true, tx);
         self.election.votes.insert(self.hard_state.id);
-        self.request_votes(self.hard_state.term + 1, tx);
+        self.request_votes(self.hard_state.term + 1, false, tx);
         self.count_votes(tx);
     }
 
-    fn start_election(&mut self, tx: &mut Vec<Output>) {
+    /// Campaigns in the next term. `is_transfer` states whether the leader has passed its
+    /// leadership to this replica.
+    pub(super) fn start_election(&mut self, is_transfer: bool, tx: &mut Vec<Output>) {
         self.become_candidate(false, tx);
         self.hard_state.term += 1;
         self.hard_state.vote = self.hard_state.id;
         self.follower_state.reset();
         self.save_state(tx);
-        self.request_votes(self.hard_state.term, tx);
+        self.request_votes(self.hard_state.term, is_transfer, tx);
     }
 
     fn become_candidate(&mut self, pre_vote: bool, tx: &mut Vec<Output>) {
@@ -186,8 +189,9 @@
         self.set_role(Role::Candidate, tx);
     }
 
-    fn request_votes(&mut self, term: Term, tx: &mut Vec<Output>) {
+    fn request_votes(&mut self, term: Term, is_transfer: bool, tx: &mut Vec<Output>) {
         let req = VoteRequest {
+            leadership_transfer: is_transfer,
             pre: self.election.pre_vote,
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
@@ -202,7 +206,7 @@
             return;
         }
         if self.election.pre_vote {
-            self.start_election(tx);
+            self.start_election(false, tx);
         } else {
             self.become_leader(tx);
         }
@@ -219,7 +223,8 @@
         req: &VoteRequest,
         tx: &mut Vec<Output>,
     ) -> bool {
-        if term < self.hard_state.term || self.has_active_leader() {
+        let is_held_by_leader = self.has_active_leader() && !req.leadership_transfer;
+        if term < self.hard_state.term || is_held_by_leader {
             return false;
         }
         if term > self.hard_state.term {
--- a/crates/replica/src/replica/join.rs
+++ b/crates/replica/src/replica/join.rs
@@ -90,7 +90,8 @@
     /// contact with a leader, otherwise after a longer time. A request of a member changes
     /// nothing.
     pub(super) fn tick_join(&mut self, tx: &mut Vec<Output>) {
-        if !self.should_request_join() || self.now < self.join_state.next_request {
+        let should_request = self.should_request_join() && !self.is_leaving();
+        if !should_request || self.now < self.join_state.next_request {
             return;
         }
         self.join_state.next_request = self.now + self.options.election_timeout / 2;
--- a/crates/replica/src/replica/leader.rs
+++ b/crates/replica/src/replica/leader.rs
@@ -67,6 +67,8 @@
     pub(super) reads: VecDeque<PendingRead>,
     pub(super) proposals: BTreeMap<LogIndex, u64>,
     pub(super) uncommitted_bytes: usize,
+    /// Replicas whose processes are about to stop, and when each last reported it.
+    pub(super) departing: BTreeMap<ReplicaId, Duration>,
 }
 
 impl Replica {
@@ -82,6 +84,7 @@
             reads: VecDeque::new(),
             proposals: BTreeMap::new(),
             uncommitted_bytes: 0,
+            departing: BTreeMap::new(),
         });
         self.enter_leader_role(tx);
         self.refresh_peers();
--- a/crates/replica/src/replica/membership.rs
+++ b/crates/replica/src/replica/membership.rs
@@ -51,7 +51,7 @@
 
     /// Starts the next promotion of a learner or removal of a lost member.
     pub(super) fn tick_membership(&mut self, tx: &mut Vec<Output>) {
-        if !self.may_change_membership() {
+        if !self.may_change_membership() || self.is_transferring_leadership() {
             return;
         }
         let next = self.next_promotion().or_else(|| self.next_removal());
@@ -93,7 +93,8 @@
     /// removed in a step of its own.
     fn next_promotion(&self) -> Option<Membership> {
         let learners = self.log.membership().learners.iter();
-        let mut caught_up = learners.filter(|l| self.is_caught_up(l.id));
+        let mut caught_up =
+            learners.filter(|l| self.is_caught_up(l.id) && !self.is_departing(l.id));
         match self.options.target_voters {
             Some(target) => caught_up.find_map(|l| self.with_added_voter(l, target)),
             None => caught_up.find_map(|l| self.promotion_step(l)),
@@ -114,7 +115,7 @@
     }
 
     /// Returns a voter to replace: preferably one whose VM has returned with an
-    /// empty disk, otherwise one that is silent.
+    /// empty disk, then one whose process is about to stop, otherwise one that is silent.
     fn voter_to_replace(&self, membership: &Membership) -> Option<ReplicaId> {
         let silence_limit = self.options.election_timeout * REPLACEMENT_ELECTION_TIMEOUTS;
         let recent = self.contacted_since(self.now.saturating_sub(silence_limit));
@@ -128,6 +129,8 @@
         };
         let mut voters = membership.voters.iter();
         let replaced = membership.voters.iter().find(has_successor);
+        let mut leaving = membership.voters.iter().filter(|v| self.is_departing(v.id));
+        let replaced = replaced.or_else(|| leaving.next());
         let replaced = replaced.or_else(|| voters.find(|v| !recent.contains(&v.id)));
         replaced.map(|v| v.id)
     }
--- a/crates/replica/tests/member_losses.rs
+++ b/crates/replica/tests/member_losses.rs
@@ -8,6 +8,7 @@
 
 use replica::Role;
 use simulation::{ELECTION_TIMEOUT, Simulation};
+use test_case::test_case;
 
 /// Time after which a member that has started again counts as present: six election
 /// timeouts, well below the time after which an unreachable leader is searched for.
@@ -92,3 +93,50 @@
     let replica = simulation.server(&deaf).replica.as_ref().unwrap();
     assert_eq!(replica.role(), Role::Follower);
 }
+
+/// Guards against a vote that ends with its process: after a planned replacement, the
+/// successor first, the cluster tolerates the loss of two more at once.
+#[test_case("n1"; "of the leader or another one that bootstraps")]
+#[test_case("n2"; "of a second one that bootstraps")]
+#[test_case("n5"; "of one that has joined")]
+fn stopped_voter_passes_its_vote_to_its_successor(stopped: &str) {
+    let mut simulation = five_voters();
+    simulation.add("n6");
+    simulation.run(CATCH_UP_MS);
+    assert!(simulation.stop(stopped));
+    simulation.remove(stopped);
+    assert_tolerates_two_losses(&mut simulation);
+}
+
+/// Guards against a cluster without a leader for an election timeout after the planned stop
+/// of the leader.
+#[test]
+fn stopped_leader_passes_its_leadership_on() {
+    let mut simulation = five_voters();
+    let former = simulation.leader().unwrap();
+    assert!(simulation.stop(&former));
+    let leader = simulation.leader().unwrap();
+    simulation.propose(&leader, "after the stop");
+    let acknowledged = simulation.acknowledged();
+    simulation.run(50);
+    assert!(simulation.acknowledged() > acknowledged);
+}
+
+/// Guards against a restart that costs a vote where no other replica can take it.
+#[test]
+fn stopped_voter_without_successor_keeps_its_vote() {
+    let mut simulation = five_voters();
+    let before = simulation.voters();
+    let started = simulation.now;
+    for name in ["n1", "n2", "n3", "n4", "n5"] {
+        assert!(simulation.stop(name));
+        simulation.restart(name);
+        simulation.run(CATCH_UP_MS);
+    }
+    let waited = simulation.now - started - 5 * CATCH_UP_MS;
+    assert!(
+        waited < 5 * ELECTION_TIMEOUT.as_millis() as u64,
+        "{waited} ms"
+    );
+    assert_eq!(simulation.voters(), before);
+}
--- a/crates/replica/tests/simulation/mod.rs
+++ b/crates/replica/tests/simulation/mod.rs
@@ -14,6 +14,8 @@
 pub(crate) const ELECTION_TIMEOUT: Duration = Duration::from_millis(200);
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
 const TICK_MS: u64 = 10;
+/// Time for which a stop waits for the replica to leave.
+pub(crate) const MAX_LEAVE_MS: u64 = 3 * ELECTION_TIMEOUT.as_millis() as u64;
 const LINK_DELAY_MS: u64 = 2;
 
 /// A VM that runs a replica.
@@ -200,6 +202,23 @@
         server.disk.kill(has_written);
     }
 
+    /// Stops a server as planned: its process ends once the replica has left, or after
+    /// [`MAX_LEAVE_MS`]. Returns whether it has left.
+    pub(crate) fn stop(&mut self, name: &str) -> bool {
+        self.input(name, Input::Leave);
+        let deadline = self.now + MAX_LEAVE_MS;
+        while !self.has_left(name) && self.now < deadline {
+            self.run(1);
+        }
+        let left = self.has_left(name);
+        self.kill(name, false);
+        left
+    }
+
+    pub(crate) fn has_left(&self, name: &str) -> bool {
+        replica_of(&self.servers, name).has_left()
+    }
+
     /// Swaps a server's disk with the one that was removed before, or with an
     /// empty one.
     pub(crate) fn swap_disk(&mut self, name: &str) {
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -135,6 +135,7 @@
         pre,
         last_index: 2,
         last_term: 1,
+        leadership_transfer: false,
     })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -39,8 +39,9 @@
 };
 pub use quota::{Allowance, AllowanceRequest};
 pub use replica::{
-    AppendReply, AppendRequest, JoinReply, JoinRequest, LogEntry, Member, Membership,
-    ReplicaMessage, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest, replica_message,
+    AppendReply, AppendRequest, JoinReply, JoinRequest, LeaveReply, LeaveRequest, LogEntry, Member,
+    Membership, ReplicaMessage, SnapshotChunk, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
+    replica_message,
 };
 pub use rollout::{
     Rollout, RolloutOrder, RolloutOutcome, RolloutQuery, RolloutResult, RolloutStage,
--- a/crates/wire/src/replica.rs
+++ b/crates/wire/src/replica.rs
@@ -59,7 +59,10 @@
     #[prost(uint64, tag = "4")]
     pub term: u64,
     /// The message itself.
-    #[prost(oneof = "replica_message::Kind", tags = "5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "replica_message::Kind",
+        tags = "5, 6, 7, 8, 9, 10, 11, 12, 14, 15, 16"
+    )]
     pub kind: Option<replica_message::Kind>,
     /// Address of the sender, `ip:port`. A replica that has no membership yet sends
     /// its reply there.
@@ -70,8 +73,8 @@
 /// Kinds of [`ReplicaMessage`].
 pub mod replica_message {
     use super::{
-        AppendReply, AppendRequest, JoinReply, JoinRequest, SnapshotChunk, SnapshotReply,
-        VoteReply, VoteRequest,
+        AppendReply, AppendRequest, JoinReply, JoinRequest, LeaveReply, LeaveRequest,
+        SnapshotChunk, SnapshotReply, TimeoutNow, VoteReply, VoteRequest,
     };
 
     /// A message between replicas, by kind.
@@ -101,6 +104,15 @@
         /// Replies to a join request.
         #[prost(message, tag = "12")]
         JoinReply(JoinReply),
+        /// Reports that the sender's process is about to stop.
+        #[prost(message, tag = "14")]
+        LeaveRequest(LeaveRequest),
+        /// Replies to a leave request.
+        #[prost(message, tag = "15")]
+        LeaveReply(LeaveReply),
+        /// Passes leadership on.
+        #[prost(message, tag = "16")]
+        TimeoutNow(TimeoutNow),
     }
 }
 
@@ -116,6 +128,10 @@
     /// Term of that entry.
     #[prost(uint64, tag = "3")]
     pub last_term: u64,
+    /// Whether the leader has passed its leadership to the candidate, so that voters in
+    /// contact with it may grant their vote.
+    #[prost(bool, tag = "4")]
+    pub leadership_transfer: bool,
 }
 
 /// Replies to a vote request.
@@ -226,3 +242,28 @@
     #[prost(string, tag = "2")]
     pub leader: String,
 }
+
+/// A replica whose process is about to stop asks the leader to let a learner take its
+/// place.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LeaveRequest {
+    /// Random number of the departure.
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+}
+
+/// Replies to a leave request.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct LeaveReply {
+    /// Number of the request.
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+    /// Whether the process may end: the replica is no voter any more, or no learner can
+    /// take its place.
+    #[prost(bool, tag = "2")]
+    pub confirmed: bool,
+}
+
+/// A leader whose process is about to stop asks a voter to campaign at once.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TimeoutNow {}
