Tell a reset from an ordinary end also when the upload's writer has met it

What callers saw: a part of a response as a complete 200.

Cause: the upload is written by a task of its own. The system reports a reset once, to whoever uses the socket first; if that is the writer, the reader sees an ordinary end, which completes a body without a length.

Change: at such an end the gate asks how the connection has ended: whether it still has a peer, else by the pending error of the socket or the result of the writing task. BodyReader::handle_eof takes the answer (ConnectionEnd). An orderly end that came before a reset still completes the response.

Ruled out: the entry, which ends no broken response in order.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -34,6 +34,15 @@
 
 impl std::error::Error for BodyError {}
 
+/// How a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The peer has sent everything and closed the connection.
+    Closed,
+    /// The connection was reset; bytes may be missing.
+    Reset,
+}
+
 /// Result of reading from the buffered bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
@@ -131,20 +140,29 @@
         Ok(Piece::Bytes(joined.freeze()))
     }
 
+    /// Returns whether the end of the body is that of the connection.
+    #[must_use]
+    pub fn reads_until_close(&self) -> bool {
+        self.state == State::UntilClose
+    }
+
     /// Handles the end of the connection, which completes a body without a
-    /// declared length.
+    /// declared length if the peer has closed it.
     ///
     /// # Errors
     ///
     /// Returns an error if the body is incomplete.
-    pub fn handle_eof(&mut self) -> Result<(), BodyError> {
-        match self.state {
-            State::Done | State::Remaining(0) | State::UntilClose => {
-                self.state = State::Done;
-                Ok(())
-            }
-            _ => Err(BodyError::Truncated),
+    pub fn handle_eof(&mut self, end: ConnectionEnd) -> Result<(), BodyError> {
+        let is_complete = match self.state {
+            State::Done | State::Remaining(0) => true,
+            State::UntilClose => end == ConnectionEnd::Closed,
+            _ => false,
+        };
+        if !is_complete {
+            return Err(BodyError::Truncated);
         }
+        self.state = State::Done;
+        Ok(())
     }
 
     /// Consumes the line end after a chunk, or a chunk size or trailer line.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -10,6 +10,6 @@
 mod head;
 mod write;
 
-pub use body::{BodyError, BodyReader, Piece};
+pub use body::{BodyError, BodyReader, ConnectionEnd, Piece};
 pub use head::{Framing, HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use write::{is_bodyless, write_chunk, write_last_chunk, write_request, write_response};
--- a/crates/http1/tests/body.rs
+++ b/crates/http1/tests/body.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use bytes::BytesMut;
-use http1::{BodyError, BodyReader, Framing, Piece, write_chunk, write_last_chunk};
+use http1::{BodyError, BodyReader, ConnectionEnd, Framing, Piece, write_chunk, write_last_chunk};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -70,7 +70,17 @@
 fn handle_eof_before_the_end(framing: Framing, text: &str, expected: Result<(), BodyError>) {
     let mut reader = BodyReader::new(framing);
     read(&mut reader, &mut BytesMut::from(text)).unwrap();
-    assert_eq!(reader.handle_eof(), expected);
+    assert_eq!(reader.handle_eof(ConnectionEnd::Closed), expected);
+}
+
+/// Guards against a part of a body that counts as whole because its connection was reset.
+#[test_case(Framing::UntilClose, "ab", Err(BodyError::Truncated); "until close")]
+#[test_case(Framing::Length(2), "ab", Ok(()); "all bytes")]
+#[test_case(Framing::Empty, "", Ok(()); "no body")]
+fn handle_eof_after_reset(framing: Framing, text: &str, expected: Result<(), BodyError>) {
+    let mut reader = BodyReader::new(framing);
+    read(&mut reader, &mut BytesMut::from(text)).unwrap();
+    assert_eq!(reader.handle_eof(ConnectionEnd::Reset), expected);
 }
 
 proptest! {
--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Method};
-use http1::{BodyReader, Framing, Piece, ResponseHead};
+use http1::{BodyReader, ConnectionEnd, Framing, Piece, ResponseHead};
 use std::fmt;
 use std::io;
 use std::sync::Arc;
@@ -34,6 +34,8 @@
 /// Maximum time for reading the rest of a response that is not needed, so that its
 /// connection can be used again.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for the task that writes a request to report the error of its connection.
+const WRITE_ERROR_TIME: Duration = Duration::from_millis(500);
 
 /// A request to the upstream.
 #[derive(Debug)]
@@ -145,11 +147,26 @@
     attempts: Vec<AttemptHash>,
 }
 
+/// Why a long request was not written to its end.
+#[derive(Debug)]
+enum WriteError {
+    /// The rest of the body did not come.
+    Upload,
+    /// The connection failed.
+    Connection(io::Error),
+}
+
+impl From<io::Error> for WriteError {
+    fn from(error: io::Error) -> Self {
+        Self::Connection(error)
+    }
+}
+
 /// The write half after a short request, or the task that writes a long one.
 #[derive(Debug)]
 struct RequestWriter {
     write: Option<OwnedWriteHalf>,
-    task: Option<JoinHandle<io::Result<OwnedWriteHalf>>>,
+    task: Option<JoinHandle<Result<OwnedWriteHalf, WriteError>>>,
 }
 
 impl Drop for RequestWriter {
@@ -169,6 +186,39 @@
         let task = self.task.take_if(|task| task.is_finished())?;
         task.await.ok()?.ok()
     }
+
+    /// Returns how the connection has ended, once its read half has reported an end.
+    ///
+    /// The system reports a reset once, to whoever uses the connection first. If that was
+    /// the task that writes the request, the read half reports an ordinary end.
+    async fn connection_end(&mut self, read: &OwnedReadHalf) -> ConnectionEnd {
+        let Some(task) = &mut self.task else {
+            return ConnectionEnd::Closed;
+        };
+        // A connection that only the peer has closed can still be written to.
+        if !task.is_finished() && read.peer_addr().is_ok() {
+            return ConnectionEnd::Closed;
+        }
+        if let Ok(Some(error)) = read.as_ref().take_error() {
+            return end_of(&error);
+        }
+        let written = timeout(WRITE_ERROR_TIME, task).await;
+        self.task = None;
+        match written {
+            Ok(Ok(Ok(_) | Err(WriteError::Upload))) => ConnectionEnd::Closed,
+            Ok(Ok(Err(WriteError::Connection(error)))) => end_of(&error),
+            Ok(Err(_)) | Err(_) => ConnectionEnd::Reset,
+        }
+    }
+}
+
+/// Returns how a connection has ended that reports an error after its end. The pipe is broken
+/// if the peer had closed the connection before it was reset.
+fn end_of(error: &io::Error) -> ConnectionEnd {
+    match error.kind() {
+        io::ErrorKind::BrokenPipe => ConnectionEnd::Closed,
+        _ => ConnectionEnd::Reset,
+    }
 }
 
 /// Sends a request and waits for the head of its response.
@@ -260,9 +310,9 @@
     buf: &mut BytesMut,
     mut upload: UploadReader,
     chunked: bool,
-) -> io::Result<()> {
+) -> Result<(), WriteError> {
     while let Some(piece) = upload.next().await {
-        let piece = piece?;
+        let piece = piece.map_err(|_| WriteError::Upload)?;
         match chunked {
             true => http1::write_chunk(buf, &piece),
             false => buf.extend_from_slice(&piece),
@@ -372,9 +422,13 @@
             self.buf.reserve(READ_BYTES);
             match self.read.read_buf(&mut self.buf).await {
                 Ok(0) => {
-                    let complete = self.body.handle_eof();
+                    let end = match self.body.reads_until_close() {
+                        true => self.writer.connection_end(&self.read).await,
+                        false => ConnectionEnd::Closed,
+                    };
+                    let complete = self.body.handle_eof(end);
                     return complete.map(|()| None).map_err(|_| {
-                        broken("the upstream closed the connection before the end of the response")
+                        broken("the connection ended before the end of the response")
                     });
                 }
                 Ok(_) => {}
