Refuse statuses that are none where they are decoded

Cause: the parser of response heads took any three digits; a response with a length was refused later by chance, one without was passed on. The entry took the number of a gate's frame as it came.

Change: numbers outside 100 to 599 make a response's head invalid, and a gate's response broken.

--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -6,9 +6,12 @@
 };
 use http::{HeaderMap, Method};
 use std::fmt;
+use std::ops::RangeInclusive;
 
 /// Maximum number of header lines in a head.
 const MAX_HEADERS: usize = 100;
+/// Valid status codes.
+const VALID_STATUS: RangeInclusive<u16> = 100..=599;
 
 /// How the end of a message body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -130,6 +133,9 @@
         return Ok(None);
     };
     let status = parsed.code.unwrap_or_default();
+    if !is_valid_status(status) {
+        return Err(HeadError::Malformed("the status code is not valid"));
+    }
     let headers = headers(parsed.headers)?;
     let mut keep_alive = keeps_alive(&headers, parsed.version);
     let framing = match body_length(&headers)? {
@@ -149,6 +155,12 @@
     }))
 }
 
+/// Returns whether a number is the status code of a response.
+#[must_use]
+pub fn is_valid_status(status: u16) -> bool {
+    VALID_STATUS.contains(&status)
+}
+
 /// Removes the empty lines that a client may send before a request.
 fn skip_empty_lines(buf: &mut BytesMut) {
     while buf.starts_with(b"\r\n") {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,5 +11,7 @@
 mod write;
 
 pub use body::{BodyError, BodyReader, ConnectionEnd, Piece};
-pub use head::{Framing, HeadError, RequestHead, ResponseHead, parse_request, parse_response};
+pub use head::{
+    Framing, HeadError, RequestHead, ResponseHead, is_valid_status, parse_request, parse_response,
+};
 pub use write::{is_bodyless, write_chunk, write_last_chunk, write_request, write_response};
--- a/crates/plumhitchd/src/entry_http/attempt.rs
+++ b/crates/plumhitchd/src/entry_http/attempt.rs
@@ -237,10 +237,11 @@
     }
 
     /// Stores the head of the response and the body bytes in its frame. Returns
-    /// false for a second head or if the body does not have its declared
-    /// length.
+    /// false for a second head or one without a valid status, or if the body does not have
+    /// its declared length.
     pub(super) fn on_head(&mut self, mut head: ResponseHead) -> bool {
-        if self.response.is_some() {
+        let is_valid = u16::try_from(head.status).is_ok_and(http1::is_valid_status);
+        if self.response.is_some() || !is_valid {
             return false;
         }
         let body = std::mem::take(&mut head.body);
