Count crashes for a cancelled request until its deadline

Cause: the end of a cancelled request was dropped as evidence at the first response to others later than 500 ms after it, and after a second in any case, while the instance still worked on it.

Change: a cancelled request counts as at work until 500 ms after its deadline, which the instance was told, for signs of life, refusals, new starts and the time for which the evidence is kept.

Ruled out: a longer fixed time; the deadline is the fact that is known.

Result, x86-64: crash_is_counted_long_after_its_caller_left failed in 3 of 3 cases before and passes; all tests of node pass.

--- a/crates/node/src/admission/breaks.rs
+++ b/crates/node/src/admission/breaks.rs
@@ -17,8 +17,9 @@
 const ENDED_AFTER: Duration = Duration::from_secs(2);
 /// Time after a break within which a new start shows that the upstream ended then.
 const RESTART_WINDOW: Duration = Duration::from_secs(10);
-/// Time for which an upstream may still work on a request after the end of its
-/// connection.
+/// Time for which an upstream may still work on a request after the end of its connection
+/// and its deadline. The upstream knows the deadline by its own clock, and ends some time
+/// after the part of its work that harms it.
 const CANCELLED_WORK: Duration = Duration::from_millis(500);
 /// Maximum number of breaks kept.
 const MAX_BREAKS: usize = 1_024;
@@ -36,8 +37,9 @@
 struct Break {
     at: Duration,
     request: LostRequest,
-    /// Whether the request was cancelled before its connection ended.
-    cancelled: bool,
+    /// Time until which the upstream may work on the request, if it was cancelled before its
+    /// connection ended.
+    working_until: Option<Duration>,
     /// Whether a connection was refused afterwards, before any sign of life.
     refused: bool,
 }
@@ -46,21 +48,28 @@
     /// Returns whether the upstream may have ended, or may still end, because of this
     /// request although a response of it is handled now.
     fn outlasts_sign_of_life(&self, now: Duration) -> bool {
-        let spread = match self.cancelled {
-            true => CANCELLED_WORK,
-            false => BREAK_SPREAD,
-        };
-        self.refused || now.saturating_sub(self.at) < spread
+        let until = self.working_until.unwrap_or(self.at + BREAK_SPREAD);
+        self.refused || now < until
     }
 
     /// Returns whether an upstream that refuses connections now may have ended with this
     /// request.
     fn is_recent(&self, now: Duration) -> bool {
-        let window = match self.cancelled {
-            true => CANCELLED_WORK,
-            false => CRASH_WINDOW,
-        };
-        now.saturating_sub(self.at) <= window
+        now <= self.working_until.unwrap_or(self.at + CRASH_WINDOW)
+    }
+
+    /// Returns whether the upstream may have ended with this request if that was noticed at
+    /// a time.
+    fn may_explain_end(&self, noticed_at: Duration) -> bool {
+        noticed_at <= self.latest_end()
+    }
+
+    /// Returns the latest time at which an end of the upstream because of this request is
+    /// noticed.
+    fn latest_end(&self) -> Duration {
+        let noticed = self.at + CRASH_WINDOW;
+        self.working_until
+            .map_or(noticed, |until| until.max(noticed))
     }
 }
 
@@ -77,23 +86,28 @@
         // A connection was open since, so the refusals before it were no end.
         let earlier = |since: Duration| now.saturating_sub(since) >= BREAK_SPREAD;
         self.refused_since = self.refused_since.filter(|since| !earlier(*since));
-        self.push(now, request, false);
+        self.push(now, request, None);
     }
 
-    /// Records a cancelled request whose connection ended. The upstream may end with it
-    /// all the same.
-    pub(super) fn record_cancelled(&mut self, now: Duration, request: LostRequest) {
-        self.push(now, request, true);
+    /// Records a cancelled request whose connection ended. The upstream may work on it up to
+    /// its deadline, and end with it.
+    pub(super) fn record_cancelled(
+        &mut self,
+        now: Duration,
+        request: LostRequest,
+        deadline: Duration,
+    ) {
+        self.push(now, request, Some(deadline.max(now) + CANCELLED_WORK));
     }
 
-    fn push(&mut self, now: Duration, request: LostRequest, cancelled: bool) {
+    fn push(&mut self, now: Duration, request: LostRequest, working_until: Option<Duration>) {
         if self.breaks.len() >= MAX_BREAKS {
             self.breaks.remove(0);
         }
         self.breaks.push(Break {
             at: now,
             request,
-            cancelled,
+            working_until,
             refused: false,
         });
     }
@@ -110,13 +124,13 @@
     /// requests that were in flight at its end, if it has ended for certain.
     pub(super) fn record_refusal(&mut self, now: Duration) -> Vec<LostRequest> {
         let since = *self.refused_since.get_or_insert(now);
-        let earliest = since.saturating_sub(CRASH_WINDOW);
-        let before_refusals = self.breaks.iter_mut().filter(|b| b.at >= earliest);
+        let before_refusals = self.breaks.iter_mut();
+        let before_refusals = before_refusals.filter(|b| b.may_explain_end(since));
         before_refusals.for_each(|b| b.refused = true);
         if now.saturating_sub(since) < ENDED_AFTER {
             return Vec::new();
         }
-        let ended = self.breaks.extract_if(.., |b| b.at >= earliest);
+        let ended = self.breaks.extract_if(.., |b| b.may_explain_end(since));
         ended.map(|b| b.request).collect()
     }
 
@@ -132,7 +146,7 @@
     pub(super) fn take_at_restart(&mut self, now: Duration) -> Vec<LostRequest> {
         self.refused_since = None;
         let breaks = std::mem::take(&mut self.breaks).into_iter();
-        let lost = breaks.filter(|b| b.refused || now.saturating_sub(b.at) <= CRASH_WINDOW);
+        let lost = breaks.filter(|b| b.refused || b.may_explain_end(now));
         lost.map(|b| b.request).collect()
     }
 
@@ -146,12 +160,11 @@
     /// Drops breaks that are too old to be part of a crash.
     pub(super) fn tick(&mut self, now: Duration) {
         self.breaks.retain(|b| {
-            let window = if b.refused {
-                RESTART_WINDOW
-            } else {
-                CRASH_WINDOW
+            let until = match b.refused {
+                true => b.latest_end() + (RESTART_WINDOW - CRASH_WINDOW),
+                false => b.latest_end(),
             };
-            now.saturating_sub(b.at) <= window
+            now <= until
         });
     }
 }
--- a/crates/node/src/admission/crash.rs
+++ b/crates/node/src/admission/crash.rs
@@ -44,7 +44,8 @@
 
     /// Handles the end of the connection of a cancelled request.
     pub(super) fn cancelled_request_ended(&mut self, job: &Job, cx: &Cx<'_>) {
-        self.breaks.record_cancelled(cx.now, job.lost());
+        self.breaks
+            .record_cancelled(cx.now, job.lost(), job.deadline);
     }
 
     /// Returns whether a connection broke so recently that the upstream may be
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -549,6 +549,29 @@
     assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
 }
 
+/// Guards against a request that is never stopped because its caller leaves and the upstream
+/// works on for longer than half a second before it ends, while others get responses.
+#[test_case(Duration::from_millis(850); "within its deadline")]
+#[test_case(Duration::from_millis(1_950); "just before its deadline")]
+#[test_case(Duration::from_millis(2_200); "shortly after its deadline")]
+fn crash_is_counted_long_after_its_caller_left(work: Duration) {
+    let mut fleet = Fleet::new(22);
+    for gate in 0..3 {
+        let ticket = fleet.send(gate, CRASHING);
+        fleet.upstreams[gate].ends_at = Some(fleet.sim.now + work);
+        fleet.run(Duration::from_millis(150));
+        fleet.gate_event(gate, admission::Event::Cancelled(ticket));
+        fleet.end(gate, ticket, Outcome::Broken);
+        while fleet.crashes.len() == gate {
+            fleet.complete(gate, POPULAR);
+            fleet.run(Duration::from_millis(50));
+        }
+        fleet.run(DOWN + Duration::from_millis(100));
+    }
+    fleet.settle();
+    assert!(fleet.refuses_crashing(3), "it runs at a fourth upstream");
+}
+
 /// Guards against requests that are convicted because their callers left: the upstream
 /// lives on.
 #[test]
