Recognise a request whatever its framing and the spelling of its host

Cause: the fingerprint covered the declared length, which a body in chunks has not, so that one request had two counts of crashes.

Change: it covers the length of a body that was buffered completely, and the host as routes compare it. Of longer bodies it covers the buffered beginning.

Ruled out: waiting for the end of long bodies; they are sent on as they come.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -22,7 +22,7 @@
     Class, Customers, KeyRule, MAX_CLASSES, MAX_CUSTOMERS, MAX_LIST_BYTES, MAX_PLANS, Plan, Plans,
     check_lists, parse_customers, parse_lists, parse_plans,
 };
-pub use routes::{MAX_ROUTES, RouteTable};
+pub use routes::{MAX_ROUTES, RouteTable, normalise_host};
 pub use settings::{
     ControlSettings, DaemonSettings, GateSettings, LimitSettings, ListenSettings, LogSettings,
     OperatorSettings, QuotaSettings, RolloutSettings, RoutingSettings, Settings, StopSettings,
--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -114,7 +114,8 @@
 }
 
 /// Returns a host without port and in lower case, for comparison.
-fn normalise_host(host: &str) -> CompactString {
+#[must_use]
+pub fn normalise_host(host: &str) -> CompactString {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let mut key = CompactString::from(name);
     key.make_ascii_lowercase();
--- a/crates/plumhitchd/src/entry_http/body_buffer.rs
+++ b/crates/plumhitchd/src/entry_http/body_buffer.rs
@@ -26,6 +26,13 @@
     pub(super) fn prefix(&self, max: usize) -> &[u8] {
         &self.start[..self.start.len().min(max)]
     }
+
+    /// Returns the length that the fingerprint covers: that of a body which was buffered
+    /// completely. It does not depend on whether the caller declared it.
+    pub(super) fn complete_len(&self) -> Option<u64> {
+        let is_complete = self.rest.is_none() && !self.start.is_empty();
+        is_complete.then_some(self.start.len() as u64)
+    }
 }
 
 /// Reads until the body ends or exceeds `max_buffered` bytes.
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -76,14 +76,15 @@
     let id = record.id;
     let (tx, rx) = mpsc::unbounded_channel();
     lock(&daemon.entry_tasks).insert(id, tx.clone());
-    let host = inbound.route_key.as_ref().map(|key| key.host.as_str());
+    let route_key = inbound.route_key.as_ref();
+    let host = route_key.map(|key| conf::normalise_host(&key.host));
     let fingerprint = wire::fingerprint(
         &inbound.customer,
-        host.unwrap_or(&inbound.service),
+        host.as_ref().unwrap_or(&inbound.service),
         inbound.method.as_str(),
         &inbound.path,
         body.prefix(daemon.cfg.limits.buffered_body_bytes),
-        inbound.body_len,
+        body.complete_len(),
     );
     record.fingerprint = fingerprint;
     let request = NodeRequest {
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -47,8 +47,9 @@
 
 /// Hashes what identifies a request, independently of its connection.
 ///
-/// `body` is the part of the body that the entry buffered before it sent the
-/// request, and `body_len` is the declared length, if any.
+/// `body` is the part of the body that the entry buffered before it sent the request, and
+/// `body_len` is the length of the body if all of it was buffered and it is not empty. A
+/// declared length does not identify a request: the same body may be sent without one.
 #[must_use]
 pub fn fingerprint(
     customer: &str,
