Replace a voter after one election timeout of silence

Cause: a learner that had caught up waited for three election timeouts of a voter's silence. The time stood for "gone for good", which nobody knows. A wrong replacement is cheap since the voter that is back asks to join at once.

Change: one election timeout, the time after which a voter counts as unresponsive elsewhere. The shuffle of members removes machines without notice whose successor has caught up, and loses more disks after an election and that silence.

What remains: losses within that time; no five of six machines survive any three.

--- a/crates/replica/src/replica/membership.rs
+++ b/crates/replica/src/replica/membership.rs
@@ -14,7 +14,7 @@
 const REMOVAL_ELECTION_TIMEOUTS: u32 = 10;
 /// Election timeouts after which a silent voter is replaced by a learner that
 /// has caught up.
-const REPLACEMENT_ELECTION_TIMEOUTS: u32 = 3;
+const REPLACEMENT_ELECTION_TIMEOUTS: u32 = 1;
 
 impl Replica {
     pub(super) fn is_voter(&self, id: ReplicaId) -> bool {
--- a/crates/replica/tests/member_shuffle.rs
+++ b/crates/replica/tests/member_shuffle.rs
@@ -25,6 +25,9 @@
 const MAX_LOST: usize = 2;
 /// Time for which a machine that has started counts as lost.
 const CATCH_UP_MS: u64 = 6 * ELECTION_TIMEOUT.as_millis() as u64;
+/// Time after which a machine that is removed without notice, though its successor has caught
+/// up, no longer counts as lost: that of an election, and of one election timeout of silence.
+const NOTICE_MS: u64 = 4 * ELECTION_TIMEOUT.as_millis() as u64;
 const RECOVERY_MS: u64 = 20_000;
 const STEP_MS: u64 = 10;
 /// Range of the time for which a machine is down, in milliseconds.
@@ -39,8 +42,10 @@
     Up(u64),
     /// Is down until a time.
     Down(u64),
-    /// Runs, and is removed as planned from a time on, once its successor has caught up.
+    /// Runs, and is stopped and removed from a time on, once its successor has caught up.
     Replaced(u64),
+    /// As above, but removed without notice.
+    Removed(u64),
     /// Has been asked to stop, and is ended at a time at the latest.
     Stopping(u64),
 }
@@ -57,6 +62,8 @@
     machines: Vec<Machine>,
     /// Times at which successors of removed machines start.
     arrivals: Vec<u64>,
+    /// Times until which machines that were removed without notice count as lost.
+    unnoticed: Vec<u64>,
     started: usize,
     commands: u64,
     history: Vec<String>,
@@ -75,6 +82,7 @@
             rng: SmallRng::seed_from_u64(seed),
             machines: (1..=5).map(machine).collect(),
             arrivals: Vec::new(),
+            unnoticed: Vec::new(),
             started: 5,
             commands: 0,
             history: Vec::new(),
@@ -105,9 +113,11 @@
         let is_lost = |m: &&Machine| match m.state {
             State::Up(since) => since > 0 && now < since + CATCH_UP_MS,
             State::Down(_) => true,
-            State::Replaced(_) | State::Stopping(_) => false,
+            State::Replaced(_) | State::Removed(_) | State::Stopping(_) => false,
         };
-        self.machines.iter().filter(is_lost).count() + self.arrivals.len()
+        let unnoticed = self.unnoticed.iter().filter(|until| now < **until);
+        let removed = self.arrivals.len() + unnoticed.count();
+        self.machines.iter().filter(is_lost).count() + removed
     }
 
     /// Returns a random machine that runs and has caught up.
@@ -152,7 +162,10 @@
                 self.note(format!("{name} to be replaced"));
                 self.add_machine();
                 let index = self.machines.iter().position(|m| m.name == name).unwrap();
-                self.machines[index].state = State::Replaced(now + CATCH_UP_MS);
+                self.machines[index].state = match self.rng.random_bool(0.5) {
+                    true => State::Replaced(now + CATCH_UP_MS),
+                    false => State::Removed(now + CATCH_UP_MS),
+                };
             }
         }
     }
@@ -206,6 +219,13 @@
                     self.simulation.input(&name, Input::Leave);
                     self.machines[index].state = State::Stopping(now + MAX_LEAVE_MS);
                 }
+                State::Removed(from) if now >= from && self.lost() < MAX_LOST => {
+                    self.note(format!("{name} removed without notice"));
+                    self.simulation.crash(&name);
+                    self.simulation.remove(&name);
+                    self.machines.remove(index);
+                    self.unnoticed.push(now + NOTICE_MS);
+                }
                 State::Stopping(until) if now >= until || self.simulation.has_left(&name) => {
                     self.note(format!("{name} stopped, left {}", now < until));
                     self.simulation.crash(&name);
