Replace a voter in one step, by joint consensus

What callers would see: control lost for good with two machines lost, as many as may be: one whose disk was lost and lost once more while it came back, and another.

Cause: the new voter was added before the old one was removed. Between the two steps six voters count, and the machine that came back with an empty disk holds two of them.

Change: a replacement is one entry that names the voters before it as well (Membership.outgoing); until a second entry completes it, elections, commits and reads need a majority of both.

Why it works: each majority before, during and after shares a voter with every other that decides.

Ruled out: removing the old voter first, which leaves four at a planned stop.

--- a/crates/node/tests/control_disks.rs
+++ b/crates/node/tests/control_disks.rs
@@ -242,7 +242,7 @@
         let mut leaders = replicas.filter(|r| r.role() == Role::Leader);
         let replaced = leaders.next().is_some_and(|leader| {
             let voters = leader.membership().voters;
-            leader.membership_is_committed() && voters.iter().all(|v| ids.contains(&v.id))
+            leader.membership_is_complete() && voters.iter().all(|v| ids.contains(&v.id))
         });
         replaced && self.controls > 3
     }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -32,7 +32,8 @@
 //! receives the log as a learner and becomes a voter once it has caught up. If
 //! a silent voter has the same address, that voter's disk was lost, and it is
 //! removed first. With a configured number of voters, a learner may replace any
-//! silent voter, and is added before that voter is removed.
+//! silent or departing voter, in one step: until the replacement is complete, decisions
+//! need a majority of the voters before it and of those after it.
 //!
 //! The membership changes by one replica at a time, and only after the last
 //! change and an entry of the leader's current term are committed. Committed
--- a/crates/replica/src/options.rs
+++ b/crates/replica/src/options.rs
@@ -31,8 +31,7 @@
     /// empty data folders. Empty if no cluster is to be bootstrapped.
     pub initial_voters: Vec<String>,
     /// Number of voters to maintain by replacing silent voters with any
-    /// learner. The replacement is added before the silent voter is removed, so
-    /// that the number of copies never falls. If `None`, every learner becomes
+    /// learner. The number of copies never falls meanwhile. If `None`, every learner becomes
     /// a voter once it has caught up, and only a silent voter at its address is
     /// replaced.
     pub target_voters: Option<usize>,
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod leave;
 mod membership;
+mod quorum;
 mod read;
 mod snapshot;
 mod storage;
@@ -181,11 +182,12 @@
         self.log.membership().clone()
     }
 
-    /// Returns whether the newest membership is known to be committed. The
-    /// replacement of a lost disk is complete only then.
+    /// Returns whether the newest membership is known to be committed, and no voters of an
+    /// earlier one count. The replacement of a lost disk is complete only then.
     #[must_use]
-    pub fn membership_is_committed(&self) -> bool {
-        self.log.membership_index() <= self.commit_index
+    pub fn membership_is_complete(&self) -> bool {
+        let is_committed = self.log.membership_index() <= self.commit_index;
+        is_committed && self.log.membership().outgoing.is_empty()
     }
 
     /// Emits the outputs that follow from the recovered state, once.
--- a/crates/replica/src/replica/bootstrap.rs
+++ b/crates/replica/src/replica/bootstrap.rs
@@ -54,6 +54,7 @@
             membership: Some(Membership {
                 voters,
                 learners: Vec::new(),
+                outgoing: Vec::new(),
             }),
         };
         self.append_entries(vec![entry], tx);
--- a/crates/replica/src/replica/commit.rs
+++ b/crates/replica/src/replica/commit.rs
@@ -1,16 +1,17 @@
 //! Committing and applying entries.
 
 use super::Replica;
+use super::quorum::reached_by_quorum;
 use crate::io::Output;
 use crate::log::entry_bytes;
 use wire::LogIndex;
 
 impl Replica {
-    /// Commits the entries that a majority has synced. The leader's own entries
+    /// Commits the entries that a quorum has synced. The leader's own entries
     /// count only once they are synced. Only an entry of the current term is
     /// committed directly; it commits all entries before it.
     pub(super) fn advance_commit(&mut self, tx: &mut Vec<Output>) {
-        let index = self.majority_index();
+        let index = self.quorum_index();
         if self.log.term_at(index) == Some(self.hard_state.term) {
             self.commit_up_to(index, tx);
             self.confirm_reads(tx);
@@ -25,24 +26,17 @@
         self.request_snapshot_if_due(tx);
     }
 
-    /// Returns the last index synced by a majority of voters.
-    fn majority_index(&self) -> LogIndex {
+    /// Returns the last index synced by a quorum.
+    fn quorum_index(&self) -> LogIndex {
         let Some(leader_state) = &self.leader_state else {
             return 0;
         };
-        let voters = &self.log.membership().voters;
-        let mut synced: Vec<LogIndex> = voters
-            .iter()
-            .map(|v| match leader_state.peers.get(&v.id) {
+        reached_by_quorum(self.log.membership(), |id| {
+            match leader_state.peers.get(&id) {
                 Some(peer) => peer.match_index,
                 None => self.log.synced(),
-            })
-            .collect();
-        synced.sort_unstable();
-        let Some(minority) = synced.len().checked_sub(1).map(|n| n / 2) else {
-            return 0;
-        };
-        synced[minority]
+            }
+        })
     }
 
     fn apply(&mut self, index: LogIndex, tx: &mut Vec<Output>) {
--- a/crates/replica/src/replica/election.rs
+++ b/crates/replica/src/replica/election.rs
@@ -202,7 +202,7 @@
     }
 
     fn count_votes(&mut self, tx: &mut Vec<Output>) {
-        if !self.is_majority(&self.election.votes) {
+        if !self.is_quorum(&self.election.votes) {
             return;
         }
         if self.election.pre_vote {
--- a/crates/replica/src/replica/join.rs
+++ b/crates/replica/src/replica/join.rs
@@ -1,7 +1,7 @@
 //! Ids of new replicas, creation of a cluster and requests to join one.
 
 use super::Replica;
-use super::membership::contains;
+use super::quorum::contains;
 use crate::io::{Output, Role};
 use rand::Rng;
 use std::time::Duration;
@@ -135,7 +135,7 @@
     /// Adds a replica as a learner and returns whether it is a member.
     fn add_learner(&mut self, member: &Member, tx: &mut Vec<Output>) -> bool {
         let current = self.log.membership();
-        if contains(&current.voters, member.id) || contains(&current.learners, member.id) {
+        if self.is_voter(member.id) || contains(&current.learners, member.id) {
             return true;
         }
         if !self.may_change_membership() || self.has_responsive_voter(&member.address) {
--- a/crates/replica/src/replica/leader.rs
+++ b/crates/replica/src/replica/leader.rs
@@ -1,6 +1,7 @@
 //! State of the leader, and the start and end of its leadership.
 
 use super::Replica;
+use super::quorum::all_voters;
 use super::snapshot::SnapshotTransfer;
 use crate::io::Output;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -119,7 +120,7 @@
         }
         let earliest = self.now.saturating_sub(self.options.election_timeout);
         let alive = self.contacted_since(earliest);
-        if !self.is_majority(&alive) || self.disk_is_stalled() {
+        if !self.is_quorum(&alive) || self.disk_is_stalled() {
             self.step_down(tx);
             self.refresh_role(tx);
         }
@@ -156,11 +157,9 @@
     /// Adds and removes peers according to the newest membership.
     pub(super) fn refresh_peers(&mut self) {
         let membership = self.log.membership();
-        let members = membership.voters.iter().chain(&membership.learners);
-        let others: Vec<Member> = members
-            .filter(|m| m.id != self.hard_state.id)
-            .cloned()
-            .collect();
+        let mut others = all_voters(membership);
+        others.extend(membership.learners.iter().cloned());
+        others.retain(|m| m.id != self.hard_state.id);
         let next_index = self.log.last_index() + 1;
         let now = self.now;
         let Some(leader_state) = &mut self.leader_state else {
--- a/crates/replica/src/replica/leave.rs
+++ b/crates/replica/src/replica/leave.rs
@@ -6,7 +6,7 @@
 //! one that is silent for a moment.
 
 use super::Replica;
-use super::membership::contains;
+use super::quorum::contains;
 use crate::io::{Output, Role};
 use rand::Rng;
 use std::time::Duration;
@@ -84,7 +84,8 @@
     }
 
     fn possible_successors(&self) -> Vec<Member> {
-        let mut voters = self.other_voters();
+        let mut voters = self.log.membership().voters.clone();
+        voters.retain(|v| v.id != self.hard_state.id);
         voters.retain(|v| self.is_responsive(v.id) && !self.is_departing(v.id));
         voters
     }
@@ -155,7 +156,7 @@
     fn may_relieve(&self, id: ReplicaId) -> bool {
         let membership = self.log.membership();
         if !contains(&membership.voters, id) {
-            return !self.membership_is_committed();
+            return !self.membership_is_complete();
         }
         let Some(target) = self.options.target_voters else {
             return false;
--- a/crates/replica/src/replica/membership.rs
+++ b/crates/replica/src/replica/membership.rs
@@ -1,6 +1,7 @@
 //! Membership changes, one at a time.
 
 use super::Replica;
+use super::quorum::{all_voters, contains, is_quorum};
 use crate::io::Output;
 use bytes::Bytes;
 use std::collections::BTreeSet;
@@ -18,19 +19,18 @@
 
 impl Replica {
     pub(super) fn is_voter(&self, id: ReplicaId) -> bool {
-        contains(&self.log.membership().voters, id)
+        let membership = self.log.membership();
+        contains(&membership.voters, id) || contains(&membership.outgoing, id)
     }
 
     pub(super) fn other_voters(&self) -> Vec<Member> {
-        let voters = self.log.membership().voters.iter();
+        let mut voters = all_voters(self.log.membership());
+        voters.retain(|v| v.id != self.hard_state.id);
         voters
-            .filter(|v| v.id != self.hard_state.id)
-            .cloned()
-            .collect()
     }
 
-    pub(super) fn is_majority(&self, ids: &BTreeSet<ReplicaId>) -> bool {
-        holds_majority(&self.log.membership().voters, ids)
+    pub(super) fn is_quorum(&self, ids: &BTreeSet<ReplicaId>) -> bool {
+        is_quorum(self.log.membership(), ids)
     }
 
     /// Returns whether a change may start: the last change and an entry of the
@@ -49,12 +49,15 @@
         self.replicate(tx);
     }
 
-    /// Starts the next promotion of a learner or removal of a lost member.
+    /// Starts the next step: the completion of a replacement, the promotion of a learner or
+    /// the removal of a lost member.
     pub(super) fn tick_membership(&mut self, tx: &mut Vec<Output>) {
         if !self.may_change_membership() || self.is_transferring_leadership() {
             return;
         }
-        let next = self.next_promotion().or_else(|| self.next_removal());
+        let next = self.completed_replacement();
+        let next = next.or_else(|| self.next_promotion());
+        let next = next.or_else(|| self.next_removal());
         if let Some(membership) = next {
             self.change_membership(membership, tx);
         }
@@ -96,22 +99,38 @@
         let mut caught_up =
             learners.filter(|l| self.is_caught_up(l.id) && !self.is_departing(l.id));
         match self.options.target_voters {
-            Some(target) => caught_up.find_map(|l| self.with_added_voter(l, target)),
+            Some(target) => caught_up.find_map(|l| self.with_voter(l, target)),
             None => caught_up.find_map(|l| self.promotion_step(l)),
         }
     }
 
-    /// Returns the membership with a learner as a voter, if a voter is missing
-    /// or has to be replaced.
-    fn with_added_voter(&self, learner: &Member, target: usize) -> Option<Membership> {
+    /// Returns the membership with a learner as a voter, if a voter is missing or has to be
+    /// replaced.
+    ///
+    /// A replacement takes one step, after which the voters before it still count until it
+    /// is complete. With the learner added first, its VM would have two votes if it returned
+    /// with an empty disk, and with the other voter removed first, one of those that run
+    /// would be missing.
+    fn with_voter(&self, learner: &Member, target: usize) -> Option<Membership> {
         let mut next = self.log.membership().clone();
-        let replaces = next.voters.len() == target && self.voter_to_replace(&next).is_some();
-        if next.voters.len() >= target && !replaces {
+        if next.voters.len() > target {
             return None;
         }
+        if next.voters.len() == target {
+            let replaced = self.voter_to_replace(&next)?;
+            next.outgoing = next.voters.clone();
+            next.voters.retain(|v| v.id != replaced);
+        }
         next.learners.retain(|l| l.id != learner.id);
         next.voters.push(learner.clone());
-        self.has_reachable_majority(&next).then_some(next)
+        self.has_reachable_quorum(&next).then_some(next)
+    }
+
+    /// Returns the membership in which only the voters after a replacement count.
+    fn completed_replacement(&self) -> Option<Membership> {
+        let mut next = self.log.membership().clone();
+        let replaced = std::mem::take(&mut next.outgoing);
+        (!replaced.is_empty()).then_some(next)
     }
 
     /// Returns a voter to replace: preferably one whose VM has returned with an
@@ -149,7 +168,7 @@
             let removed = removed.map(|l| l.id)?;
             next.learners.retain(|l| l.id != removed);
         }
-        self.has_reachable_majority(&next).then_some(next)
+        self.has_reachable_quorum(&next).then_some(next)
     }
 
     /// Returns the membership without a member that has been silent for long
@@ -171,7 +190,7 @@
         let id = removed?.id;
         next.voters.retain(|v| v.id != id);
         next.learners.retain(|l| l.id != id);
-        self.has_reachable_majority(&next).then_some(next)
+        self.has_reachable_quorum(&next).then_some(next)
     }
 
     /// Returns whether the replica at an address is configured. Every replica
@@ -196,22 +215,13 @@
             next.learners.retain(|l| l.id != learner.id);
             next.voters.push(learner.clone());
         }
-        self.has_reachable_majority(&next).then_some(next)
+        self.has_reachable_quorum(&next).then_some(next)
     }
 
-    /// Returns whether a majority of a membership's voters is responsive, so
-    /// that a change to this membership can be committed.
-    fn has_reachable_majority(&self, membership: &Membership) -> bool {
+    /// Returns whether a quorum of a membership is responsive, so that a change to this
+    /// membership can be committed.
+    fn has_reachable_quorum(&self, membership: &Membership) -> bool {
         let earliest = self.now.saturating_sub(self.options.election_timeout);
-        holds_majority(&membership.voters, &self.contacted_since(earliest))
+        is_quorum(membership, &self.contacted_since(earliest))
     }
 }
-
-pub(super) fn contains(members: &[Member], id: ReplicaId) -> bool {
-    members.iter().any(|m| m.id == id)
-}
-
-fn holds_majority(voters: &[Member], ids: &BTreeSet<ReplicaId>) -> bool {
-    let present = voters.iter().filter(|v| ids.contains(&v.id)).count();
-    present * 2 > voters.len()
-}
--- a/crates/replica/src/replica/read.rs
+++ b/crates/replica/src/replica/read.rs
@@ -2,6 +2,7 @@
 
 use super::Replica;
 use super::leader::PendingRead;
+use super::quorum::reached_by_quorum;
 use crate::io::Output;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -88,22 +89,17 @@
         }
     }
 
-    /// Returns the newest round to which a majority of voters has replied.
+    /// Returns the newest round to which a quorum has replied.
     fn confirmed_round(&self) -> u64 {
         let Some(leader_state) = &self.leader_state else {
             return 0;
         };
-        let voters = &self.log.membership().voters;
-        let mut rounds: Vec<u64> = voters
-            .iter()
-            .map(|v| match leader_state.peers.get(&v.id) {
+        reached_by_quorum(self.log.membership(), |id| {
+            match leader_state.peers.get(&id) {
                 Some(peer) => peer.round,
                 None => leader_state.round,
-            })
-            .collect();
-        rounds.sort_unstable();
-        let minority = rounds.len().saturating_sub(1) / 2;
-        rounds.get(minority).copied().unwrap_or(0)
+            }
+        })
     }
 }
 
--- a/crates/replica/tests/damaged_folders.rs
+++ b/crates/replica/tests/damaged_folders.rs
@@ -99,6 +99,9 @@
         let mut members: Vec<u64> = match self.simulation.leader() {
             Some(leader) => {
                 let replica = self.simulation.server(&leader).replica.as_ref().unwrap();
+                if !replica.membership_is_complete() {
+                    return false;
+                }
                 replica.membership().voters.iter().map(|v| v.id).collect()
             }
             None => return false,
--- a/crates/replica/tests/shuffle.rs
+++ b/crates/replica/tests/shuffle.rs
@@ -160,7 +160,7 @@
             return false;
         };
         let voters = leader.membership().voters;
-        leader.membership_is_committed()
+        leader.membership_is_complete()
             && servers.iter().all(|s| {
                 let stored = s.disk.recover();
                 let id = stored.hard_state.map_or(0, |h| h.id);
--- a/crates/replica/tests/step.rs
+++ b/crates/replica/tests/step.rs
@@ -106,6 +106,7 @@
         membership: Some(Membership {
             voters: voters.collect(),
             learners: Vec::new(),
+            outgoing: Vec::new(),
         }),
         ..entry(1, 1, "")
     }
--- a/crates/wire/src/replica.rs
+++ b/crates/wire/src/replica.rs
@@ -22,6 +22,10 @@
     /// Replicas that receive the log but do not vote.
     #[prost(message, repeated, tag = "2")]
     pub learners: Vec<Member>,
+    /// Voters before a replacement that is not complete. Until it is, decisions need a
+    /// majority of them as well. Versions that lack the field count the new voters only.
+    #[prost(message, repeated, tag = "3")]
+    pub outgoing: Vec<Member>,
 }
 
 /// One entry of the log.
