Step down once a replacement of the leader itself is complete

Cause: by reading. A voter that was replaced while it was silent may be elected between the two entries of a replacement, since the voters before it still count, and would lead on without a vote.

Change: a leader that is no voter in a committed membership steps down. The state of a replica that leaves is called LeaveState, as Departure is that of an upstream.

--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -22,7 +22,7 @@
 use follower::FollowerState;
 use join::JoinState;
 use leader::LeaderState;
-use leave::Departure;
+use leave::LeaveState;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use std::time::Duration;
@@ -46,7 +46,7 @@
     leader_state: Option<LeaderState>,
     join_state: JoinState,
     /// Present once the process is about to stop.
-    departure: Option<Departure>,
+    leave_state: Option<LeaveState>,
     /// Names of the files of a former replica that were set aside.
     set_aside: Vec<String>,
     storage: Storage,
@@ -84,7 +84,7 @@
             follower_state: FollowerState::default(),
             leader_state: None,
             join_state: JoinState::new(now, !recovered.set_aside.is_empty()),
-            departure: None,
+            leave_state: None,
             set_aside: recovered.set_aside,
             storage: Storage::new(recovered.fault),
             snapshot_requested: false,
--- a/crates/replica/src/replica/leave.rs
+++ b/crates/replica/src/replica/leave.rs
@@ -13,9 +13,9 @@
 use wire::replica_message::Kind;
 use wire::{LeaveReply, LeaveRequest, Member, ReplicaId, Term, TimeoutNow};
 
-/// State of the departure.
+/// State of the state.
 #[derive(Debug)]
-pub(super) struct Departure {
+pub(super) struct LeaveState {
     /// Number that replies repeat. It tells them from replies to an earlier process.
     nonce: u64,
     next_message: Duration,
@@ -28,21 +28,21 @@
     /// confirmed the departure, or the replica takes no part in a cluster.
     #[must_use]
     pub fn has_left(&self) -> bool {
-        let confirmed = self.departure.as_ref().is_some_and(|d| d.confirmed);
+        let confirmed = self.leave_state.as_ref().is_some_and(|d| d.confirmed);
         let is_alone = self.other_voters().is_empty();
         confirmed || is_alone || matches!(self.role, Role::Empty | Role::Faulty)
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.departure.is_some()
+        self.leave_state.is_some()
     }
 
     /// Begins the departure, which can't be undone.
     pub(super) fn leave(&mut self, tx: &mut Vec<Output>) {
-        if self.departure.is_some() {
+        if self.leave_state.is_some() {
             return;
         }
-        self.departure = Some(Departure {
+        self.leave_state = Some(LeaveState {
             nonce: self.rng.random(),
             next_message: self.now,
             confirmed: false,
@@ -54,10 +54,10 @@
     /// process ends, so that the leader does not give a vote to a replica that leaves.
     pub(super) fn tick_leave(&mut self, tx: &mut Vec<Output>) {
         let now = self.now;
-        let Some(departure) = self.departure.as_mut().filter(|d| now >= d.next_message) else {
+        let Some(state) = self.leave_state.as_mut().filter(|d| now >= d.next_message) else {
             return;
         };
-        let nonce = departure.nonce;
+        let nonce = state.nonce;
         let message = match self.leader_state {
             Some(_) => self
                 .successor()
@@ -70,8 +70,8 @@
         if let Some((to, kind)) = message {
             self.send(&to, kind, tx);
             let next = now + self.options.heartbeat_interval;
-            if let Some(departure) = &mut self.departure {
-                departure.next_message = next;
+            if let Some(state) = &mut self.leave_state {
+                state.next_message = next;
             }
         }
     }
@@ -137,8 +137,8 @@
     }
 
     pub(super) fn handle_leave_reply(&mut self, reply: &LeaveReply) {
-        if let Some(departure) = &mut self.departure {
-            departure.confirmed |= reply.confirmed && reply.nonce == departure.nonce;
+        if let Some(state) = &mut self.leave_state {
+            state.confirmed |= reply.confirmed && reply.nonce == state.nonce;
         }
     }
 
--- a/crates/replica/src/replica/membership.rs
+++ b/crates/replica/src/replica/membership.rs
@@ -55,6 +55,12 @@
         if !self.may_change_membership() || self.is_transferring_leadership() {
             return;
         }
+        if self.leader_state.is_some() && !self.is_voter(self.hard_state.id) {
+            // It was replaced and led to the end of that change only.
+            self.step_down(tx);
+            self.refresh_role(tx);
+            return;
+        }
         let next = self.completed_replacement();
         let next = next.or_else(|| self.next_promotion());
         let next = next.or_else(|| self.next_removal());
