Release the beginning of a long upload once it is written

Cause: a gate held the up to 512 KB that come with a long request twice, as received and as copied behind the head, for as long as the upload lasted.

Change: it is taken out of the request, written in parts of 64 KB and released.

Ruled out: the growth of the entry's buffer, and the allocator's arenas (trials, still red).

--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -27,6 +27,8 @@
 /// Maximum size of a request that is written completely before its response is
 /// read; a longer one is written by a task.
 const MAX_INLINE_WRITE_BYTES: usize = 8 * 1024;
+/// Maximum number of body bytes that are copied for one write.
+const MAX_WRITE_BYTES: usize = 64 * 1024;
 /// Maximum number of interim responses and responses to other requests that are
 /// skipped.
 const MAX_SKIPPED_RESPONSES: usize = 4;
@@ -228,7 +230,7 @@
 /// Returns an error if no valid response head was received.
 pub(super) async fn send(
     daemon: Arc<Daemon>,
-    request: UpstreamRequest,
+    mut request: UpstreamRequest,
     upload: Option<UploadReader>,
 ) -> Result<UpstreamResponse, ExchangeError> {
     let connection = daemon.pool.take(request.echo.attempt()).await;
@@ -240,7 +242,8 @@
         attempts,
     } = connection;
     let (read, write) = stream.into_split();
-    let writer = start_writing(&request, write, upload).await;
+    let body_start = std::mem::take(&mut request.body_start);
+    let writer = start_writing(&request, body_start, write, upload).await;
     let mut reader = ResponseReader {
         read,
         buf,
@@ -271,21 +274,20 @@
 /// respond before the end of the body.
 async fn start_writing(
     request: &UpstreamRequest,
+    body_start: Bytes,
     mut write: OwnedWriteHalf,
     upload: Option<UploadReader>,
 ) -> io::Result<RequestWriter> {
-    let mut buf = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + request.body_start.len());
+    let copied_bytes = body_start.len().min(MAX_WRITE_BYTES);
+    let mut buf = BytesMut::with_capacity(HEAD_CAPACITY_BYTES + copied_bytes);
     let (method, target) = (&request.method, &request.target);
     http1::write_request(&mut buf, method, target, &request.headers, request.framing);
     let chunked = request.framing == Framing::Chunked;
-    match chunked {
-        true => http1::write_chunk(&mut buf, &request.body_start),
-        false => buf.extend_from_slice(&request.body_start),
-    }
-    if upload.is_none() && chunked {
-        http1::write_last_chunk(&mut buf);
-    }
-    if upload.is_none() && buf.len() <= MAX_INLINE_WRITE_BYTES {
+    if upload.is_none() && buf.len() + body_start.len() <= MAX_INLINE_WRITE_BYTES {
+        add_body(&mut buf, &body_start, chunked);
+        if chunked {
+            http1::write_last_chunk(&mut buf);
+        }
         write.write_all_buf(&mut buf).await?;
         return Ok(RequestWriter {
             write: Some(write),
@@ -293,10 +295,14 @@
         });
     }
     let task = tokio::spawn(async move {
-        write.write_all_buf(&mut buf).await?;
+        write_body_start(&mut write, &mut buf, body_start, chunked).await?;
         if let Some(upload) = upload {
             write_upload(&mut write, &mut buf, upload, chunked).await?;
         }
+        if chunked {
+            http1::write_last_chunk(&mut buf);
+        }
+        write.write_all_buf(&mut buf).await?;
         Ok(write)
     });
     Ok(RequestWriter {
@@ -305,6 +311,31 @@
     })
 }
 
+fn add_body(buf: &mut BytesMut, bytes: &[u8], chunked: bool) {
+    match chunked {
+        true => http1::write_chunk(buf, bytes),
+        false => buf.extend_from_slice(bytes),
+    }
+}
+
+/// Writes what is in the buffer and the beginning of the body, which is not copied as a whole
+/// and is released once it is written.
+async fn write_body_start(
+    write: &mut OwnedWriteHalf,
+    buf: &mut BytesMut,
+    mut body_start: Bytes,
+    chunked: bool,
+) -> io::Result<()> {
+    loop {
+        let part = body_start.split_to(body_start.len().min(MAX_WRITE_BYTES));
+        add_body(buf, &part, chunked);
+        write.write_all_buf(buf).await?;
+        if body_start.is_empty() {
+            return Ok(());
+        }
+    }
+}
+
 async fn write_upload(
     write: &mut OwnedWriteHalf,
     buf: &mut BytesMut,
@@ -313,14 +344,7 @@
 ) -> Result<(), WriteError> {
     while let Some(piece) = upload.next().await {
         let piece = piece.map_err(|_| WriteError::Upload)?;
-        match chunked {
-            true => http1::write_chunk(buf, &piece),
-            false => buf.extend_from_slice(&piece),
-        }
-        write.write_all_buf(buf).await?;
-    }
-    if chunked {
-        http1::write_last_chunk(buf);
+        add_body(buf, &piece, chunked);
         write.write_all_buf(buf).await?;
     }
     Ok(())
