Log events that take long, and how a configuration arrived

The logs could not tell whether a version is late because of the leader's processor, the link or the daemon. config_in_force now has the version that the transfer started from, the size of its last page and the time from its request to its arrival; slow_event names an event whose handling took 100 ms or more, for which all others waited.

--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -7,6 +7,7 @@
 use crate::millis::millis;
 use conf::{Configuration, PageOutcome, RouteTable};
 use log::Level;
+use prost::Message;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use wire::{
@@ -33,7 +34,7 @@
         tx: &mut Vec<Effect>,
     ) {
         if let Some(delta) = reply.config {
-            self.apply_config(reply.term, delta, tx);
+            self.apply_config(now.saturating_sub(sent.at), reply.term, delta, tx);
         }
         for delta in &reply.services {
             self.view.apply(delta);
@@ -60,7 +61,16 @@
         }
     }
 
-    fn apply_config(&mut self, term: Term, delta: ConfigDelta, tx: &mut Vec<Effect>) {
+    /// Applies a page that arrived `took` after it was requested.
+    fn apply_config(
+        &mut self,
+        took: Duration,
+        term: Term,
+        delta: ConfigDelta,
+        tx: &mut Vec<Effect>,
+    ) {
+        let from = delta.from;
+        let bytes = delta.encoded_len();
         let previous = self.config.routing.clone();
         let rollouts = self.config.rollouts.clone();
         match self.receiver.receive_page(&mut self.config, term, delta) {
@@ -77,6 +87,9 @@
                             "routing_version",
                             self.config.routing.content().version.to_string(),
                         ),
+                        ("from", from.to_string()),
+                        ("last_page_bytes", bytes.to_string()),
+                        ("took_ms", millis(took).to_string()),
                     ],
                 }));
                 tx.extend(credentials_in_force(&previous, &self.config));
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -76,3 +76,32 @@
     /// response.
     CutOff,
 }
+
+impl Event {
+    /// Returns the kind of the event, for log lines.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Tick { .. } => "tick",
+            Self::Received { body, .. } => match body {
+                Body::Heartbeat(_) => "heartbeat",
+                Body::HeartbeatReply(_) => "heartbeat_reply",
+                Body::ControlRequest(_) => "control_request",
+                Body::ControlReply(_) => "control_reply",
+                Body::Replica(_) => "replica",
+                _ => "message",
+            },
+            Self::LinkClosed(_) | Self::LinkFailed { .. } => "link_ended",
+            Self::Entry(_) => "entry",
+            Self::Admission(_) => "admission",
+            Self::Operator { .. } => "operator",
+            Self::Initialise => "initialise",
+            Self::ReplicaRecovered(_) => "replica_recovered",
+            Self::DiskDone(_) => "disk_done",
+            Self::Replicas(_) => "replicas",
+            Self::LeaveControl => "leave_control",
+            Self::Stop { .. } => "stop",
+            Self::CutOff => "cut_off",
+        }
+    }
+}
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -32,6 +32,8 @@
 /// Maximum time for a caller to send a request head, and for its connection to be
 /// idle, unless the routing configures other limits.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time from which the handling of an event is logged. All other events wait for it.
+const SLOW_EVENT: Duration = Duration::from_millis(100);
 /// Interval between tick events.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -240,9 +242,14 @@
     }
 
     fn step(self: &Arc<Self>, node: &mut Node, now: Duration, event: Event) {
+        let kind = event.kind();
         let mut effects = Vec::new();
         node::step(node, now, event, &mut effects);
         effects.into_iter().for_each(|effect| self.execute(effect));
+        let took = clock::now().saturating_sub(now);
+        if took >= SLOW_EVENT {
+            log::warn!("event=slow_event kind={kind} took_ms={}", took.as_millis());
+        }
     }
 
     fn execute(self: &Arc<Self>, effect: Effect) {
