Apply a change of the routing without searching the lists for each entry

Cause: applying a change, comparing the routing with the one before, and building what daemons lack each searched a list from its beginning for each entry of another one. The lists are indexed by name now.

--- a/crates/conf/src/state/recent_changes.rs
+++ b/crates/conf/src/state/recent_changes.rs
@@ -1,6 +1,6 @@
 //! Recent changes, kept to compute the delta between two versions.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use wire::{ConfigVersion, CustomerPlan, Routing};
 
 /// Maximum number of changes kept.
@@ -93,16 +93,12 @@
     new: &[T],
     name: impl Fn(&T) -> &String,
 ) -> BTreeSet<String> {
-    let has_equal = |list: &[T], entry: &T| {
-        let found = list.iter().find(|other| name(other) == name(entry));
-        found.is_some_and(|other| other == entry)
-    };
-    let removed = old.iter().filter(|entry| !has_equal(new, entry));
-    let set = new.iter().filter(|entry| !has_equal(old, entry));
-    removed
-        .chain(set)
-        .map(|entry| name(entry).clone())
-        .collect()
+    let mut removed: HashMap<&String, &T> = old.iter().map(|entry| (name(entry), entry)).collect();
+    let set = new
+        .iter()
+        .filter(|entry| removed.remove(name(entry)) != Some(*entry));
+    let set: BTreeSet<String> = set.map(|entry| name(entry).clone()).collect();
+    removed.into_keys().cloned().chain(set).collect()
 }
 
 /// What a change set or removed.
--- a/crates/conf/src/state/routing.rs
+++ b/crates/conf/src/state/routing.rs
@@ -7,6 +7,7 @@
 use crate::routes::{RouteTable, findings};
 use bytes::Bytes;
 use prost::Message;
+use std::collections::{HashMap, HashSet};
 use wire::{
     ChangeOutcome, ChangeResult, DataCentreOrder, Fingerprint, OperationKind, Routing,
     RoutingChange, fingerprint,
@@ -131,36 +132,62 @@
             credential_salt: change.credential_salt.clone(),
         };
     }
-    let mut next = current.clone();
-    next.version = change.version;
-    next.limits = change.limits.or(current.limits);
-    next.routes
-        .retain(|r| !change.removed_routes.contains(&r.name));
-    next.services
-        .retain(|s| !change.removed_services.contains(&s.name));
-    next.customers
-        .retain(|c| !change.removed_customers.contains(&c.name));
-    next.needs_credentials |= change.needs_credentials;
-    if !change.credential_salt.is_empty() {
-        next.credential_salt = change.credential_salt.clone();
-    }
-    for route in &change.routes {
-        match next.routes.iter_mut().find(|r| r.name == route.name) {
-            Some(existing) => existing.clone_from(route),
-            None => next.routes.push(route.clone()),
-        }
+    let salt = match change.credential_salt.is_empty() {
+        true => &current.credential_salt,
+        false => &change.credential_salt,
+    };
+    Routing {
+        version: change.version,
+        routes: changed_list(
+            &current.routes,
+            &change.routes,
+            &change.removed_routes,
+            |r| &r.name,
+        ),
+        services: changed_list(
+            &current.services,
+            &change.services,
+            &change.removed_services,
+            |s| &s.name,
+        ),
+        limits: change.limits.or(current.limits),
+        customers: changed_list(
+            &current.customers,
+            &change.customers,
+            &change.removed_customers,
+            |c| &c.name,
+        ),
+        needs_credentials: current.needs_credentials || change.needs_credentials,
+        credential_salt: salt.clone(),
     }
-    for service in &change.services {
-        match next.services.iter_mut().find(|s| s.name == service.name) {
-            Some(existing) => existing.clone_from(service),
-            None => next.services.push(service.clone()),
-        }
+}
+
+/// Returns a list without the removed entries, in which the set ones replace those of the
+/// same name, or follow at the end. Of entries set twice the last one counts.
+fn changed_list<T: Clone>(
+    current: &[T],
+    set: &[T],
+    removed: &[String],
+    name: impl Fn(&T) -> &String,
+) -> Vec<T> {
+    let removed: HashSet<&String> = removed.iter().collect();
+    let kept = current
+        .iter()
+        .filter(|entry| !removed.contains(name(entry)));
+    let mut list: Vec<T> = kept.cloned().collect();
+    if set.is_empty() {
+        return list;
     }
-    for customer in &change.customers {
-        match next.customers.iter_mut().find(|c| c.name == customer.name) {
-            Some(existing) => existing.clone_from(customer),
-            None => next.customers.push(customer.clone()),
+    let names = list.iter().map(|entry| name(entry).clone());
+    let mut positions: HashMap<String, usize> = names.zip(0..).collect();
+    for entry in set {
+        match positions.get(name(entry)) {
+            Some(position) => list[*position].clone_from(entry),
+            None => {
+                positions.insert(name(entry).clone(), list.len());
+                list.push(entry.clone());
+            }
         }
     }
-    next
+    list
 }
--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -4,7 +4,7 @@
 use super::ConfigState;
 use super::recent_changes::{RoutingDelta, customer_bytes};
 use crate::customers::{routing_without_keys, without_keys};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::{ConfigDelta, ConfigVersion, CustomerPlan, Routing, RoutingChange};
 
 /// Approximate maximum size of a page.
@@ -109,28 +109,22 @@
             services,
             customers,
         } if supports_routing_changes => {
-            let set_routes = current.routes.iter().filter(|r| routes.contains(&r.name));
-            let set_services = current.services.iter();
-            let set_services = set_services.filter(|s| services.contains(&s.name));
-            let set_customers = current.customers.iter();
-            let set_customers = set_customers.filter(|c| customers.contains(&c.name));
-            let has_route = |name: &&String| current.routes.iter().any(|r| r.name == **name);
-            let has_service = |name: &&String| current.services.iter().any(|s| s.name == **name);
-            let has_customer = |name: &&String| current.customers.iter().any(|c| c.name == **name);
-            let removed_routes = routes.iter().filter(|name| !has_route(name));
-            let removed_services = services.iter().filter(|name| !has_service(name));
-            let removed_customers = customers.iter().filter(|name| !has_customer(name));
+            let (routes, removed_routes) = split_changed(&current.routes, routes, |r| &r.name);
+            let (services, removed_services) =
+                split_changed(&current.services, services, |s| &s.name);
+            let (customers, removed_customers) =
+                split_changed(&current.customers, customers, |c| &c.name);
             let change = RoutingChange {
                 version: current.version,
                 base: 0,
                 full: false,
-                routes: set_routes.cloned().collect(),
-                services: set_services.cloned().collect(),
+                routes: routes.into_iter().cloned().collect(),
+                services: services.into_iter().cloned().collect(),
                 limits: current.limits,
-                removed_routes: removed_routes.cloned().collect(),
-                removed_services: removed_services.cloned().collect(),
-                customers: set_customers.map(without_keys).collect(),
-                removed_customers: removed_customers.cloned().collect(),
+                removed_routes,
+                removed_services,
+                customers: customers.into_iter().map(without_keys).collect(),
+                removed_customers,
                 needs_credentials: current.needs_credentials,
                 credential_salt: current.credential_salt.clone(),
             };
@@ -142,6 +136,18 @@
     }
 }
 
+/// Returns the entries with changed names, and the changed names that no entry has.
+fn split_changed<'a, T>(
+    current: &'a [T],
+    changed: &BTreeSet<String>,
+    name: impl Fn(&T) -> &String,
+) -> (Vec<&'a T>, Vec<String>) {
+    let mut removed: BTreeSet<&String> = changed.iter().collect();
+    let set = current.iter().filter(|entry| removed.remove(name(entry)));
+    let set = set.collect();
+    (set, removed.into_iter().cloned().collect())
+}
+
 fn all_customers(state: &ConfigState) -> Vec<CustomerPlan> {
     let customers = state.current().customers.iter();
     customers
@@ -169,6 +175,6 @@
     pages
 }
 
-fn names<T: ToString>(names: &std::collections::BTreeSet<T>) -> Vec<String> {
+fn names<T: ToString>(names: &BTreeSet<T>) -> Vec<String> {
     names.iter().map(ToString::to_string).collect()
 }
--- /dev/null
+++ b/crates/conf/tests/large_routings.rs
@@ -0,0 +1,67 @@
+//! Tests of routings with very many routes.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use conf::{ConfigState, MAX_ROUTES};
+use std::time::{Duration, Instant};
+use wire::{ChangeResult, Route, RouteDestination, RouteKind, RoutingChange, ServiceRules};
+
+/// Time within which a change is to be in force at all daemons.
+const TARGET: Duration = Duration::from_secs(7);
+
+fn route(n: usize) -> Route {
+    Route {
+        name: format!("route-{n}"),
+        host: "a.example".into(),
+        prefix: format!("/{n}/"),
+        kind: RouteKind::Idempotent.into(),
+        timeout_ms: 800,
+        attempts: 2,
+        destinations: vec![RouteDestination {
+            service: "booking".into(),
+            weight: 1,
+        }],
+        ..Route::default()
+    }
+}
+
+fn services() -> Vec<ServiceRules> {
+    vec![ServiceRules {
+        name: "booking".into(),
+        ..ServiceRules::default()
+    }]
+}
+
+/// Sets `count` routes as the next version.
+fn set_routes(state: &mut ConfigState, first: usize, count: usize) {
+    let base = state.current().routing.content().version;
+    let change = RoutingChange {
+        version: base + 1,
+        base,
+        full: base == 0,
+        routes: (first..first + count).map(route).collect(),
+        services: services(),
+        ..RoutingChange::default()
+    };
+    let outcome = state.apply_routing(&change);
+    assert_eq!(
+        outcome.result(),
+        ChangeResult::Accepted,
+        "{:?}",
+        outcome.findings
+    );
+}
+
+/// Guards against work for a change that grows with the square of the number of routes:
+/// control replicas then handle nothing else for seconds, and no daemon gets the version.
+#[test]
+fn apply_routing_of_the_maximum_size_is_within_the_target() {
+    let mut state = ConfigState::default();
+    state.initialise();
+    set_routes(&mut state, 0, MAX_ROUTES / 2);
+    let start = Instant::now();
+    set_routes(&mut state, MAX_ROUTES / 2, MAX_ROUTES / 2);
+    set_routes(&mut state, 7, 1);
+    let took = start.elapsed();
+    assert!(took < TARGET, "{took:?}");
+}
