--- a/crates/conf/src/state/recent_changes.rs
+++ b/crates/conf/src/state/recent_changes.rs
@@ -8,10 +8,6 @@
 /// Maximum size of the customers, plans and names kept.
 const MAX_BYTES: usize = 2 * 1024 * 1024;
 
-/// Maximum number of routes, services and customers recorded by name per change. Beyond it,
-/// the full routing is sent.
-const MAX_CHANGED_NAMES: usize = 256;
-
 /// Approximate overhead of a kept name beyond its characters.
 const NAME_OVERHEAD_BYTES: usize = 32;
 
@@ -27,7 +23,7 @@
         services: BTreeSet<String>,
         customers: BTreeSet<String>,
     },
-    /// Unknown, or too much to be recorded by name.
+    /// Unknown, or one that cannot be stated by name.
     Full,
 }
 
@@ -46,9 +42,6 @@
         let routes = changed_names(&old.routes, &new.routes, |r| &r.name);
         let services = changed_names(&old.services, &new.services, |s| &s.name);
         let customers = changed_names(&old.customers, &new.customers, |c| &c.name);
-        if routes.len() + services.len() + customers.len() > MAX_CHANGED_NAMES {
-            return Self::Full;
-        }
         Self::Named {
             routes,
             services,
--- a/crates/conf/tests/large_routings.rs
+++ b/crates/conf/tests/large_routings.rs
@@ -2,7 +2,8 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{ConfigState, MAX_ROUTES};
+use conf::{ConfigState, MAX_ROUTES, Transfers};
+use prost::Message;
 use std::time::{Duration, Instant};
 use wire::{ChangeResult, Route, RouteDestination, RouteKind, RoutingChange, ServiceRules};
 
@@ -65,3 +66,20 @@
     let took = start.elapsed();
     assert!(took < TARGET, "{took:?}");
 }
+
+/// Guards against the transfer of the full routing after a large change: over a slow link
+/// it takes longer than a change may take to be in force.
+#[test]
+fn transfer_after_a_large_change_carries_what_changed() {
+    let mut state = ConfigState::default();
+    state.initialise();
+    set_routes(&mut state, 0, 4_200);
+    let before = state.current().version;
+    set_routes(&mut state, 4_200, 1_900);
+    let bytes = |from| {
+        let page = Transfers::default().page(&state, from, 0, true);
+        page.expect("a page").encoded_len()
+    };
+    let (changes, full) = (bytes(before), bytes(0));
+    assert!(changes < full / 3, "{changes} of {full} bytes");
+}
