Apply the configuration of a reply that is slower than the lease

A daemon whose link takes longer than the lease (4 s) for a reply with the configuration ignored that reply as a whole, asked again and got the same one: a large configuration was never in force there, and a daemon that had just started never served. The reply of a heartbeat older than the lease still confirms nothing, but its configuration is applied: a majority had confirmed the leader when it sent it.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -435,6 +435,10 @@
         let Some(sent) = self.heartbeats.take_sent(reply.sequence) else {
             return;
         };
+        if self.heartbeats.is_outdated(now, &sent) {
+            self.apply_outdated_reply(now, &sent, reply, tx);
+            return;
+        }
         self.replicas.set_learned(&reply.replicas);
         if !reply.confirmed {
             self.handle_unconfirmed(now, &sent, &reply.leader);
--- a/crates/node/src/agent/heartbeats.rs
+++ b/crates/node/src/agent/heartbeats.rs
@@ -10,6 +10,9 @@
 /// Lower bound of the reply timeout, which is half the heartbeat interval.
 const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum number of heartbeats without a reply that are kept.
+const MAX_SENT: usize = 256;
+
 /// A heartbeat that was sent and has no reply yet.
 #[derive(Clone, Debug)]
 pub(super) struct SentHeartbeat {
@@ -20,7 +23,7 @@
     pub(super) leaving_boot: Option<String>,
 }
 
-/// The schedule, and the heartbeats sent within the lease.
+/// The schedule, and the heartbeats without a reply.
 #[derive(Debug)]
 pub(super) struct Heartbeats {
     interval: Duration,
@@ -86,13 +89,19 @@
         self.next_due = now + self.interval;
         self.not_before = now + MIN_INTERVAL;
         self.unanswered_since.get_or_insert(now);
-        let lease = self.lease;
-        self.sent.retain(|_, s| now.saturating_sub(s.at) < lease);
         self.sequence += 1;
         self.sent.insert(self.sequence, sent);
+        while self.sent.len() > MAX_SENT {
+            self.sent.pop_first();
+        }
         self.sequence
     }
 
+    /// Returns whether a heartbeat is so old that its reply confirms nothing.
+    pub(super) fn is_outdated(&self, now: Duration, sent: &SentHeartbeat) -> bool {
+        now.saturating_sub(sent.at) >= self.lease
+    }
+
     /// Removes and returns the heartbeat to which a reply belongs, so that a
     /// duplicate reply is ignored.
     pub(super) fn take_sent(&mut self, sequence: u64) -> Option<SentHeartbeat> {
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -61,6 +61,23 @@
         }
     }
 
+    /// Applies the configuration in a reply that came too late to confirm anything. Over a
+    /// slow link a large one may never arrive earlier.
+    pub(super) fn apply_outdated_reply(
+        &mut self,
+        now: Duration,
+        sent: &SentHeartbeat,
+        reply: HeartbeatReply,
+        tx: &mut Vec<Effect>,
+    ) {
+        if let Some(delta) = reply.config
+            && reply.confirmed
+            && reply.term >= self.term
+        {
+            self.apply_config(now.saturating_sub(sent.at), reply.term, delta, tx);
+        }
+    }
+
     /// Applies a page that arrived `took` after it was requested.
     fn apply_config(
         &mut self,
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -121,6 +121,22 @@
     assert_eq!((at, heartbeat.config_page), (sent + ms(20), 2));
 }
 
+/// Guards against a configuration that is never in force because its transfer takes longer
+/// than the lease: each reply was ignored as a whole.
+#[test]
+fn config_of_reply_slower_than_the_lease_is_in_force_and_not_fresh() {
+    let mut agent = confirmed_agent();
+    let (sent, _, slow) = next_heartbeat(&mut agent, ms(3_000));
+    let mut at = sent;
+    while at < sent + LEASE {
+        (at, _, _) = next_heartbeat(&mut agent, at + ms(5));
+    }
+    let reply = confirmed(slow.sequence, 2, full_config(2));
+    agent.heartbeat_reply(at, reply, &mut Vec::new());
+    assert_eq!(agent.config.version, 2);
+    assert!(!agent.may_serve(at));
+}
+
 #[test]
 fn is_not_fresh_after_control_lost_versions() {
     let mut agent = confirmed_agent();
