Send a large configuration once to each daemon, compressed

The leader copied and encoded what changed for each heartbeat of a daemon that lacked it, also while the same page was still on its way to that daemon: on a link of 4 Mbit/s, heartbeats each 0.5 s, two or three copies, which delay each other and the requests of callers.

The leader now builds and compresses a transfer once and sends the same bytes to all. A heartbeat states the newest reply that has arrived (field received), by which the leader knows that a page is still on its way over the same connection; a closed connection ends that. Daemons of earlier versions state neither and get what they got.

--- a/crates/conf/src/state/recent_changes.rs
+++ b/crates/conf/src/state/recent_changes.rs
@@ -158,9 +158,14 @@
         }
     }
 
+    /// Returns whether all changes since a version are kept.
+    pub(super) fn covers(&self, from: ConfigVersion) -> bool {
+        from > 0 && from >= self.base_version
+    }
+
     /// Returns the merged changes since a version, if all of them are kept.
     pub(super) fn since(&self, from: ConfigVersion) -> Option<MergedChanges> {
-        if from == 0 || from < self.base_version {
+        if !self.covers(from) {
             return None;
         }
         let mut customers = BTreeMap::new();
--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -4,20 +4,31 @@
 use super::ConfigState;
 use super::recent_changes::{RoutingDelta, customer_bytes};
 use crate::customers::{routing_without_keys, without_keys};
+use bytes::Bytes;
+use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::{ConfigDelta, ConfigVersion, CustomerPlan, Routing, RoutingChange};
 
 /// Approximate maximum size of a page.
 pub const MAX_PAGE_BYTES: usize = 256 * 1024;
+/// Minimum size of a page that is compressed.
+const MIN_COMPRESSED_BYTES: usize = 1024;
 /// Maximum number of transfers whose pages are cached.
-const MAX_TRANSFERS: usize = 4;
+const MAX_TRANSFERS: usize = 8;
 
-/// Cached transfers to the current version, by the version that the daemon has and
-/// whether it supports routing changes.
+/// Cached transfers to the current version, by the version that they start from and
+/// whether they contain routing changes.
 #[derive(Clone, Debug, Default)]
 pub struct Transfers {
     to: ConfigVersion,
-    pages: BTreeMap<(ConfigVersion, bool), Vec<ConfigDelta>>,
+    pages: BTreeMap<(ConfigVersion, bool), Vec<Page>>,
+}
+
+#[derive(Clone, Debug)]
+struct Page {
+    delta: ConfigDelta,
+    /// Compressed form, once it was needed; `None` inside if the page is small.
+    compressed: Option<Option<Bytes>>,
 }
 
 impl Transfers {
@@ -31,6 +42,34 @@
         page: u64,
         supports_routing_changes: bool,
     ) -> Option<ConfigDelta> {
+        let page = self.cached(state, daemon_version, page, supports_routing_changes)?;
+        Some(page.delta.clone())
+    }
+
+    /// Returns the same in compressed form, for a daemon that supports it and routing
+    /// changes. Returns `None` also if the page is too small to be compressed.
+    pub fn compressed_page(
+        &mut self,
+        state: &ConfigState,
+        daemon_version: ConfigVersion,
+        page: u64,
+    ) -> Option<Bytes> {
+        let page = self.cached(state, daemon_version, page, true)?;
+        let delta = &page.delta;
+        let compressed = page.compressed.get_or_insert_with(|| {
+            let is_large = delta.encoded_len() >= MIN_COMPRESSED_BYTES;
+            is_large.then(|| delta.compress().ok()).flatten()
+        });
+        compressed.clone()
+    }
+
+    fn cached(
+        &mut self,
+        state: &ConfigState,
+        daemon_version: ConfigVersion,
+        page: u64,
+        supports_routing_changes: bool,
+    ) -> Option<&mut Page> {
         let to = state.current().version;
         if daemon_version >= to {
             return None;
@@ -39,15 +78,22 @@
             self.pages.clear();
             self.to = to;
         }
-        let key = (daemon_version, supports_routing_changes);
+        // Daemons that need everything share one transfer.
+        let from = match state.recent_changes.covers(daemon_version) {
+            true => daemon_version,
+            false => 0,
+        };
+        let key = (from, supports_routing_changes);
         if !self.pages.contains_key(&key) && self.pages.len() >= MAX_TRANSFERS {
-            self.pages.pop_first();
+            // The full transfer comes first and is the most expensive one to build.
+            self.pages.pop_last();
         }
         let pages = self.pages.entry(key);
-        let pages = pages
-            .or_insert_with(|| split_into_pages(state, daemon_version, supports_routing_changes));
+        let pages =
+            pages.or_insert_with(|| split_into_pages(state, from, supports_routing_changes));
         let index = usize::try_from(page.saturating_sub(1)).ok()?;
-        pages.get(index).or_else(|| pages.first()).cloned()
+        let index = if index < pages.len() { index } else { 0 };
+        pages.get_mut(index)
     }
 }
 
@@ -57,7 +103,7 @@
     state: &ConfigState,
     daemon_version: ConfigVersion,
     supports_routing_changes: bool,
-) -> Vec<ConfigDelta> {
+) -> Vec<Page> {
     let current = state.current();
     let merged = state.recent_changes.since(daemon_version);
     let from = if merged.is_some() { daemon_version } else { 0 };
@@ -92,7 +138,11 @@
         routing_change,
         rollouts: current.rollouts.values().cloned().collect(),
     });
-    deltas
+    let pages = deltas.into_iter().map(|delta| Page {
+        delta,
+        compressed: None,
+    });
+    pages.collect()
 }
 
 /// Returns the full routing, a routing delta, or neither if the routing is
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -103,6 +103,8 @@
     replicas: Replicas,
     leader: Option<CompactString>,
     heartbeats: Heartbeats,
+    /// Number of the newest heartbeat whose confirmed reply has arrived.
+    received: u64,
     upstream: Option<Announcement>,
     /// Boot of the upstream that control has last confirmed to have recorded as leaving.
     reported_leaving: Option<String>,
@@ -170,6 +172,7 @@
             replicas: Replicas::new(&control.replicas),
             leader: None,
             heartbeats: Heartbeats::new(control.heartbeat_interval, control.lease),
+            received: 0,
             upstream: None,
             reported_leaving: None,
             deregistered_boot: String::new(),
@@ -432,6 +435,9 @@
 
     /// Handles the reply to a heartbeat.
     pub fn heartbeat_reply(&mut self, now: Duration, reply: HeartbeatReply, tx: &mut Vec<Effect>) {
+        if reply.confirmed {
+            self.received = self.received.max(reply.sequence);
+        }
         let Some(sent) = self.heartbeats.take_sent(reply.sequence) else {
             return;
         };
@@ -561,6 +567,8 @@
             config_page: self.receiver.next_page(),
             homes_hash: homes_hash(&self.homes),
             supports_routing_changes: true,
+            supports_compressed_config: true,
+            received: Some(self.received),
             age_ms: millis(age),
             evidence: self.evidence.clone(),
             in_progress: self.in_progress,
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -23,6 +23,41 @@
 /// that was suspended or cut off must not use an old offer.
 const RETRIAL_TIME: Duration = Duration::from_secs(1);
 
+/// A page of the configuration, and its size in the reply.
+struct ConfigPage {
+    delta: ConfigDelta,
+    bytes: usize,
+}
+
+/// Returns the page of the configuration in a reply.
+fn config_page(reply: &HeartbeatReply, tx: &mut Vec<Effect>) -> Option<ConfigPage> {
+    let compressed = &reply.compressed_config;
+    if compressed.is_empty() {
+        let delta = reply.config.clone()?;
+        let bytes = delta.encoded_len();
+        return Some(ConfigPage { delta, bytes });
+    }
+    match ConfigDelta::decompress(compressed) {
+        Ok(delta) => Some(ConfigPage {
+            delta,
+            bytes: compressed.len(),
+        }),
+        Err(err) => {
+            tx.push(config_unreadable(err.to_string()));
+            None
+        }
+    }
+}
+
+/// Reports a configuration that the daemon cannot apply.
+fn config_unreadable(reason: String) -> Effect {
+    Effect::Log(LogLine {
+        level: Level::Error,
+        event: "config_unreadable",
+        pairs: vec![("findings", reason)],
+    })
+}
+
 impl Agent {
     /// Applies a confirmed reply. It renews the freshness only if the
     /// configuration version that it names is in force at this daemon.
@@ -33,8 +68,8 @@
         reply: HeartbeatReply,
         tx: &mut Vec<Effect>,
     ) {
-        if let Some(delta) = reply.config {
-            self.apply_config(now.saturating_sub(sent.at), reply.term, delta, tx);
+        if let Some(page) = config_page(&reply, tx) {
+            self.apply_config(now.saturating_sub(sent.at), reply.term, page, tx);
         }
         for delta in &reply.services {
             self.view.apply(delta);
@@ -70,11 +105,11 @@
         reply: HeartbeatReply,
         tx: &mut Vec<Effect>,
     ) {
-        if let Some(delta) = reply.config
-            && reply.confirmed
-            && reply.term >= self.term
-        {
-            self.apply_config(now.saturating_sub(sent.at), reply.term, delta, tx);
+        if !reply.confirmed || reply.term < self.term {
+            return;
+        }
+        if let Some(page) = config_page(&reply, tx) {
+            self.apply_config(now.saturating_sub(sent.at), reply.term, page, tx);
         }
     }
 
@@ -83,11 +118,10 @@
         &mut self,
         took: Duration,
         term: Term,
-        delta: ConfigDelta,
+        ConfigPage { delta, bytes }: ConfigPage,
         tx: &mut Vec<Effect>,
     ) {
         let from = delta.from;
-        let bytes = delta.encoded_len();
         let previous = self.config.routing.clone();
         let rollouts = self.config.rollouts.clone();
         match self.receiver.receive_page(&mut self.config, term, delta) {
@@ -113,11 +147,7 @@
             }
             Ok(PageOutcome::Incomplete) => self.heartbeats.schedule_now(),
             Ok(PageOutcome::Ignored) => {}
-            Err(findings) => tx.push(Effect::Log(LogLine {
-                level: Level::Error,
-                event: "config_unreadable",
-                pairs: vec![("findings", findings.lines().join("; "))],
-            })),
+            Err(findings) => tx.push(config_unreadable(findings.lines().join("; "))),
         }
     }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,6 +18,7 @@
 mod rollouts;
 mod state_machine;
 mod suspects;
+mod transit;
 mod unconfirmed_crashes;
 
 use crate::effect::Effect;
@@ -38,6 +39,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use suspects::Suspects;
+use transit::PagesInTransit;
 use unconfirmed_crashes::UnconfirmedCrashes;
 use wire::{Body, Departure, Heartbeat, control_request};
 
@@ -58,6 +60,7 @@
     leadership: Option<Leadership>,
     registry: Registry,
     transfers: Transfers,
+    pages_in_transit: PagesInTransit,
     suspects: Suspects,
     unconfirmed_crashes: UnconfirmedCrashes,
     rollouts: Rollouts,
@@ -94,6 +97,7 @@
             leadership: None,
             registry,
             transfers: Transfers::default(),
+            pages_in_transit: PagesInTransit::default(),
             suspects: Suspects::default(),
             unconfirmed_crashes: UnconfirmedCrashes::default(),
             rollouts: Rollouts::default(),
@@ -143,6 +147,7 @@
     pub fn link_closed(&mut self, link: LinkId) {
         self.reads.link_closed(link);
         self.held.link_closed(link);
+        self.pages_in_transit.link_closed(link);
     }
 
     /// Replaces a replica whose data folder could not be opened, or whose disk has failed.
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -5,12 +5,14 @@
 use super::command::Item;
 use super::reads::PendingRead;
 use crate::effect::Effect;
+use crate::event::LinkId;
+use bytes::Bytes;
 use conf::Configuration;
 use prost::Message;
 use std::time::Duration;
 use wire::{
-    Body, ChangeRequest, ControlReply, Heartbeat, HeartbeatReply, HistoryReply, ReplicaAddress,
-    StatusReply, control_reply, control_request,
+    Body, ChangeRequest, ConfigDelta, ControlReply, Heartbeat, HeartbeatReply, HistoryReply,
+    ReplicaAddress, StatusReply, control_reply, control_request,
 };
 
 /// Maximum encoded size of a change in the log, well below the maximum frame
@@ -43,7 +45,7 @@
         for read in self.reads.finish(token) {
             match read {
                 PendingRead::Heartbeat(link, heartbeat) => {
-                    let body = Body::HeartbeatReply(self.heartbeat_reply(now, &heartbeat));
+                    let body = Body::HeartbeatReply(self.heartbeat_reply(now, link, &heartbeat));
                     tx.push(Effect::Reply { link, body });
                 }
                 PendingRead::Request(waiter, kind) => self.confirmed_request(waiter, kind, tx),
@@ -136,10 +138,37 @@
         self.queue(waiter, Item::change(command), tx);
     }
 
+    /// Returns the configuration page that a daemon lacks, plain or compressed, unless it
+    /// is on its way already.
+    fn config_page(&mut self, link: LinkId, heartbeat: &Heartbeat) -> (Option<ConfigDelta>, Bytes) {
+        if self.pages_in_transit.contains(link, heartbeat.received) {
+            return (None, Bytes::new());
+        }
+        let config = &self.state_machine.config;
+        let (held, page) = (heartbeat.config_version, heartbeat.config_page);
+        if heartbeat.supports_compressed_config
+            && let Some(compressed) = self.transfers.compressed_page(config, held, page)
+        {
+            self.pages_in_transit.record(link, heartbeat.sequence);
+            return (None, compressed);
+        }
+        let supports_changes = heartbeat.supports_routing_changes;
+        let page = self.transfers.page(config, held, page, supports_changes);
+        if page.is_some() {
+            self.pages_in_transit.record(link, heartbeat.sequence);
+        }
+        (page, Bytes::new())
+    }
+
     /// Returns the confirmed reply to a heartbeat, with the updates that the
     /// daemon lacks.
-    fn heartbeat_reply(&mut self, now: Duration, heartbeat: &Heartbeat) -> HeartbeatReply {
-        let held = heartbeat.config_version;
+    fn heartbeat_reply(
+        &mut self,
+        now: Duration,
+        link: LinkId,
+        heartbeat: &Heartbeat,
+    ) -> HeartbeatReply {
+        let (page, compressed_config) = self.config_page(link, heartbeat);
         let config = &self.state_machine.config;
         self.registry
             .record_limits(|| states_limits(config.current()));
@@ -150,12 +179,8 @@
             leader: String::new(),
             replicas: self.replica_addresses(),
             config_version: config.current().version,
-            config: self.transfers.page(
-                config,
-                held,
-                heartbeat.config_page,
-                heartbeat.supports_routing_changes,
-            ),
+            config: page,
+            compressed_config,
             services: subscriptions
                 .filter_map(|s| self.registry.delta(now, s))
                 .collect(),
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -55,6 +55,13 @@
     /// be reported if it has.
     #[prost(message, repeated, tag = "16")]
     pub unconfirmed_crashes: Vec<crate::data::SuspectState>,
+    /// Whether the daemon can read [`HeartbeatReply::compressed_config`].
+    #[prost(bool, tag = "17")]
+    pub supports_compressed_config: bool,
+    /// Number of the newest heartbeat whose confirmed reply has arrived, 0 for none; absent
+    /// from a daemon that does not state it.
+    #[prost(uint64, optional, tag = "18")]
+    pub received: Option<u64>,
 }
 
 /// An upstream's announcement of itself to the daemon on its VM.
@@ -162,6 +169,9 @@
     /// that in the replicated log yet.
     #[prost(bool, tag = "13")]
     pub leave_pending: bool,
+    /// Replaces `config` unless empty: the same, encoded and compressed with zlib.
+    #[prost(bytes = "bytes", tag = "14")]
+    pub compressed_config: Bytes,
 }
 
 /// A start of an upstream that leaves or has left, as recorded in the replicated log.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! the *gate* of the upstream on its VM, to which it admits requests of entries.
 
 mod codec;
+mod compression;
 mod control;
 mod data;
 mod frame;
