Look up the route of a request without a search through all routes

With some thousand routes of one host each request compared its path with all of them, on a machine with 0.1 of a core. Routes are found by their prefix now, one lookup for each length that prefixes have.

--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -2,7 +2,8 @@
 
 use crate::customers;
 use compact_str::CompactString;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use wire::{CallerLimits, CustomerRules, Route, RouteKind, Routing, ServiceRules};
 
@@ -17,14 +18,40 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     content: Arc<Routing>,
-    /// Indices of each host's routes, longest prefix first.
-    routes_by_host: Arc<BTreeMap<CompactString, Vec<usize>>>,
+    /// Indices of each host's routes.
+    routes_by_host: Arc<HashMap<CompactString, HostRoutes>>,
     /// Index of each customer by key.
     credentials: Arc<credentials::Index>,
     /// Index of each customer by name.
     customers_by_name: Arc<HashMap<CompactString, usize>>,
 }
 
+/// The routes of one host by their prefixes.
+#[derive(Clone, Debug, Default)]
+struct HostRoutes {
+    /// Index of the route with a prefix.
+    by_prefix: HashMap<CompactString, usize>,
+    /// The lengths of prefixes in bytes, the greatest first.
+    lengths: BTreeSet<Reverse<usize>>,
+}
+
+impl HostRoutes {
+    /// Adds a route. Of routes with the same prefix the first one counts.
+    fn add(&mut self, prefix: &str, index: usize) {
+        self.by_prefix.entry(prefix.into()).or_insert(index);
+        self.lengths.insert(Reverse(prefix.len()));
+    }
+
+    /// Returns the index of the route with the longest prefix of a path.
+    fn find(&self, path: &str) -> Option<usize> {
+        let mut prefixes = self
+            .lengths
+            .iter()
+            .filter_map(|length| path.get(..length.0));
+        prefixes.find_map(|prefix| self.by_prefix.get(prefix).copied())
+    }
+}
+
 impl PartialEq for RouteTable {
     fn eq(&self, other: &Self) -> bool {
         self.content == other.content
@@ -37,15 +64,10 @@
     /// Creates the table and indexes the routes by host and the customers by name.
     #[must_use]
     pub fn new(content: Routing) -> Self {
-        let mut routes_by_host: BTreeMap<CompactString, Vec<usize>> = BTreeMap::new();
+        let mut routes_by_host: HashMap<CompactString, HostRoutes> = HashMap::new();
         for (index, route) in content.routes.iter().enumerate() {
-            routes_by_host
-                .entry(normalise_host(&route.host))
-                .or_default()
-                .push(index);
-        }
-        for routes in routes_by_host.values_mut() {
-            routes.sort_by_key(|i| std::cmp::Reverse(content.routes[*i].prefix.len()));
+            let routes = routes_by_host.entry(normalise_host(&route.host));
+            routes.or_default().add(&route.prefix, index);
         }
         let names = content.customers.iter().map(|c| c.name.as_str().into());
         let customers_by_name = names.zip(0..).collect();
@@ -68,10 +90,9 @@
     /// ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.routes_by_host.get(&normalise_host(host))?.iter();
+        let routes = self.routes_by_host.get(&normalise_host(host))?;
         let path = path.split('?').next().unwrap_or_default();
-        let mut routes = routes.filter_map(|i| self.content.routes.get(*i));
-        routes.find(|route| path.starts_with(&route.prefix))
+        self.content.routes.get(routes.find(path)?)
     }
 
     /// Returns the rules for a service's upstreams.
--- a/crates/conf/tests/large_routings.rs
+++ b/crates/conf/tests/large_routings.rs
@@ -2,10 +2,12 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use conf::{ConfigState, MAX_ROUTES, Transfers};
+use conf::{ConfigState, MAX_ROUTES, RouteTable, Transfers};
 use prost::Message;
 use std::time::{Duration, Instant};
-use wire::{ChangeResult, Route, RouteDestination, RouteKind, RoutingChange, ServiceRules};
+use wire::{
+    ChangeResult, Route, RouteDestination, RouteKind, Routing, RoutingChange, ServiceRules,
+};
 
 /// Time within which a change is to be in force at all daemons.
 const TARGET: Duration = Duration::from_secs(7);
@@ -83,3 +85,23 @@
     let (changes, full) = (bytes(before), bytes(0));
     assert!(changes < full / 3, "{changes} of {full} bytes");
 }
+
+/// Guards against a lookup that takes longer the more routes a host has: each request of
+/// every caller would.
+#[test]
+fn find_does_not_depend_on_the_number_of_routes() {
+    let table = |count| {
+        RouteTable::new(Routing {
+            routes: (0..count).map(route).collect(),
+            ..Routing::default()
+        })
+    };
+    let took = |table: &RouteTable| {
+        let start = Instant::now();
+        (0..100).for_each(|_| assert!(table.find("a.example", "/unknown/").is_none()));
+        start.elapsed()
+    };
+    let fastest = |table: RouteTable| (0..20).map(|_| took(&table)).min().unwrap();
+    let (few, many) = (fastest(table(10)), fastest(table(20_000)));
+    assert!(many < few * 50, "{many:?}, with few routes {few:?}");
+}
--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -73,6 +73,33 @@
     assert_eq!(table.find(host, path).map(|r| r.name.as_str()), expected);
 }
 
+/// The index finds what a search through all routes finds.
+#[test]
+fn find_is_the_same_as_a_search_through_all_routes() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let path = |rng: &mut SmallRng| {
+        let parts = (0..rng.random_range(0..5)).map(|_| ["a", "b", "é"][rng.random_range(0..3)]);
+        format!("/{}", parts.map(|p| format!("{p}/")).collect::<String>())
+    };
+    for _ in 0..50 {
+        let routes = (0..rng.random_range(0..20)).map(|n| {
+            let prefix = path(&mut rng);
+            route(&format!("r{n}"), "a.example", &prefix)
+        });
+        let routes: Vec<Route> = routes.collect();
+        let table = RouteTable::new(Routing {
+            routes: routes.clone(),
+            ..Routing::default()
+        });
+        for _ in 0..50 {
+            let path = path(&mut rng) + ["", "x", "é"][rng.random_range(0..3)];
+            let matching = routes.iter().rev().filter(|r| path.starts_with(&r.prefix));
+            let expected = matching.max_by_key(|r| r.prefix.len());
+            assert_eq!(table.find("a.example", &path), expected, "{path}");
+        }
+    }
+}
+
 #[test]
 fn apply_routing_repeated_change_gets_the_same_outcome() {
     let mut state = initialised();
