--- a/crates/node/examples/control_cost.rs
+++ b/crates/node/examples/control_cost.rs
@@ -6,16 +6,19 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
+use bytes::Bytes;
 use claims::{ClaimKey, Claims, Limits};
 use common::{Simulation, TICK};
 use conf::{ConfigState, Configuration, PageOutcome, TransferReceiver, Transfers, prepare_change};
 use node::Event;
 use prost::Message;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use wire::{
     Announcement, Body, ChangeOperation, ChangeRequest, ClaimDecision, ClaimRequest, ClaimSettle,
-    ControlRequest, Frame, Heartbeat, Lists, OperationKind, SettleKind, Subscription,
-    control_reply, control_request,
+    ConfigDelta, ControlRequest, Frame, Heartbeat, Lists, OperationKind, Route, RouteDestination,
+    RouteKind, RoutingChange, ServiceRules, SettleKind, Subscription, control_reply,
+    control_request,
 };
 
 /// Simulated duration of a measurement, in seconds.
@@ -42,6 +45,7 @@
     }
     memory();
     lists();
+    routings();
     failover();
 }
 
@@ -321,6 +325,71 @@
     println!("snapshot={}B encode={encode:.1}", snapshot.len());
 }
 
+/// Returns a change that sets routes on top of the current routing.
+fn routing_change(state: &ConfigState, routes: Range<usize>) -> RoutingChange {
+    let base = state.current().routing.content().version;
+    let route = |n| Route {
+        name: format!("route-{n:06}"),
+        host: "a.example".to_owned(),
+        prefix: format!("/{n:06}/"),
+        kind: RouteKind::Idempotent.into(),
+        timeout_ms: 800 + base,
+        attempts: 2,
+        destinations: vec![RouteDestination {
+            service: "booking".to_owned(),
+            weight: 1,
+        }],
+        ..Route::default()
+    };
+    RoutingChange {
+        version: base + 1,
+        base,
+        full: base == 0,
+        routes: routes.map(route).collect(),
+        services: vec![ServiceRules {
+            name: "booking".to_owned(),
+            ..ServiceRules::default()
+        }],
+        ..RoutingChange::default()
+    }
+}
+
+/// Measures a change of a routing at a replica, the leader and a daemon.
+fn routings() {
+    println!("routings, then a change of 1,900 routes and one of one route; times in ms");
+    for count in [2_000, 6_000, 20_000, 60_000] {
+        let mut state = ConfigState::default();
+        state.initialise();
+        let mut config = Configuration::default();
+        for (name, routes) in [("whole", 0..count), ("1900", 0..1_900), ("one", 7..8)] {
+            let change = routing_change(&state, routes);
+            let (outcome, applied) = timed(|| state.apply_routing(&change));
+            assert!(outcome.findings.is_empty());
+            let mut transfers = Transfers::default();
+            let held = config.version;
+            let page = transfers.page(&state, held, 0, true).expect("a page");
+            let mut transfers = Transfers::default();
+            let (compressed, first) = timed(|| transfers.compressed_page(&state, held, 0));
+            let (_, next) = timed(|| transfers.compressed_page(&state, held, 0));
+            let (plain_bytes, bytes) = (
+                page.encoded_len(),
+                compressed.as_ref().map_or(0, Bytes::len),
+            );
+            let (_, received) = timed(|| {
+                let page = match compressed {
+                    Some(compressed) => ConfigDelta::decompress(&compressed).expect("a page"),
+                    None => page,
+                };
+                TransferReceiver::default().receive_page(&mut config, 1, page)
+            });
+            assert_eq!(config.version, state.current().version);
+            println!(
+                "routes={count} change={name} apply={applied:.1} plain={plain_bytes}B compressed={bytes}B build={first:.1} next={next:.3} daemon_apply={received:.1}"
+            );
+        }
+    }
+}
+
 /// Returns the resident memory of this process, in bytes.
 fn resident() -> usize {
     const PAGE_BYTES: usize = 4_096;
