--- a/crates/conf/src/state/transfer.rs
+++ b/crates/conf/src/state/transfer.rs
@@ -6,6 +6,7 @@
 use crate::customers::{routing_without_keys, without_keys};
 use bytes::Bytes;
 use prost::Message;
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::{ConfigDelta, ConfigVersion, CustomerPlan, Routing, RoutingChange};
 
@@ -27,8 +28,26 @@
 #[derive(Clone, Debug)]
 struct Page {
     delta: ConfigDelta,
-    /// Compressed form, once it was needed; `None` inside if the page is small.
-    compressed: Option<Option<Bytes>>,
+    /// The page in compressed form, or `None` if it is small or cannot be compressed.
+    compressed: OnceCell<Option<Bytes>>,
+}
+
+impl Page {
+    fn new(delta: ConfigDelta) -> Self {
+        Self {
+            delta,
+            compressed: OnceCell::new(),
+        }
+    }
+
+    /// Returns the page in compressed form, unless it is sent as it is. It is compressed once.
+    fn compressed(&self) -> Option<&Bytes> {
+        let compressed = self.compressed.get_or_init(|| {
+            let is_large = self.delta.encoded_len() >= MIN_COMPRESSED_BYTES;
+            is_large.then(|| self.delta.compress().ok()).flatten()
+        });
+        compressed.as_ref()
+    }
 }
 
 impl Transfers {
@@ -55,12 +74,7 @@
         page: u64,
     ) -> Option<Bytes> {
         let page = self.cached(state, daemon_version, page, true)?;
-        let delta = &page.delta;
-        let compressed = page.compressed.get_or_insert_with(|| {
-            let is_large = delta.encoded_len() >= MIN_COMPRESSED_BYTES;
-            is_large.then(|| delta.compress().ok()).flatten()
-        });
-        compressed.clone()
+        page.compressed().cloned()
     }
 
     fn cached(
@@ -69,7 +83,7 @@
         daemon_version: ConfigVersion,
         page: u64,
         supports_routing_changes: bool,
-    ) -> Option<&mut Page> {
+    ) -> Option<&Page> {
         let to = state.current().version;
         if daemon_version >= to {
             return None;
@@ -92,8 +106,7 @@
         let pages =
             pages.or_insert_with(|| split_into_pages(state, from, supports_routing_changes));
         let index = usize::try_from(page.saturating_sub(1)).ok()?;
-        let index = if index < pages.len() { index } else { 0 };
-        pages.get_mut(index)
+        pages.get(index).or_else(|| pages.first())
     }
 }
 
@@ -138,11 +151,7 @@
         routing_change,
         rollouts: current.rollouts.values().cloned().collect(),
     });
-    let pages = deltas.into_iter().map(|delta| Page {
-        delta,
-        compressed: None,
-    });
-    pages.collect()
+    deltas.into_iter().map(Page::new).collect()
 }
 
 /// Returns the full routing, a routing delta, or neither if the routing is
--- a/crates/wire/src/compression.rs
+++ b/crates/wire/src/compression.rs
@@ -1,6 +1,6 @@
 //! Compression of configuration pages, which consist of many similar entries.
 
-use crate::control::ConfigDelta;
+use crate::heartbeat::ConfigDelta;
 use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,7 +1,8 @@
 //! The frame that carries every message, and the handshake.
 
-use crate::control::{ControlReply, ControlRequest, Heartbeat, HeartbeatReply};
+use crate::control::{ControlReply, ControlRequest};
 use crate::data::{Cancel, Credit, Data, LoadUpdate, Open, Refuse, Reset, ResponseHead, Suspect};
+use crate::heartbeat::{Heartbeat, HeartbeatReply};
 use crate::quota::{Allowance, AllowanceRequest};
 use crate::replica::ReplicaMessage;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,24 +7,25 @@
 //! A daemon acts as an *entry* for the requests that callers send to it, and as
 //! the *gate* of the upstream on its VM, to which it admits requests of entries.
 
+mod claims;
 mod codec;
 mod compression;
 mod control;
 mod data;
 mod frame;
+mod heartbeat;
 mod ids;
 mod quota;
 mod replica;
 mod rollout;
 mod routing;
 
+pub use claims::{ClaimDecision, ClaimOutcome, ClaimRequest, ClaimSettle, SettleKind};
 pub use codec::{CodecError, FrameCodec, MAX_FRAME_BYTES};
 pub use control::{
-    Announcement, ChangeOperation, ChangeOutcome, ChangeRequest, ChangeResult, ClaimDecision,
-    ClaimOutcome, ClaimRequest, ClaimSettle, ConfigDelta, ControlReply, ControlRequest,
-    CustomerPlan, Departure, Heartbeat, HeartbeatReply, HistoryEntry, HistoryReply, HistoryRequest,
-    Lists, OperationKind, QuotaHome, ReplicaAddress, ServiceDelta, SettleKind, StatusReply,
-    StatusRequest, Subscription, UpstreamInfo, VIEW_BUCKETS, control_reply, control_request,
+    ChangeOperation, ChangeOutcome, ChangeRequest, ChangeResult, ControlReply, ControlRequest,
+    HistoryEntry, HistoryReply, HistoryRequest, Lists, OperationKind, StatusReply, StatusRequest,
+    control_reply, control_request,
 };
 pub use data::{
     Cancel, Credit, Data, Header, Load, LoadUpdate, Open, Refuse, RefuseReason, Reset, ResetReason,
@@ -33,6 +34,10 @@
 pub use frame::{
     Body, Frame, HOLD_BODY_VERSION, Hello, LIMITED_VERSION, LinkKind, PROTOCOL_VERSION, Ping, Pong,
 };
+pub use heartbeat::{
+    Announcement, ConfigDelta, CustomerPlan, Departure, Heartbeat, HeartbeatReply, QuotaHome,
+    ReplicaAddress, ServiceDelta, Subscription, UpstreamInfo, VIEW_BUCKETS,
+};
 pub use ids::{
     AttemptId, ChangeId, ClassId, ConfigVersion, CustomerId, DaemonId, DataCentreId, Fingerprint,
     LogIndex, PlanId, ReplicaId, RequestId, ServiceId, StartHash, StreamId, Term, UpstreamId,
