--- /dev/null
+++ b/review/stand-in-3/scenarios.rs
@@ -0,0 +1,389 @@
+//! The scenarios of the cases.
+
+use crate::fleet::{self, APP, CONTROL, Fleet, Log, Machine, OUTBOUND};
+use crate::http;
+use crate::instance::{Instance, Options, Runs};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Number of core machines, which come before the sidecars.
+const CORES: usize = 5;
+const HOST: &str = "courts.example";
+
+/// Plays a scenario; returns whether the rule held.
+pub fn play(scenario: &str, program: &str, record: &str, trouble: bool) -> Result<bool, String> {
+    let log = Arc::new(Log::new(record).map_err(|e| e.to_string())?);
+    log.line(&format!("scenario {scenario}, trouble {trouble}"));
+    let held = match scenario {
+        "reuse" => reuse(program, &log, trouble),
+        _ => Err("no such scenario".to_owned()),
+    };
+    log.line(&format!("rule held: {held:?}"));
+    held
+}
+
+/// The first configuration: reads and bookings go to `booking`, pages to `clubhub`.
+fn config() -> String {
+    let row = |name: &str,
+               prefix: &str,
+               kind: &str,
+               timeout: u32,
+               aim: u32,
+               priority: u32,
+               service: &str,
+               attempts: u32| {
+        format!(
+            "[\"{name}\",\"{HOST}\",\"{prefix}\",\"{kind}\",\"{timeout}ms\",\"{aim}ms\",{priority},\
+             \"{service}\",{attempts},null]"
+        )
+    };
+    let routes = [
+        row("slots", "/slots/", "idempotent", 800, 200, 2, "booking", 2),
+        row(
+            "book",
+            "/book/",
+            "non_idempotent",
+            1000,
+            250,
+            1,
+            "booking",
+            2,
+        ),
+        row("uploads", "/upload/", "upload", 1200, 300, 1, "clubhub", 2),
+        row("pages", "/pages/", "idempotent", 1200, 600, 2, "clubhub", 2),
+    ];
+    let service = |name: &str| format!("[\"{name}\",\"/health\",220,\"h1\",false,\"3s\",17.0]");
+    format!(
+        "{{\"version\":3,\"routes\":{{\"columns\":[\"name\",\"host\",\"path_prefix\",\"route_type\",\
+         \"timeout\",\"target_latency\",\"priority\",\"service\",\"max_attempts\",\"weighted_clusters\"],\
+         \"rows\":[{}]}},\"services\":{{\"columns\":[\"name\",\"health_path\",\"max_connections\",\
+         \"protocol\",\"tls\",\"cold_start\",\"cold_per_s\"],\"rows\":[{},{}]}},\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\
+         \"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\"base_version\":0}}",
+        routes.join(","),
+        service("booking"),
+        service("clubhub")
+    )
+}
+
+/// Services to which the route of a path leads.
+fn service_of(path: &str) -> &'static str {
+    match path.starts_with("/pages/") || path.starts_with("/upload/") {
+        true => "clubhub",
+        false => "booking",
+    }
+}
+
+struct Setting {
+    fleet: Fleet,
+    instances: Vec<Arc<Instance>>,
+    runs: Runs,
+    log: Arc<Log>,
+}
+
+fn instance(
+    n: usize,
+    id: &str,
+    service: &str,
+    work_ms: u64,
+    cold_ms: u64,
+    runs: &Runs,
+    log: &Arc<Log>,
+) -> Result<Arc<Instance>, String> {
+    let address = fleet::address(CORES + n, APP);
+    let listener = std::net::TcpListener::bind(address).map_err(|e| e.to_string())?;
+    instance_at(listener, n, id, service, work_ms, cold_ms, runs, log)
+}
+
+#[allow(clippy::too_many_arguments)]
+fn instance_at(
+    listener: std::net::TcpListener,
+    n: usize,
+    id: &str,
+    service: &str,
+    work_ms: u64,
+    cold_ms: u64,
+    runs: &Runs,
+    log: &Arc<Log>,
+) -> Result<Arc<Instance>, String> {
+    let machine = CORES + n;
+    let options = Options {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        zone: "nl-a".to_owned(),
+        address: fleet::address(machine, APP),
+        control: fleet::address(machine, CONTROL),
+        slots: 6,
+        work: Duration::from_millis(work_ms),
+        cold: Duration::from_millis(cold_ms),
+    };
+    Instance::start_at(listener, options, runs.clone(), log.clone()).map_err(|e| e.to_string())
+}
+
+fn set_up(program: &str, machines: &[Machine], log: &Arc<Log>) -> Result<Setting, String> {
+    let fleet = Fleet::start(program, machines)?;
+    let runs: Runs = Arc::new(Mutex::new(Vec::new()));
+    thread::sleep(Duration::from_millis(500));
+    let mut instances = Vec::new();
+    for (n, machine) in machines.iter().enumerate() {
+        let work = if machine.service == "booking" {
+            70
+        } else {
+            240
+        };
+        let id = format!("i-{}-{n}", machine.service);
+        instances.push(instance(n, &id, machine.service, work, 0, &runs, log)?);
+    }
+    let limit = Duration::from_secs(20);
+    let status = fleet.order(log, "PUT", "/api/config", &config(), limit)?;
+    if status != 200 {
+        return Err(format!("the first configuration got {status}"));
+    }
+    let setting = Setting {
+        fleet,
+        instances,
+        runs,
+        log: log.clone(),
+    };
+    let until = Instant::now() + Duration::from_secs(20);
+    for n in 0..machines.len() {
+        for path in ["/slots/first", "/pages/first"] {
+            while send(
+                &setting.log,
+                setting.fleet.sides[n].address(OUTBOUND),
+                "GET",
+                path,
+                3000,
+                b"",
+            ) != Some(200)
+            {
+                if Instant::now() >= until {
+                    return Err(format!("machine {n} does not serve {path}"));
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    Ok(setting)
+}
+
+type Answer = (String, Instant, u16, String, String);
+static RESULTS: Mutex<Vec<Answer>> = Mutex::new(Vec::new());
+static ATTEMPT: AtomicU64 = AtomicU64::new(1);
+
+/// Sends one request as a client; returns its status, if there is a response.
+fn send(
+    log: &Log,
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    deadline_ms: u64,
+    body: &[u8],
+) -> Option<u16> {
+    let id = format!("{:016x}", ATTEMPT.fetch_add(1, Ordering::SeqCst));
+    let deadline = deadline_ms.to_string();
+    let headers = [
+        ("Host", HOST),
+        ("Plumhitch-Attempt-Id", id.as_str()),
+        ("Plumhitch-Deadline-Remaining", deadline.as_str()),
+    ];
+    let sent = Instant::now();
+    log.line(&format!("client sends {id} {method} {path} to {to}"));
+    let reply = http::call(
+        to,
+        method,
+        path,
+        &headers,
+        body,
+        Duration::from_millis(deadline_ms + 200),
+    );
+    match reply {
+        Ok(reply) => {
+            let stamp = reply.header("plumhitch-response-stamp").unwrap_or("none");
+            log.line(&format!(
+                "client gets {} for {id} (stamp {stamp})",
+                reply.status()
+            ));
+            let text = String::from_utf8_lossy(&reply.body).into_owned();
+            RESULTS.lock().unwrap().push((
+                id.clone(),
+                sent,
+                reply.status(),
+                stamp.to_owned(),
+                text,
+            ));
+            Some(reply.status())
+        }
+        Err(err) => {
+            log.line(&format!("client gets no response for {id}: {err}"));
+            None
+        }
+    }
+}
+
+/// Numbers from 0 to 1 that look random and are the same in each play.
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> f64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+fn to_seed(address: SocketAddr) -> u64 {
+    address
+        .to_string()
+        .bytes()
+        .fold(7, |seed, b| seed * 31 + u64::from(b))
+}
+
+/// Sends requests at random times, at a given rate on the mean, until it is stopped.
+struct Traffic {
+    stop: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Traffic {
+    fn start(
+        log: &Arc<Log>,
+        to: SocketAddr,
+        per_s: f64,
+        paths: &'static [(&'static str, &'static str, u64)],
+    ) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (stopped, log) = (stop.clone(), log.clone());
+        let thread = thread::spawn(move || {
+            let begin = Instant::now();
+            let mut sent = 0_usize;
+            let mut open = Vec::new();
+            let mut random = Random(to_seed(to));
+            let mut due = begin;
+            while !stopped.load(Ordering::SeqCst) {
+                due += Duration::from_secs_f64(-(1.0 - random.next()).ln() / per_s);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                let (method, path, deadline) = paths[sent % paths.len()];
+                let log = log.clone();
+                let path = format!("{path}{sent}");
+                let body: &[u8] = if method == "POST" { b"court=7" } else { b"" };
+                open.push(thread::spawn(move || {
+                    send(&log, to, method, &path, deadline, body)
+                }));
+                sent += 1;
+                open.retain(|t| !t.is_finished());
+            }
+            for thread in open {
+                let _ = thread.join();
+            }
+        });
+        Self {
+            stop,
+            thread: Some(thread),
+        }
+    }
+
+    fn end(mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Requests of a client that sends them in turn: method, path and time limit.
+const BOOKING: &[(&str, &str, u64)] = &[
+    ("GET", "/slots/", 800),
+    ("GET", "/slots/", 800),
+    ("GET", "/slots/", 800),
+    ("POST", "/book/", 1000),
+];
+const CLUBHUB: &[(&str, &str, u64)] = &[("GET", "/pages/", 2500)];
+
+/// Times that one instance ends and its address is used again.
+const ROUNDS: usize = 7;
+/// Time after which an address is used again; the bound `reuse_after` is 2 s.
+const REUSE_AFTER: Duration = Duration::from_millis(2_500);
+/// Time from then to the next end.
+const PAUSE: Duration = Duration::from_secs(4);
+/// Requests a second of all clients for `booking`, which its two instances with 6 slots and
+/// 70 ms of work carry with 3.2 of 12 slots in use on the mean, and for `clubhub`.
+const BOOKING_PER_S: f64 = 90.0;
+const CLUBHUB_PER_S: f64 = 8.0;
+
+/// An instance falls silent, and its address goes to an instance of another service.
+fn reuse(program: &str, log: &Arc<Log>, trouble: bool) -> Result<bool, String> {
+    let machine = |zone, service| Machine { zone, service };
+    let machines = [
+        machine("nl-a", "booking"),
+        machine("nl-b", "booking"),
+        machine("nl-c", "clubhub"),
+        machine("nl-d", "clubhub"),
+    ];
+    let mut setting = set_up(program, &machines, log)?;
+    let mut traffic = Vec::new();
+    for side in &setting.fleet.sides {
+        let entries = machines.len() as f64;
+        let to = side.address(OUTBOUND);
+        traffic.push(Traffic::start(log, to, BOOKING_PER_S / entries, BOOKING));
+        traffic.push(Traffic::start(log, to, CLUBHUB_PER_S / entries, CLUBHUB));
+    }
+    thread::sleep(Duration::from_secs(5));
+    // They stay as they are: silent, with their connections open.
+    let mut gone = Vec::new();
+    for round in 0..ROUNDS {
+        let (service, work) = match round % 2 {
+            0 => ("clubhub", 240),
+            _ => ("booking", 70),
+        };
+        if trouble {
+            let old = setting.instances[0].clone();
+            old.go_dark();
+            thread::sleep(REUSE_AFTER);
+            let port = old.give_port().ok_or("the port is gone")?;
+            gone.push(old);
+            let id = format!("i-{service}-again-{round}");
+            let (runs, log) = (&setting.runs, &setting.log);
+            setting.instances[0] = instance_at(port, 0, &id, service, work, 3_000, runs, log)?;
+        } else {
+            thread::sleep(REUSE_AFTER);
+        }
+        thread::sleep(PAUSE);
+    }
+    for traffic in traffic {
+        traffic.end();
+    }
+    let runs = setting.runs.lock().unwrap().clone();
+    let foreign: Vec<_> = runs
+        .iter()
+        .filter(|r| service_of(&r.path) != r.service)
+        .collect();
+    log.line(&format!(
+        "{} runs, {} by a service to which no route leads",
+        runs.len(),
+        foreign.len()
+    ));
+    for run in &foreign {
+        let text = format!(
+            "BROKEN: {} {} (attempt {}) was run by {} of {}",
+            run.method, run.path, run.attempt, run.instance, run.service
+        );
+        log.line(&text);
+        println!("{text}");
+    }
+    setting.fleet.copy_logs(log, &["event=announced"]);
+    let ended = setting.fleet.ended();
+    if !ended.is_empty() {
+        return Err(format!("processes ended: {ended:?}"));
+    }
+    if runs.len() < 1_000 {
+        return Err(format!("only {} requests were run", runs.len()));
+    }
+    Ok(foreign.is_empty())
+}
