--- a/review/stand-in-3/instance.rs
+++ b/review/stand-in-3/instance.rs
@@ -56,7 +56,6 @@
     sequence: AtomicU64,
     feeds: AtomicU64,
     broken_fifths: AtomicU64,
-    pub last_ping: Mutex<String>,
     state: Mutex<Slots>,
     freed: Condvar,
     open: Mutex<Vec<TcpStream>>,
@@ -116,7 +115,6 @@
             sequence: AtomicU64::new(0),
             feeds: AtomicU64::new(0),
             broken_fifths: AtomicU64::new(0),
-            last_ping: Mutex::default(),
             state: Mutex::default(),
             freed: Condvar::new(),
             open: Mutex::default(),
@@ -348,33 +346,40 @@
         self.freed.notify_one();
     }
 
-    /// Says that it leaves without having been draining; returns whether it was acknowledged.
+    /// Says that it leaves, as instances do that never report `draining`; it goes on serving.
+    /// Returns whether that was acknowledged.
     pub fn delete(&self) -> bool {
+        self.silent.store(true, Ordering::SeqCst);
         let body = format!("{{\"born\":{}}}", self.born_ms);
+        let status = self.call("DELETE", &body);
+        self.log.line(&format!("DELETE of {} -> {status}", self.id));
+        status == 200
+    }
+
+    /// Sends a message to the daemon beside it; returns the status, or 0.
+    pub fn call(&self, method: &str, body: &str) -> u16 {
         let path = format!("/api/instances/{}", self.id);
         let headers = [("Content-Type", "application/json")];
         let limit = Duration::from_secs(1);
         let reply = http::call(
             self.control,
-            "DELETE",
+            method,
             &path,
             &headers,
             body.as_bytes(),
             limit,
         );
-        let status = reply.map_or(0, |r| r.status());
-        self.log.line(&format!("DELETE of {} -> {status}", self.id));
-        status == 200
+        reply.map_or(0, |r| r.status())
     }
 
-    /// Sends one announcement; returns whether it was acknowledged.
-    pub fn ping(&self) -> bool {
+    /// Returns the body of the next announcement.
+    pub fn next_ping(&self) -> String {
         let state = match self.draining.load(Ordering::SeqCst) {
             true => "draining",
             false => "ready",
         };
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let body = format!(
+        format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":{},\"state\":\"{state}\",\"cold_left\":\"{}ms\",\"sequence\":{sequence},\
              \"born\":{}}}",
@@ -384,20 +389,18 @@
             self.slots,
             self.cold_left().as_millis(),
             self.born_ms
-        );
-        *self.last_ping.lock().unwrap() = body.clone();
-        let path = format!("/api/instances/{}", self.id);
-        let headers = [("Content-Type", "application/json")];
-        let limit = Duration::from_secs(1);
-        let reply = http::call(self.control, "PUT", &path, &headers, body.as_bytes(), limit);
-        let status = reply.map_or(0, |r| r.status());
-        if sequence == 1 || status != 200 || state != "ready" {
+        )
+    }
+
+    fn ping(&self) {
+        let body = self.next_ping();
+        let status = self.call("PUT", &body);
+        if body.contains("\"sequence\":1,") || status != 200 {
             self.log.line(&format!(
-                "ping of {} ({}, {state}, sequence {sequence}) -> {status}",
+                "ping of {} ({}) -> {status}",
                 self.id, self.service
             ));
         }
-        status == 200
     }
 
     fn announce(self: Arc<Self>) {
--- a/review/stand-in-3/scenarios.rs
+++ b/review/stand-in-3/scenarios.rs
@@ -22,6 +22,7 @@
         "reuse" => reuse(program, &log, trouble),
         "upload" => upload(program, &log, trouble),
         "behind" => behind(program, &log, trouble),
+        "late" => late(program, &log, trouble),
         _ => Err("no such scenario".to_owned()),
     };
     log.line(&format!("rule held: {held:?}"));
@@ -665,3 +666,91 @@
         is_answered,
     })
 }
+
+/// Times that an instance starts again and leaves.
+const LEAVES: usize = 4;
+/// Bound `drain`.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// Time for which an instance goes on serving after it has said that it leaves.
+const SERVES_ON: Duration = Duration::from_secs(12);
+/// Time from the ack of its leaving to the arrival of the late ping.
+const LATE_PING: Duration = Duration::from_millis(5_300);
+
+/// An instance starts again under its id and leaves; a ping of its earlier start arrives late.
+fn late(program: &str, log: &Arc<Log>, trouble: bool) -> Result<bool, String> {
+    let machine = |zone, service| Machine { zone, service };
+    let machines = [
+        machine("nl-a", "booking"),
+        machine("nl-b", "booking"),
+        machine("nl-c", "clubhub"),
+        machine("nl-d", "clubhub"),
+    ];
+    let mut setting = set_up(program, &machines, log)?;
+    let mut traffic = Vec::new();
+    for side in &setting.fleet.sides {
+        traffic.push(Traffic::start(log, side.address(OUTBOUND), 10.0, BOOKING));
+    }
+    let mut acks = Vec::new();
+    for number in 0..LEAVES {
+        let n = number % 2;
+        thread::sleep(Duration::from_secs(3));
+        let first = setting.instances[n].clone();
+        // It is on its way from here on.
+        let late_ping = first.next_ping();
+        first.kill();
+        thread::sleep(Duration::from_millis(300));
+        let (runs, log) = (&setting.runs, &setting.log);
+        let second = instance(n, &first.id, "booking", 70, 3_000, runs, log)?;
+        thread::sleep(Duration::from_millis(500));
+        if !second.delete() {
+            return Err("the leave was not acknowledged".to_owned());
+        }
+        let acked = Instant::now();
+        acks.push((first.id.clone(), acked));
+        thread::sleep(LATE_PING);
+        if trouble {
+            let status = first.call("PUT", &late_ping);
+            log.line(&format!(
+                "late ping of the earlier start of {} -> {status}",
+                first.id
+            ));
+        }
+        thread::sleep(SERVES_ON.saturating_sub(acked.elapsed()));
+        second.kill();
+        let id = format!("i-booking-after-{number}");
+        thread::sleep(Duration::from_millis(300));
+        setting.instances[n] = instance(n, &id, "booking", 70, 3_000, runs, log)?;
+    }
+    for traffic in traffic {
+        traffic.end();
+    }
+    let runs = setting.runs.lock().unwrap().clone();
+    let mut after = 0;
+    for (id, acked) in &acks {
+        for run in runs
+            .iter()
+            .filter(|r| r.instance == *id && r.at > *acked + DRAIN)
+        {
+            after += 1;
+            let text = format!(
+                "BROKEN: {} {} (attempt {}) reached {} {:.1} s after the ack that it leaves",
+                run.method,
+                run.path,
+                run.attempt,
+                run.instance,
+                (run.at - *acked).as_secs_f64()
+            );
+            log.line(&text);
+            println!("{text}");
+        }
+    }
+    log.line(&format!(
+        "{} runs, {after} of them at instances that had left",
+        runs.len()
+    ));
+    let ended = setting.fleet.ended();
+    if !ended.is_empty() {
+        return Err(format!("processes ended: {ended:?}"));
+    }
+    Ok(after == 0)
+}
