--- a/review/stand-in-3/scenarios.rs
+++ b/review/stand-in-3/scenarios.rs
@@ -23,6 +23,7 @@
         "upload" => upload(program, &log, trouble),
         "behind" => behind(program, &log, trouble),
         "late" => late(program, &log, trouble),
+        "unknown" => unknown(program, &log, trouble),
         _ => Err("no such scenario".to_owned()),
     };
     log.line(&format!("rule held: {held:?}"));
@@ -754,3 +755,73 @@
     }
     Ok(after == 0)
 }
+
+/// The operator sends configurations whose new route names a service that no row of `services`
+/// has, beside parts that are known. Without the disruption the field is omitted (null).
+fn unknown(program: &str, log: &Arc<Log>, trouble: bool) -> Result<bool, String> {
+    let machine = |zone, service| Machine { zone, service };
+    let machines = [machine("nl-a", "booking"), machine("nl-c", "clubhub")];
+    let setting = set_up(program, &machines, log)?;
+    let limit = Duration::from_secs(5);
+    let mut version = 3_u64;
+    let mut acked = 0;
+    for round in 0..6 {
+        let path = format!("/extra-{round}/");
+        let named = if trouble { "\"photobox\"" } else { "null" };
+        let row = format!(
+            "[\"extra-{round}\",\"{HOST}\",\"{path}\",\"idempotent\",\"800ms\",\"200ms\",2,{named},2,\
+             [{{\"service\":\"booking\",\"weight\":1}}]]"
+        );
+        // By turns a whole configuration and a change of one item.
+        let (method, body) = if round % 2 == 0 {
+            let services = "]]},\"services\"";
+            let body = config()
+                .replace(services, &format!("],{row}{}", &services[1..]))
+                .replace("\"version\":3", &format!("\"version\":{}", version + 5))
+                .replace("\"base_version\":0", &format!("\"base_version\":{version}"));
+            ("PUT", body)
+        } else {
+            let body = format!(
+                "{{\"version\":{},\"upsert\":{{\"routes\":{{\"columns\":[\"name\",\"host\",\
+                 \"path_prefix\",\"route_type\",\"timeout\",\"target_latency\",\"priority\",\"service\",\
+                 \"max_attempts\",\"weighted_clusters\"],\"rows\":[{row}]}}}},\"base_version\":{version}}}",
+                version + 5
+            );
+            ("PATCH", body)
+        };
+        log.line(&format!("sent as extra-{round}: {row}"));
+        let status = setting
+            .fleet
+            .order(log, method, "/api/config", &body, limit)?;
+        if status == 200 {
+            version += 5;
+        } else if !trouble {
+            return Err(format!("a valid configuration got {status}"));
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        let core = setting.fleet.cores[round % CORES].address(CONTROL);
+        let read = http::call(core, "GET", "/api/config", &[], b"", limit);
+        let text = read.map_or_else(
+            |e| e.to_string(),
+            |r| String::from_utf8_lossy(&r.body).into_owned(),
+        );
+        let name = format!("[\"extra-{round}\"");
+        let shown = text.find(&name).map_or("no such route", |at| {
+            let end = text[at..].find("]]").map_or(text.len(), |e| at + e + 2);
+            &text[at..end]
+        });
+        log.line(&format!("read back: {shown}"));
+        let to = setting.fleet.sides[0].address(OUTBOUND);
+        let answer = send(log, to, "GET", &format!("{path}1"), 3000, b"");
+        if trouble && status == 200 {
+            acked += 1;
+            let text = format!(
+                "BROKEN: {method} of version {version}, whose route extra-{round} names the unknown service \
+                 photobox, is acknowledged; read back: {shown}; a request on the route gets {answer:?}"
+            );
+            log.line(&text);
+            println!("{text}");
+        }
+    }
+    Ok(acked == 0)
+}
