--- a/review/stand-in-3/scenarios.rs
+++ b/review/stand-in-3/scenarios.rs
@@ -674,8 +674,8 @@
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// Time for which an instance goes on serving after it has said that it leaves.
 const SERVES_ON: Duration = Duration::from_secs(12);
-/// Time from the ack of its leaving to the arrival of the late ping.
-const LATE_PING: Duration = Duration::from_millis(5_300);
+/// How late the ping is; the longest partition of the site lasts 5.5 s.
+const LATE_PING: Duration = Duration::from_millis(5_450);
 
 /// An instance starts again under its id and leaves; a ping of its earlier start arrives late.
 fn late(program: &str, log: &Arc<Log>, trouble: bool) -> Result<bool, String> {
@@ -698,22 +698,24 @@
         let first = setting.instances[n].clone();
         // It is on its way from here on.
         let late_ping = first.next_ping();
+        let sent = Instant::now();
         first.kill();
-        thread::sleep(Duration::from_millis(300));
+        thread::sleep(Duration::from_millis(100));
         let (runs, log) = (&setting.runs, &setting.log);
         let second = instance(n, &first.id, "booking", 70, 3_000, runs, log)?;
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(150));
         if !second.delete() {
             return Err("the leave was not acknowledged".to_owned());
         }
         let acked = Instant::now();
         acks.push((first.id.clone(), acked));
-        thread::sleep(LATE_PING);
+        thread::sleep(LATE_PING.saturating_sub(sent.elapsed()));
         if trouble {
             let status = first.call("PUT", &late_ping);
             log.line(&format!(
-                "late ping of the earlier start of {} -> {status}",
-                first.id
+                "ping of the earlier start of {}, {} ms late -> {status}",
+                first.id,
+                sent.elapsed().as_millis()
             ));
         }
         thread::sleep(SERVES_ON.saturating_sub(acked.elapsed()));
