--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -12,6 +13,14 @@
 
 const FIRST_PORT: u16 = 21_400;
 
+/// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux, the same on x86-64 and arm64.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Record of what was sent, answered and run.
 pub struct Log {
     started: Instant,
@@ -45,14 +54,21 @@
     fn spawn(program: &str, settings: &PathBuf, log: &PathBuf) -> Result<Child, String> {
         let out = File::options().create(true).append(true).open(log);
         let out = out.map_err(|e| e.to_string())?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .arg("--settings")
             .arg(settings)
             .env("PLUMHITCH_NODE_FILE", settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(out)
-            .spawn();
+            .stderr(out);
+        // The process ends with the thread that starts it, here the main one, so that none is
+        // left if a signal ends the stand-in.
+        let end_with_parent = || match unsafe { prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        };
+        let child = unsafe { command.pre_exec(end_with_parent) }.spawn();
         child.map_err(|e| format!("{program}: {e}"))
     }
 
