Log the service, the target and the time in the queue of each run

Three causes fit: the request waited in the gate's queue while the address changed hands, it was admitted just before and named the newer target, or it went over a connection of the pool. The line of a run didn't tell them apart: it had neither the service asked for, nor the instance named, nor the time waited.

It has now service, upstream and waited_us, and explain prints them.

--- a/crates/plumhitch/src/explain.rs
+++ b/crates/plumhitch/src/explain.rs
@@ -98,11 +98,14 @@
         ),
         "attempt_failed" => format!("the attempt failed at the upstream: {}", field("reason")),
         "run" => format!(
-            "run ended as {} after {} us (cancelled {}); at its start {} of {} running, {} \
-             queued, service time {}% of normal",
+            "run of {} at {} ended as {} after {} us (cancelled {}), {} us in the queue before; at \
+             its start {} of {} running, {} queued, service time {}% of normal",
+            field("service"),
+            field("upstream"),
             field("outcome"),
             field("took_us"),
             field("cancelled"),
+            field("waited_us"),
             field("in_flight"),
             field("limit"),
             field("waiting"),
--- a/crates/plumhitch/tests/explain.rs
+++ b/crates/plumhitch/tests/explain.rs
@@ -20,8 +20,8 @@
 deadline_ms=798 believed_slow_percent=100 in_flight=2 waiting=0 limit=6 cold=false slow_percent=700
 ";
 const GATE_2: &str = "\
-time=1802 level=INFO event=run ticket=9 attempt_id=a1 class=read outcome=Broken cancelled=true \
-in_flight=6 waiting=3 limit=6 slow_percent=100 took_us=798000
+time=1802 level=INFO event=run ticket=9 attempt_id=a1 class=read service=court upstream=i-2 outcome=Broken cancelled=true \
+in_flight=6 waiting=3 limit=6 slow_percent=100 waited_us=12000 took_us=798000
 not a line of a log
 ";
 
@@ -50,7 +50,8 @@
         "attempt 1 sent to b-1",
         "did not run it: Slow; 2 of 6 running",
         "attempt 2 sent to b-2",
-        "run ended as Broken after 798000 us (cancelled true); at its start 6 of 6",
+        "run of court at i-2 ended as Broken after 798000 us (cancelled true), 12000 us in the queue \
+         before; at its start 6 of 6",
         "final response: refused deadline may-have-run",
     ];
     assert_eq!(lines.len(), expected.len(), "{text}");
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -64,9 +64,12 @@
     discarded_bytes: u64,
     /// Whether the upstream has finished, so that there is nothing to cancel there.
     has_ended: bool,
+    arrived_at: Instant,
     /// Time of admission, and the gate's load at that time including this
     /// request.
     admitted: Option<(Instant, Load)>,
+    /// Id of the upstream that the request names as its target.
+    target: String,
     /// The caller's id of its attempt, if it has one.
     attempt_id: String,
 }
@@ -102,7 +105,9 @@
             body_held,
             discarded_bytes: 0,
             has_ended: false,
+            arrived_at: Instant::now(),
             admitted: None,
+            target: String::new(),
             attempt_id,
         }
     }
@@ -162,7 +167,13 @@
     /// Sends the request to the upstream and relays its response.
     async fn dispatch(&mut self, method: Method) {
         let upload = (!self.open.end).then(|| self.upload_reader());
-        let request = upstream_request::build(&self.daemon, self.ticket, method, &mut self.open);
+        self.target = announced_target(&self.daemon);
+        let request = upstream_request::build(
+            &self.daemon,
+            (self.ticket, &self.target),
+            method,
+            &mut self.open,
+        );
         let mut sending = Box::pin(exchange::send(self.daemon.clone(), request, upload));
         let sent = loop {
             tokio::select! {
@@ -518,17 +529,23 @@
             return;
         };
         log::info!(
-            "event=run ticket={} attempt_id={} fingerprint={:016x} class={} outcome={outcome:?} \
-             cancelled={} in_flight={} waiting={} limit={} slow_percent={} took_us={}",
+            "event=run ticket={} attempt_id={} fingerprint={:016x} class={} service={} upstream={} \
+             outcome={outcome:?} cancelled={} in_flight={} waiting={} limit={} slow_percent={} \
+             waited_us={} took_us={}",
             self.ticket,
             self.attempt_id,
             self.open.fingerprint,
             self.open.class,
+            self.open.service,
+            self.target,
             self.reply_sender.closed,
             load.in_flight,
             load.waiting,
             load.limit,
             load.slow_percent,
+            admitted_at
+                .saturating_duration_since(self.arrived_at)
+                .as_micros(),
             admitted_at.elapsed().as_micros(),
         );
     }
@@ -538,6 +555,12 @@
     }
 }
 
+/// Returns the id of the upstream that is announced at the address, or an empty string.
+fn announced_target(daemon: &Daemon) -> String {
+    let target = daemon.read(|node| node.admission.announced().map(|a| a.target.clone()));
+    target.unwrap_or_default()
+}
+
 fn join(first: Bytes, buffered: BytesMut) -> Bytes {
     match buffered.is_empty() {
         true => first,
--- a/crates/plumhitchd/src/gate_http/upstream_request.rs
+++ b/crates/plumhitchd/src/gate_http/upstream_request.rs
@@ -75,11 +75,11 @@
     Method::from_bytes(open.method.as_bytes()).ok()
 }
 
-/// Builds the request for the upstream and takes headers, path and body out of
-/// `open`.
+/// Builds the request with a ticket for the upstream with the id `target`, and takes
+/// headers, path and body out of `open`.
 pub(super) fn build(
     daemon: &Daemon,
-    ticket: u64,
+    (ticket, target): (u64, &str),
     method: Method,
     open: &mut Open,
 ) -> UpstreamRequest {
@@ -97,7 +97,7 @@
     insert_if_set(
         &mut headers,
         names.target_upstream.as_ref(),
-        target_header(daemon),
+        target_header(target),
     );
     if !headers.contains_key(HOST) {
         insert_if_set(&mut headers, Some(&HOST), host_header(daemon));
@@ -147,12 +147,9 @@
     }
 }
 
-fn target_header(daemon: &Daemon) -> Option<HeaderValue> {
-    daemon.integration.headers.target_upstream.as_ref()?;
-    let announced = daemon.read(|node| node.admission.announced().map(|a| a.target.clone()))?;
-    HeaderValue::from_str(&announced)
-        .ok()
-        .filter(|v| !v.is_empty())
+fn target_header(target: &str) -> Option<HeaderValue> {
+    let value = HeaderValue::from_str(target).ok();
+    value.filter(|v| !v.is_empty())
 }
 
 fn host_header(daemon: &Daemon) -> Option<HeaderValue> {
