Refuse waiting requests once another service has the address

Cause: a gate compares the service of a request with that of its upstream when the request arrives. An announcement of another service cleared the slots and left the queue, and what waited was then dispatched without a new comparison, to the instance that it named itself as the target.

Change: the service is among what the gate checks (Admission::check), which is asked again when a waiting request is dispatched; and an announcement of another service refuses at once, as not run, what waits for a slot or for exclusive execution, so that the entries place it elsewhere. Waiting requests have a module of their own.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -20,6 +20,7 @@
 mod rollout;
 mod statements;
 mod suspects;
+mod waiting;
 
 pub use evidence::{Evidence, EvidenceRun, UpstreamState};
 pub use load::REPORT_READ_COST_BYTES;
@@ -47,8 +48,6 @@
 
 /// Maximum number of requests that wait for exclusive execution.
 const MAX_AWAITING_EXCLUSIVE: usize = 8;
-/// Maximum time that a request waits for exclusive execution.
-const EXCLUSIVE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after its cancellation for which an exclusive request that the upstream
 /// has not finished still keeps others out.
 const HUNG_TIMEOUT: Duration = Duration::from_secs(2);
@@ -326,66 +325,6 @@
         push(cx, Effect::Run(ticket));
     }
 
-    /// Refuses requests that waited for a slot too long, and dispatches the
-    /// others as slots become free.
-    fn run_waiting(&mut self, cx: &mut Cx<'_>) {
-        for ticket in self.gate.remove_expired(cx.now) {
-            self.jobs.remove(ticket);
-            self.refuse(ticket, RefuseReason::NoSlot, None, cx);
-        }
-        while !self.jobs.has_exclusive() {
-            let Some(ticket) = self.gate.admit_queued(cx.now) else {
-                return;
-            };
-            let Some(job) = self.jobs.remove(ticket) else {
-                self.gate.withdraw(ticket);
-                continue;
-            };
-            if self.permit(&job.arrival, cx) == Ok(Permit::Unrestricted) {
-                self.dispatch(job, cx);
-            } else {
-                self.gate.withdraw(ticket);
-                self.schedule(job, cx);
-            }
-        }
-    }
-
-    /// Dispatches the oldest request that needs exclusive execution once
-    /// nothing else runs. Until then no new request is admitted; the wait is
-    /// bounded by [`EXCLUSIVE_WAIT_TIMEOUT`].
-    fn run_exclusive(&mut self, cx: &mut Cx<'_>) {
-        let arrived_by = cx.now.saturating_sub(EXCLUSIVE_WAIT_TIMEOUT);
-        let overdue = self.jobs.select(|j| {
-            j.stage == Stage::AwaitingExclusive
-                && j.arrived <= arrived_by
-                && cx.now >= EXCLUSIVE_WAIT_TIMEOUT
-        });
-        for ticket in overdue {
-            self.jobs.remove(ticket);
-            self.refuse(ticket, RefuseReason::NoSlot, None, cx);
-        }
-        if self.jobs.any_dispatched() || self.may_be_crashing(cx.now) {
-            return;
-        }
-        let Some(ticket) = self
-            .jobs
-            .first_awaiting_exclusive()
-            .map(|j| j.arrival.ticket)
-        else {
-            return;
-        };
-        let Some(job) = self.jobs.remove(ticket) else {
-            return;
-        };
-        match self.permit(&job.arrival, cx) {
-            Ok(Permit::Unrestricted | Permit::Exclusive) => self.admit(job, cx),
-            Ok(Permit::Elsewhere(only_at)) => {
-                self.refuse(ticket, RefuseReason::Suspect, Some(only_at), cx);
-            }
-            Err(reason) => self.refuse(ticket, reason, None, cx),
-        }
-    }
-
     fn on_ended(&mut self, ticket: Ticket, outcome: Outcome, cx: &mut Cx<'_>) {
         self.gate.finish(cx.now, ticket, outcome);
         if matches!(outcome, Outcome::Whole(_) | Outcome::Rejected) {
--- a/crates/node/src/admission/announcements.rs
+++ b/crates/node/src/admission/announcements.rs
@@ -150,6 +150,7 @@
             }
             None => self.record_sign_of_life(cx),
         }
+        self.refuse_waiting_of_other_services(cx);
         if previous == Some(false) {
             self.refuse_waiting_if_leaving(cx);
         }
--- a/crates/node/src/admission/check.rs
+++ b/crates/node/src/admission/check.rs
@@ -20,6 +20,9 @@
         if cx.agent.is_out(&cx.agent.name, &cx.agent.data_centre) {
             return Err(RefuseReason::Out);
         }
+        if arrival.service != self.service() {
+            return Err(RefuseReason::NoUpstream);
+        }
         if self.is_version_excluded(cx) {
             return Err(RefuseReason::Out);
         }
--- a/crates/node/src/admission/rollout.rs
+++ b/crates/node/src/admission/rollout.rs
@@ -43,16 +43,7 @@
         let rollout = rollout.filter(|r| is_unfinished(r));
         self.evidence.update(rollout, &announced.version);
         if self.is_version_excluded(cx) {
-            self.refuse_waiting(cx);
-        }
-    }
-
-    fn refuse_waiting(&mut self, cx: &mut Cx<'_>) {
-        let is_waiting = |j: &Job| matches!(j.stage, Stage::Waiting | Stage::AwaitingExclusive);
-        for ticket in self.jobs.select(is_waiting) {
-            self.gate.withdraw(ticket);
-            self.jobs.remove(ticket);
-            self.refuse(ticket, RefuseReason::Out, None, cx);
+            self.refuse_waiting(RefuseReason::Out, |_| true, cx);
         }
     }
 
