Send an admitted request only to the start it was admitted for

Cause: a gate's task built the request after its admission, and named as the target whichever instance was the newest announced one then. An announcement between the two made the new instance the target, so that it couldn't refuse. By reading, the same holds for connections: the pool gave out idle ones that lead to the process which had the address before.

Change: Effect::Run carries the start of the upstream that was checked (its number at this gate and its id). The request names that id, takes only pooled connections to that start, and is refused as not run if another start has the address once its connection is established. Cancellations and health requests state their start too, and a load that comes with a late response of an earlier start doesn't count. A change of the service under the same start counts as another start.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -115,7 +115,7 @@
     stated_leaving: bool,
     /// Whether this start of the upstream stated anything that was in force.
     has_stated: bool,
-    /// Number of starts of the upstream that were announced.
+    /// Number of starts of the upstream, and of changes of its service, that were announced.
     start: u64,
     limit_hint: Option<(Duration, u32)>,
     reported_slowness: Option<(Duration, u32)>,
@@ -171,36 +171,28 @@
         announcement.slots = announcement.slots.min(MAX_SLOTS);
         self.ramp.clamp(announcement.slots);
         let start = self.restarts.record_boot(&announcement.boot);
-        if start != Start::Same {
-            self.start += 1;
-            self.stated_limit.reset();
-            self.cold_rate.forget_statements();
-            self.stated_leaving = false;
-            self.has_stated = false;
+        let known_service = self.announced.as_ref().map(|a| a.service.as_str());
+        let is_other_service = known_service.is_some_and(|s| s != announcement.service);
+        if start != Start::Same || is_other_service {
+            self.forget_start();
+        }
+        if is_other_service {
+            self.forget_service();
         }
         announcement.leaving |= self.stated_leaving;
         let cold_remaining = Duration::from_millis(announcement.cold_ms);
         let age = announcement.age_ms.map(Duration::from_millis);
         self.cold_rate.record_announced(now, cold_remaining);
-        let new_service = announcement.service.clone();
         let not_leaving = !announcement.leaving;
-        if self
-            .announced
-            .as_ref()
-            .is_some_and(|a| a.service != new_service)
-        {
-            self.knee.reset();
-        }
         let old = self.announced.replace(announcement);
-        let changed =
-            old.is_some_and(|old| old.service != new_service || (old.leaving && not_leaving));
+        let returns = old.is_some_and(|old| old.leaving && not_leaving);
         match start {
             Start::First => {
                 self.predecessor.begin(now);
                 self.cold_rate
                     .record_first_announcement(now, cold_remaining, age);
             }
-            Start::Same if changed => self.assume_cold(now),
+            Start::Same if is_other_service || returns => self.assume_cold(now),
             Start::Same => {}
             Start::Earlier => self.assume_cold(now),
             Start::Untrusted => {
@@ -224,6 +216,12 @@
         self.announced.as_ref()
     }
 
+    /// Returns the number of the start of the upstream; 0 before the first announcement.
+    #[must_use]
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
     /// Applies a load report of the upstream.
     pub fn record_report(&mut self, now: Duration, report: LoadReport) {
         self.advance_clock(now);
@@ -295,7 +293,7 @@
         let preference = self.preference(request);
         let by_rate = self.stated_limit.allows(now, preference);
         if self.limits.unlimited || by_rate && self.has_free_slot() {
-            self.start(now, request);
+            self.begin_run(now, request);
             return Ok(Placement::Running);
         }
         self.check_stated_limit(request)?;
@@ -346,7 +344,7 @@
             service_times: &self.service_times,
             slowness: self.slowness(),
         })?;
-        self.start(now, &request);
+        self.begin_run(now, &request);
         Some(request.ticket)
     }
 
@@ -427,6 +425,22 @@
         self.cold_rate.advance_clock(now);
     }
 
+    /// Discards what the start of the upstream has stated, because another one has the
+    /// address.
+    fn forget_start(&mut self) {
+        self.start += 1;
+        self.stated_limit.reset();
+        self.cold_rate.forget_statements();
+        self.stated_leaving = false;
+        self.has_stated = false;
+    }
+
+    /// Discards what was measured of the upstream's service, because the next one has
+    /// another.
+    fn forget_service(&mut self) {
+        self.knee.reset();
+    }
+
     fn check_service(&self, service: &str) -> Result<(), RefuseReason> {
         let announced = self.announced.as_ref().ok_or(RefuseReason::NoUpstream)?;
         if announced.service != service {
@@ -511,7 +525,7 @@
         f64::from(self.slow_percent().max(NORMAL_PERCENT)) / f64::from(NORMAL_PERCENT)
     }
 
-    fn start(&mut self, now: Duration, request: &SlotRequest) {
+    fn begin_run(&mut self, now: Duration, request: &SlotRequest) {
         self.last_active = now;
         self.cold_rate.record_sent(now);
         self.stated_limit.record_sent(now);
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -421,7 +421,7 @@
         match effect {
             // Requests arrive here with their bodies.
             admission::Effect::Receive(_) => {}
-            admission::Effect::Run(ticket) => {
+            admission::Effect::Run { ticket, .. } => {
                 if let Some(sent) = self.forwarded.get(&ticket) {
                     cx.tx.push(Output::Run {
                         upstream: daemon,
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -24,7 +24,7 @@
 
 pub use evidence::{Evidence, EvidenceRun, UpstreamState};
 pub use load::REPORT_READ_COST_BYTES;
-pub use message::{Arrival, Effect, Event};
+pub use message::{Arrival, Effect, Event, UpstreamStart};
 pub use statements::{ReadStatement, StatementCounts};
 
 use crate::agent::Agent;
@@ -322,7 +322,8 @@
         job.stage = Stage::Running;
         job.run = Some(self.begin_run(cx.now));
         self.jobs.insert(job);
-        push(cx, Effect::Run(ticket));
+        let start = self.upstream_start();
+        push(cx, Effect::Run { ticket, start });
     }
 
     fn on_ended(&mut self, ticket: Ticket, outcome: Outcome, cx: &mut Cx<'_>) {
--- a/crates/node/src/admission/announcements.rs
+++ b/crates/node/src/admission/announcements.rs
@@ -3,6 +3,7 @@
 use super::Admission;
 use super::address::{Former, HOLDER_SILENCE};
 use super::jobs::Job;
+use super::message::UpstreamStart;
 use crate::context::Cx;
 use gate::Outcome;
 use std::cmp::Ordering;
@@ -78,6 +79,22 @@
         self.gate.announced()
     }
 
+    /// Returns the start of the upstream that holds the address.
+    #[must_use]
+    pub fn upstream_start(&self) -> UpstreamStart {
+        let announced = self.gate.announced();
+        UpstreamStart {
+            number: self.start_number(),
+            target: announced.map_or_else(String::new, |a| a.target.clone()),
+        }
+    }
+
+    /// Returns the number of the start of the upstream that holds the address.
+    #[must_use]
+    pub fn start_number(&self) -> u64 {
+        self.gate.start()
+    }
+
     /// Returns whether an announcement does not count: it is older than one already applied,
     /// or of an upstream that does not hold the address.
     #[must_use]
--- a/crates/node/src/admission/message.rs
+++ b/crates/node/src/admission/message.rs
@@ -43,6 +43,16 @@
     pub is_call: bool,
 }
 
+/// A start of an upstream that holds the address beside this daemon.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamStart {
+    /// Number at this gate, which increases with each start and change of the service; 0
+    /// before the first announcement.
+    pub number: u64,
+    /// Id of the upstream.
+    pub target: String,
+}
+
 /// An event at the upstream beside this daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -81,8 +91,13 @@
     /// Asks the entry for the body of an offered request. [`Event::Arrived`] follows
     /// when it is complete.
     Receive(Ticket),
-    /// Sends the request to the upstream.
-    Run(Ticket),
+    /// Sends the request to this start of the upstream, and to no later one.
+    Run {
+        /// The request.
+        ticket: Ticket,
+        /// The start that holds the address.
+        start: UpstreamStart,
+    },
     /// Reports to the entry that the request was not run.
     Refuse {
         /// The request.
--- a/crates/node/tests/address_reuse.rs
+++ b/crates/node/tests/address_reuse.rs
@@ -125,7 +125,7 @@
 
 fn runs(effects: &[admission::Effect]) -> Vec<Ticket> {
     let runs = effects.iter().filter_map(|effect| match effect {
-        admission::Effect::Run(ticket) => Some(*ticket),
+        admission::Effect::Run { ticket, .. } => Some(*ticket),
         _ => None,
     });
     runs.collect()
@@ -326,7 +326,7 @@
     fn check(&mut self, effect: admission::Effect) {
         let announced = self.node.admission.announced().unwrap().service.clone();
         match effect {
-            admission::Effect::Run(ticket) => {
+            admission::Effect::Run { ticket, .. } => {
                 let service = self.waiting.remove(&ticket).expect("it waited");
                 self.running.insert(ticket);
                 if service != announced {
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -102,6 +102,12 @@
     }
 }
 
+/// Returns the effect that sends a request to the present start of the upstream.
+fn run_effect(node: &Node, ticket: u64) -> admission::Effect {
+    let start = node.admission.upstream_start();
+    admission::Effect::Run { ticket, start }
+}
+
 fn refused(effects: &[admission::Effect]) -> Option<RefuseReason> {
     effects.iter().find_map(|effect| match effect {
         admission::Effect::Refuse { reason, .. } => Some(*reason),
@@ -121,7 +127,7 @@
     assert_eq!(node.admission.load().in_flight, 0);
     for ticket in 1..=2 {
         let effects = admit(&mut node, 200, admission::Event::Arrived(arrival(ticket)));
-        assert_eq!(effects, [admission::Effect::Run(ticket)]);
+        assert_eq!(effects, [run_effect(&node, ticket)]);
     }
 }
 
@@ -200,10 +206,8 @@
 
 /// Returns what the gate tells an entry about the upstream that stated this.
 fn told(node: &mut Node, statement: admission::ReadStatement) -> Restriction {
-    assert_eq!(
-        admit(node, 10, admission::Event::Arrived(arrival(1))),
-        [admission::Effect::Run(1)]
-    );
+    let effects = admit(node, 10, admission::Event::Arrived(arrival(1)));
+    assert_eq!(effects, [run_effect(node, 1)]);
     admit(node, 20, admission::Event::ResponseStarted(1, statement));
     let now = Duration::from_millis(20);
     node.admission.restriction_to_send(now, false).unwrap()
@@ -225,7 +229,7 @@
     let mut other = gate();
     admit(&mut other, 30, admission::Event::Informed(next_start));
     let effects = admit(&mut other, 30, admission::Event::Arrived(arrival(2)));
-    assert_eq!(effects, [admission::Effect::Run(2)]);
+    assert_eq!(effects, [run_effect(&other, 2)]);
 }
 
 /// Guards against a gate that has started again and sends as much as if its predecessor
@@ -238,7 +242,7 @@
     let effects = admit(&mut restarted, 30, admission::Event::Arrived(arrival(2)));
     assert_eq!(refused(&effects), Some(RefuseReason::Limited));
     let effects = admit(&mut restarted, 540, admission::Event::Arrived(arrival(3)));
-    assert_eq!(effects, [admission::Effect::Run(3)]);
+    assert_eq!(effects, [run_effect(&restarted, 3)]);
 }
 
 /// Guards against an entry that keeps to a rate which the upstream no longer states.
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -179,7 +179,7 @@
     let ended = admission::Event::Ended(ticket, gate::Outcome::Whole(200));
     sim.event(i, node::Event::Admission(ended));
     match sim.daemons[i].admission.first() {
-        Some(admission::Effect::Run(_)) => "run".to_owned(),
+        Some(admission::Effect::Run { .. }) => "run".to_owned(),
         Some(admission::Effect::Refuse { reason, .. }) => format!("refused {reason:?}"),
         other => format!("{other:?}"),
     }
--- a/crates/node/tests/crashing_requests.rs
+++ b/crates/node/tests/crashing_requests.rs
@@ -134,7 +134,7 @@
         self.gate_event(gate, admission::Event::Arrived(arrival));
         for effect in std::mem::take(&mut self.sim.daemons[CONTROLS + gate].admission) {
             match effect {
-                Effect::Run(ticket) => self.run_at_upstream(gate, ticket, fingerprint),
+                Effect::Run { ticket, .. } => self.run_at_upstream(gate, ticket, fingerprint),
                 Effect::Refuse {
                     reason: RefuseReason::Convicted,
                     ..
--- a/crates/node/tests/decisions/fleet.rs
+++ b/crates/node/tests/decisions/fleet.rs
@@ -699,7 +699,7 @@
     fn admission(&mut self, name: &str, effect: admission::Effect) {
         match effect {
             admission::Effect::Receive(ticket) => panic!("{ticket} was not offered"),
-            admission::Effect::Run(ticket) => {
+            admission::Effect::Run { ticket, .. } => {
                 writeln!(self.log, "{name} runs {}", self.name_of(ticket)).unwrap();
                 self.daemons.get_mut(name).unwrap().running.insert(ticket);
                 if let Some(sent) = self.sent.get(&ticket) {
--- a/crates/node/tests/once_shuffle.rs
+++ b/crates/node/tests/once_shuffle.rs
@@ -316,7 +316,7 @@
     fn gate_effect(&mut self, gate: usize, effect: admission::Effect) {
         match effect {
             admission::Effect::Receive(ticket) => panic!("{ticket} was not offered"),
-            admission::Effect::Run(ticket) => self.run(ticket),
+            admission::Effect::Run { ticket, .. } => self.run(ticket),
             admission::Effect::Refuse { ticket, reason, .. } => {
                 let Some(call) = self.tickets.remove(&ticket) else {
                     return;
--- a/crates/node/tests/rollout_daemons.rs
+++ b/crates/node/tests/rollout_daemons.rs
@@ -772,7 +772,8 @@
     for _ in 0..200 {
         ticket += 1;
         let effects = start(&mut bench, ticket);
-        running += usize::from(effects.contains(&admission::Effect::Run(ticket)));
+        let is_run = |e: &admission::Effect| matches!(e, admission::Effect::Run { ticket: t, .. } if *t == ticket);
+        running += usize::from(effects.iter().any(is_run));
         bench.pass(10);
     }
     assert!(running > 0);
--- a/crates/plumhitchd/src/gate_http.rs
+++ b/crates/plumhitchd/src/gate_http.rs
@@ -38,9 +38,9 @@
 pub(crate) fn ticket_of(effect: &Effect) -> Ticket {
     match effect {
         Effect::Receive(ticket)
-        | Effect::Run(ticket)
         | Effect::Cancel(ticket)
         | Effect::Expire(ticket)
+        | Effect::Run { ticket, .. }
         | Effect::Refuse { ticket, .. } => *ticket,
     }
 }
--- a/crates/plumhitchd/src/gate_http/cancel.rs
+++ b/crates/plumhitchd/src/gate_http/cancel.rs
@@ -7,13 +7,15 @@
 use http1::Framing;
 use std::sync::Arc;
 
-/// Sends the id of a cancelled request to the upstream's cancellation path.
-pub(super) async fn post(daemon: Arc<Daemon>, path: String, id: String) {
+/// Sends the id of a cancelled request to the cancellation path of the start of the upstream
+/// that has the request.
+pub(super) async fn post(daemon: Arc<Daemon>, path: String, id: String, start: u64) {
     let mut headers = HeaderMap::new();
     let value = HeaderValue::from_str(&id).ok();
     let echo = daemon.integration.headers.request_id.clone().zip(value);
     headers.extend(echo.clone());
     let request = UpstreamRequest {
+        start,
         method: Method::POST,
         target: path,
         headers,
--- a/crates/plumhitchd/src/gate_http/exchange.rs
+++ b/crates/plumhitchd/src/gate_http/exchange.rs
@@ -42,6 +42,8 @@
 /// A request to the upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamRequest {
+    /// Number of the start of the upstream that it is for.
+    pub(super) start: u64,
     pub(super) method: Method,
     pub(super) target: String,
     pub(super) headers: HeaderMap,
@@ -103,6 +105,8 @@
 pub(super) enum ExchangeError {
     /// No connection could be established; nothing was sent.
     Unreachable(io::Error),
+    /// The address passed to another start of the upstream; nothing was sent to it.
+    Replaced,
     /// The request was cancelled and its connection closed.
     Cancelled,
     /// The connection failed, or the response is not valid.
@@ -119,6 +123,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable(err) => write!(f, "cannot connect to the upstream: {err}"),
+            Self::Replaced => f.write_str("the address passed to another start of the upstream"),
             Self::Cancelled => f.write_str("the request was cancelled"),
             Self::Broken { reason, stale } => write!(
                 f,
@@ -145,6 +150,8 @@
     read: OwnedReadHalf,
     buf: BytesMut,
     writer: RequestWriter,
+    /// Start of the upstream that its connection leads to.
+    start: u64,
     /// What its connection has carried.
     attempts: Vec<AttemptHash>,
 }
@@ -233,11 +240,18 @@
     mut request: UpstreamRequest,
     upload: Option<UploadReader>,
 ) -> Result<UpstreamResponse, ExchangeError> {
-    let connection = daemon.pool.take(request.echo.attempt()).await;
+    let connection = daemon
+        .pool
+        .take(request.start, request.echo.attempt())
+        .await;
     let connection = connection.map_err(ExchangeError::Unreachable)?;
+    if !daemon.is_upstream_start(request.start) {
+        return Err(ExchangeError::Replaced);
+    }
     let Connection {
         stream,
         buf,
+        start,
         reused,
         attempts,
     } = connection;
@@ -266,6 +280,7 @@
         read: reader.read,
         buf: reader.buf,
         writer,
+        start,
         attempts,
     })
 }
@@ -504,6 +519,7 @@
             let connection = Connection {
                 stream,
                 buf: self.buf,
+                start: self.start,
                 reused: true,
                 attempts: self.attempts,
             };
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -19,7 +19,7 @@
 use gate::{Outcome, Ticket};
 use http::{HeaderMap, Method};
 use node::Event;
-use node::admission::{self, Effect};
+use node::admission::{self, Effect, UpstreamStart};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::{timeout, timeout_at};
@@ -68,8 +68,8 @@
     /// Time of admission, and the gate's load at that time including this
     /// request.
     admitted: Option<(Instant, Load)>,
-    /// Id of the upstream that the request names as its target.
-    target: String,
+    /// Start of the upstream that the request is sent to.
+    start: UpstreamStart,
     /// The caller's id of its attempt, if it has one.
     attempt_id: String,
 }
@@ -107,7 +107,7 @@
             has_ended: false,
             arrived_at: Instant::now(),
             admitted: None,
-            target: String::new(),
+            start: UpstreamStart::default(),
             attempt_id,
         }
     }
@@ -129,7 +129,8 @@
                         return false;
                     }
                 }
-                TaskMessage::Gate(Effect::Run(_)) => {
+                TaskMessage::Gate(Effect::Run { start, .. }) => {
+                    self.start = start;
                     self.admitted = Some((Instant::now(), self.daemon.load()));
                     return true;
                 }
@@ -167,10 +168,9 @@
     /// Sends the request to the upstream and relays its response.
     async fn dispatch(&mut self, method: Method) {
         let upload = (!self.open.end).then(|| self.upload_reader());
-        self.target = announced_target(&self.daemon);
         let request = upstream_request::build(
             &self.daemon,
-            (self.ticket, &self.target),
+            (self.ticket, &self.start),
             method,
             &mut self.open,
         );
@@ -186,6 +186,11 @@
         };
         match sent {
             Ok(response) => self.relay_response(response).await,
+            Err(err @ ExchangeError::Replaced) => {
+                self.log_failure(&err.to_string());
+                self.report_end(Outcome::Rejected);
+                self.reply_sender.refuse(RefuseReason::Rejected);
+            }
             Err(ExchangeError::Unreachable(err)) => {
                 self.log_failure(&err.to_string());
                 self.report_end(Outcome::Refused);
@@ -238,7 +243,8 @@
     async fn relay_response(&mut self, mut response: UpstreamResponse) {
         let status = response.status;
         if status != MISDIRECTED {
-            if let Some(load) = load_report::from_headers(&self.daemon, &response.headers) {
+            let load = load_report::from_headers(&self.daemon, &response.headers);
+            if let Some(load) = load.filter(|_| self.daemon.is_upstream_start(self.start.number)) {
                 self.report(admission::Event::Reported(load));
             }
             let read = statement::read(&self.daemon.integration.headers, &response.headers);
@@ -468,7 +474,8 @@
         let path = upstream.and_then(|u| u.cancel_path.clone());
         if let Some(path) = path {
             let id = upstream_request::request_id(&self.daemon, self.ticket);
-            tokio::spawn(cancel::post(self.daemon.clone(), path, id));
+            let start = self.start.number;
+            tokio::spawn(cancel::post(self.daemon.clone(), path, id, start));
         }
     }
 
@@ -537,7 +544,7 @@
             self.open.fingerprint,
             self.open.class,
             self.open.service,
-            self.target,
+            self.start.target,
             self.reply_sender.closed,
             load.in_flight,
             load.waiting,
@@ -555,12 +562,6 @@
     }
 }
 
-/// Returns the id of the upstream that is announced at the address, or an empty string.
-fn announced_target(daemon: &Daemon) -> String {
-    let target = daemon.read(|node| node.admission.announced().map(|a| a.target.clone()));
-    target.unwrap_or_default()
-}
-
 fn join(first: Bytes, buffered: BytesMut) -> Bytes {
     match buffered.is_empty() {
         true => first,
--- a/crates/plumhitchd/src/gate_http/load_report.rs
+++ b/crates/plumhitchd/src/gate_http/load_report.rs
@@ -74,7 +74,9 @@
         .clone()
         .or_else(|| names.request_id.clone());
     let echo = id.map_or(Echo::Unchecked, Echo::Absent);
+    let start = daemon.read(|node| node.admission.start_number());
     let request = UpstreamRequest {
+        start,
         method: Method::GET,
         target: path,
         headers: HeaderMap::new(),
@@ -90,7 +92,7 @@
         let answered = admission::Event::Answered { target, sent_at };
         daemon.handle_event(Event::Admission(answered));
     }
-    if !is_announced(daemon, target.as_deref()) {
+    if !daemon.is_upstream_start(start) || !is_announced(daemon, target.as_deref()) {
         log::info!("event=report_ignored reason=\"another upstream has the address\"");
         return None;
     }
--- a/crates/plumhitchd/src/gate_http/pool.rs
+++ b/crates/plumhitchd/src/gate_http/pool.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
     pub(crate) buf: BytesMut,
+    /// Number of the start of the upstream that it leads to.
+    pub(super) start: u64,
     /// Whether it has carried a request before.
     pub(crate) reused: bool,
     /// Hashes of the ids of the attempts that it has carried.
@@ -65,7 +67,8 @@
         }
     }
 
-    /// Returns an idle connection, or establishes a new one.
+    /// Returns an idle connection to a start of the upstream, or establishes a new one.
+    /// Idle connections to earlier starts are closed.
     ///
     /// A connection that has carried the same attempt before is not used for it again: a
     /// second copy of the response from then could not be told from the new response.
@@ -74,17 +77,21 @@
     ///
     /// Returns an error if the upstream cannot be reached; nothing was sent to
     /// it.
-    pub(super) async fn take(&self, attempt: Option<AttemptHash>) -> io::Result<Connection> {
-        let idle = self.take_idle(attempt);
+    pub(super) async fn take(
+        &self,
+        start: u64,
+        attempt: Option<AttemptHash>,
+    ) -> io::Result<Connection> {
+        let idle = self.take_idle(start, attempt);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => self.connect().await?,
+            None => self.connect(start).await?,
         };
         connection.attempts.extend(attempt);
         Ok(connection)
     }
 
-    async fn connect(&self) -> io::Result<Connection> {
+    async fn connect(&self, start: u64) -> io::Result<Connection> {
         let address = self.address.ok_or(io::ErrorKind::AddrNotAvailable)?;
         let Ok(connected) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
             return Err(io::ErrorKind::TimedOut.into());
@@ -94,6 +101,7 @@
         Ok(Connection {
             stream,
             buf: BytesMut::new(),
+            start,
             reused: false,
             attempts: Vec::new(),
         })
@@ -120,16 +128,17 @@
         }
     }
 
-    /// Returns the most recently used connection that can still be reused and has not
-    /// carried the attempt.
-    fn take_idle(&self, attempt: Option<AttemptHash>) -> Option<Connection> {
+    /// Returns the most recently used connection to a start of the upstream that can still be
+    /// reused and has not carried the attempt.
+    fn take_idle(&self, start: u64, attempt: Option<AttemptHash>) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let now = Instant::now();
-        idle.retain(|i| i.expires_at > now);
+        idle.retain(|i| i.expires_at > now && i.connection.start >= start);
         let carried = |i: &IdleConnection| {
             attempt.is_some_and(|attempt| i.connection.attempts.contains(&attempt))
         };
-        while let Some(position) = idle.iter().rposition(|i| !carried(i)) {
+        let is_usable = |i: &IdleConnection| i.connection.start == start && !carried(i);
+        while let Some(position) = idle.iter().rposition(is_usable) {
             let IdleConnection { mut connection, .. } = idle.remove(position);
             if is_reusable(&connection.stream) {
                 connection.reused = true;
--- a/crates/plumhitchd/src/gate_http/upstream_request.rs
+++ b/crates/plumhitchd/src/gate_http/upstream_request.rs
@@ -11,6 +11,7 @@
 use http::header::{HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, Method};
 use http1::Framing;
+use node::admission::UpstreamStart;
 use std::io;
 use std::sync::Arc;
 use wire::{Header, Open, StreamId};
@@ -75,11 +76,11 @@
     Method::from_bytes(open.method.as_bytes()).ok()
 }
 
-/// Builds the request with a ticket for the upstream with the id `target`, and takes
-/// headers, path and body out of `open`.
+/// Builds the request with a ticket for a start of the upstream, and takes headers, path
+/// and body out of `open`.
 pub(super) fn build(
     daemon: &Daemon,
-    (ticket, target): (u64, &str),
+    (ticket, start): (u64, &UpstreamStart),
     method: Method,
     open: &mut Open,
 ) -> UpstreamRequest {
@@ -97,7 +98,7 @@
     insert_if_set(
         &mut headers,
         names.target_upstream.as_ref(),
-        target_header(target),
+        target_header(&start.target),
     );
     if !headers.contains_key(HOST) {
         insert_if_set(&mut headers, Some(&HOST), host_header(daemon));
@@ -110,6 +111,7 @@
         (false, None) => Framing::Chunked,
     };
     UpstreamRequest {
+        start: start.number,
         method,
         target: std::mem::take(&mut open.path),
         headers,
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -202,6 +202,11 @@
         let _ = ending.wait_for(|ending| *ending).await;
     }
 
+    /// Returns whether the start of the upstream with this number still holds the address.
+    pub(crate) fn is_upstream_start(&self, number: u64) -> bool {
+        self.read(|node| node.admission.start_number()) == number
+    }
+
     /// Returns the current load of the gate.
     pub(crate) fn load(&self) -> Load {
         self.read(|node| node.admission.load())
