Forget what was measured of a service once another one has the address

Cause: a gate kept the concurrency limit that a load report had named over a new start, and the service times, the count of refusals and the customers' shares over a change of the service. So the next start got as few requests as the last one had asked for, for up to 5 s, and waits and estimates of the next service followed from what the former one took.

Change: forget_start and forget_service name what ends with which. The slowness of the VM stays.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -426,19 +426,23 @@
     }
 
     /// Discards what the start of the upstream has stated, because another one has the
-    /// address.
+    /// address. How slow the VM is stays known.
     fn forget_start(&mut self) {
         self.start += 1;
         self.stated_limit.reset();
         self.cold_rate.forget_statements();
         self.stated_leaving = false;
         self.has_stated = false;
+        self.limit_hint = None;
     }
 
     /// Discards what was measured of the upstream's service, because the next one has
     /// another.
     fn forget_service(&mut self) {
         self.knee.reset();
+        self.service_times = ServiceTimes::default();
+        self.crowding = Crowding::default();
+        self.served = CustomerShares::default();
     }
 
     fn check_service(&self, service: &str) -> Result<(), RefuseReason> {
