Count the time in the gate's queue against a request's deadline

Cause: the deadline that an upstream is told was the one with which the entry had sent the request; the time for which it waited for a slot, up to the latency objective under overload and up to 2 s for exclusive execution, was not taken off. And a request whose deadline passed in the queue was sent if a slot became free before the next tick.

Change: a gate takes the time in its queue off the times that are left when it sends the request, as it did for the time in which a body was received; the deadline is among what is checked again then.

--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -233,7 +233,7 @@
     /// it waited for a slot.
     fn schedule(&mut self, mut job: Job, cx: &mut Cx<'_>) {
         let ticket = job.arrival.ticket;
-        match self.permit(&job.arrival, cx) {
+        match self.permit_now(&job, cx) {
             Ok(Permit::Unrestricted) if self.jobs.has_exclusive() => {
                 self.refuse(ticket, RefuseReason::NoSlot, None, cx);
             }
--- a/crates/node/src/admission/waiting.rs
+++ b/crates/node/src/admission/waiting.rs
@@ -13,6 +13,14 @@
 const EXCLUSIVE_WAIT_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Admission {
+    /// Checks a request that may have waited, and returns how it may run.
+    pub(super) fn permit_now(&self, job: &Job, cx: &mut Cx<'_>) -> Result<Permit, RefuseReason> {
+        if job.deadline <= cx.now {
+            return Err(RefuseReason::Deadline);
+        }
+        self.permit(&job.arrival, cx)
+    }
+
     /// Refuses requests that waited for a slot too long, and dispatches the
     /// others as slots become free.
     pub(super) fn run_waiting(&mut self, cx: &mut Cx<'_>) {
@@ -28,7 +36,7 @@
                 self.gate.withdraw(ticket);
                 continue;
             };
-            if self.permit(&job.arrival, cx) == Ok(Permit::Unrestricted) {
+            if self.permit_now(&job, cx) == Ok(Permit::Unrestricted) {
                 self.dispatch(job, cx);
             } else {
                 self.gate.withdraw(ticket);
@@ -64,7 +72,7 @@
         let Some(job) = self.jobs.remove(ticket) else {
             return;
         };
-        match self.permit(&job.arrival, cx) {
+        match self.permit_now(&job, cx) {
             Ok(Permit::Unrestricted | Permit::Exclusive) => self.admit(job, cx),
             Ok(Permit::Elsewhere(only_at)) => {
                 self.refuse(ticket, RefuseReason::Suspect, Some(only_at), cx);
--- a/crates/node/tests/address_reuse.rs
+++ b/crates/node/tests/address_reuse.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use test_case::test_matrix;
+use test_case::{test_case, test_matrix};
 use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason};
 
 const SLOTS: u32 = 2;
@@ -225,6 +225,31 @@
     assert_eq!(refusals(&effects), []);
 }
 
+/// Guards against a request that is sent to the upstream after its deadline, because a slot
+/// became free before the next tick.
+#[test_case(Wait::Slot)]
+#[test_case(Wait::Exclusive)]
+fn waiting_request_is_not_run_after_its_deadline(wait: Wait) {
+    let mut node = daemon();
+    announce(&mut node, 2, "booking", "b1");
+    for ticket in [1, 2] {
+        arrive(&mut node, 10, arrival(ticket, "booking"));
+    }
+    let waiting = Arrival {
+        deadline: Duration::from_millis(3),
+        suspected: wait == Wait::Exclusive,
+        ..arrival(3, "booking")
+    };
+    arrive(&mut node, 10, waiting);
+    let mut effects = Vec::new();
+    for ticket in [1, 2] {
+        let ended = admission::Event::Ended(ticket, Outcome::Whole(200));
+        effects.extend(admit(&mut node, 14, ended));
+    }
+    assert_eq!(runs(&effects), []);
+    assert_eq!(refusals(&effects), [(3, RefuseReason::Deadline)]);
+}
+
 /// A gate and what its requests have come to.
 struct Shuffle {
     node: Node,
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -65,6 +65,8 @@
     /// Whether the upstream has finished, so that there is nothing to cancel there.
     has_ended: bool,
     arrived_at: Instant,
+    /// When the times that are left were reduced last.
+    reduced_at: Instant,
     /// Time of admission, and the gate's load at that time including this
     /// request.
     admitted: Option<(Instant, Load)>,
@@ -84,6 +86,7 @@
         (rx, credit, window): (TaskRx, Arc<Credit>, Arc<Window>),
         open: Open,
     ) -> Self {
+        let now = Instant::now();
         let attempt_id = attempt_id(&daemon, &open);
         let body_held = daemon.memory.requests.hold();
         Self {
@@ -105,7 +108,8 @@
             body_held,
             discarded_bytes: 0,
             has_ended: false,
-            arrived_at: Instant::now(),
+            arrived_at: now,
+            reduced_at: now,
             admitted: None,
             start: UpstreamStart::default(),
             attempt_id,
@@ -132,6 +136,7 @@
                 TaskMessage::Gate(Effect::Run { start, .. }) => {
                     self.start = start;
                     self.admitted = Some((Instant::now(), self.daemon.load()));
+                    self.reduce_times_left();
                     return true;
                 }
                 TaskMessage::Gate(Effect::Refuse {
@@ -165,6 +170,15 @@
         false
     }
 
+    /// Reduces the times that are left by what has passed since the arrival.
+    fn reduce_times_left(&mut self) {
+        let now = Instant::now();
+        let passed_ms = now.duration_since(self.reduced_at).as_millis();
+        self.reduced_at = now;
+        self.open
+            .subtract_time(u64::try_from(passed_ms).unwrap_or(u64::MAX));
+    }
+
     /// Sends the request to the upstream and relays its response.
     async fn dispatch(&mut self, method: Method) {
         let upload = (!self.open.end).then(|| self.upload_reader());
--- a/crates/plumhitchd/src/gate_http/job/receive.rs
+++ b/crates/plumhitchd/src/gate_http/job/receive.rs
@@ -5,7 +5,7 @@
 use crate::task_messages::{StreamEvent, TaskMessage};
 use bytes::{Bytes, BytesMut};
 use node::admission;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use wire::{Body, RefuseReason, ResetReason};
 
 /// Interval at which a request that waits for its body checks whether other senders
@@ -16,7 +16,6 @@
     /// Receives the rest of the body and reports that the request has arrived.
     /// Returns false if the request ends before that.
     pub(super) async fn receive_body(&mut self) -> bool {
-        let started = Instant::now();
         let deadline = Duration::from_millis(self.open.deadline_ms);
         let body_len = self.open.body_len.unwrap_or_default();
         let missing = body_len.saturating_sub(self.upload_offset);
@@ -37,9 +36,7 @@
             Ok(Some(body)) => {
                 self.open.body = body;
                 self.open.end = true;
-                let elapsed_ms = started.elapsed().as_millis();
-                self.open
-                    .subtract_time(u64::try_from(elapsed_ms).unwrap_or(u64::MAX));
+                self.reduce_times_left();
                 let arrival = arrival(self.ticket, self.reply_sender.link.id(), &self.open);
                 self.report(admission::Event::Arrived(arrival));
                 true
