Tell the end of a request body by a message, not by a dropped sender

Cause: a body's end was the drop of its sender. When the writing half of a connection ends first, tokio::select! drops the reading half with the sender; the upload runs in a task of its own, took that for the end and sent the last frame with end set, before the request's task was dropped.

Change: BodyTx::end and UploadTx::complete state the end; a sender dropped before cuts the body off, at the entry and at the gate. The same of the response: an attempt that was given up read as the end of its response, now as an error.

Why it works: nothing but a parsed end of the body sends the message.

--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -170,9 +170,9 @@
             let Some(body_tx) = self.start_request(head).await else {
                 return ReadEnd::Disconnected(CutReason::WriteFailed);
             };
-            if framing != Framing::Empty
-                && let Err(reason) = self.read_body(framing, expects_continue, body_tx).await
-            {
+            if framing == Framing::Empty {
+                body_tx.end().await;
+            } else if let Err(reason) = self.read_body(framing, expects_continue, body_tx).await {
                 return ReadEnd::Disconnected(reason);
             }
             if !keep_alive {
@@ -275,26 +275,27 @@
             match reader.next_joined(&mut self.buf) {
                 Ok(Piece::Bytes(bytes)) => {
                     is_short = bytes.len() < MIN_PIECE_BYTES;
-                    // The task stops reading once it has a response; the rest
-                    // of the body is then discarded.
-                    let _ = tx.send(Ok(bytes)).await;
+                    tx.piece(bytes).await;
+                }
+                Ok(Piece::End) => {
+                    tx.end().await;
+                    return Ok(());
                 }
-                Ok(Piece::End) => return Ok(()),
                 // Short chunks take much time for few bytes: other tasks run in between.
                 Ok(Piece::NeedMore) if std::mem::take(&mut is_short) => yield_now().await,
                 Ok(Piece::NeedMore) => match self.read_more_of_body(waits_for_continue).await {
                     Ok(()) => waits_for_continue = false,
                     Err(BodyEnd::Cut(reason)) => {
-                        let _ = tx.send(Err(UploadError::Aborted)).await;
+                        tx.fail(UploadError::Aborted).await;
                         return Err(reason);
                     }
                     Err(BodyEnd::TimedOut) => {
-                        return Err(self.abandon_body(&tx, UploadError::TimedOut).await);
+                        return Err(self.abandon_body(tx, UploadError::TimedOut).await);
                     }
                 },
                 Err(error) => {
                     log::debug!("event=body_malformed reason=\"{error}\"");
-                    return Err(self.abandon_body(&tx, UploadError::Aborted).await);
+                    return Err(self.abandon_body(tx, UploadError::Aborted).await);
                 }
             }
         }
@@ -323,9 +324,9 @@
 
     /// Gives up a body whose rest cannot be read. The responses that are due are still
     /// written, then the connection closes, since the start of the next request is unknown.
-    async fn abandon_body(&mut self, tx: &BodyTx, error: UploadError) -> CutReason {
+    async fn abandon_body(&mut self, tx: BodyTx, error: UploadError) -> CutReason {
         self.tx = None;
-        let _ = tx.send(Err(error)).await;
+        tx.fail(error).await;
         self.wait_for_disconnect().await
     }
 
@@ -496,8 +497,11 @@
         ResponseBody::Stream(len, mut driver) => {
             let framing = len.map_or(unknown_length, Framing::Length);
             http1::write_response(buf, status, &headers, framing, keep_alive_s);
-            while let Some(piece) = driver.next_chunk().await {
-                let piece = piece.map_err(|_| CutReason::ResponseBroken)?;
+            loop {
+                let piece = driver.next_chunk().await;
+                let Some(piece) = piece.map_err(|_| CutReason::ResponseBroken)? else {
+                    break;
+                };
                 match framing {
                     Framing::Chunked => http1::write_chunk(buf, &piece),
                     _ => buf.extend_from_slice(&piece),
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -133,21 +133,27 @@
 
     /// Waits for the next piece of the response body. Returns `None` at its
     /// end.
-    pub(super) async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
-        let inner = self.inner.as_mut()?;
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response is cut off, also because its attempt was given up.
+    pub(super) async fn next_chunk(&mut self) -> io::Result<Option<Bytes>> {
+        let Some(inner) = self.inner.as_mut() else {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        };
         loop {
             let aborted = inner.refusal.is_some() || inner.upload_error.is_some();
-            let attempt = inner.relayed_attempt()?;
-            if aborted || attempt.broken {
+            let attempt = inner.relayed_attempt();
+            let Some(attempt) = attempt.filter(|attempt| !aborted && !attempt.broken) else {
                 inner.record.mark_broken();
-                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-            }
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            };
             if let Some(chunk) = attempt.pop() {
-                return Some(Ok(chunk));
+                return Ok(Some(chunk));
             }
             if attempt.complete {
                 inner.record.mark_answered();
-                return None;
+                return Ok(None);
             }
             inner.step().await;
         }
--- a/crates/plumhitchd/src/gate_http/job.rs
+++ b/crates/plumhitchd/src/gate_http/job.rs
@@ -469,8 +469,10 @@
         if !data.bytes.is_empty() {
             upload.push(data.bytes);
         }
-        if data.end {
-            self.upload = None;
+        if data.end
+            && let Some(upload) = self.upload.take()
+        {
+            upload.complete();
         }
     }
 
@@ -481,9 +483,8 @@
             return;
         }
         self.reply_sender.closed = true;
-        if let Some(upload) = self.upload.take() {
-            upload.cut_off();
-        }
+        // Dropping it cuts the body off.
+        self.upload = None;
         let upstream = self.daemon.cfg.upstream.as_ref();
         let path = upstream.and_then(|u| u.cancel_path.clone());
         if let Some(path) = path {
--- a/crates/plumhitchd/src/gate_http/upload_queue.rs
+++ b/crates/plumhitchd/src/gate_http/upload_queue.rs
@@ -8,12 +8,18 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
-/// What waits, and whether more may come.
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Complete,
+    CutOff,
+}
+
+/// What waits, and the end of the body once it is known.
 #[derive(Debug, Default)]
 struct State {
     pieces: PieceQueue,
-    is_cut_off: bool,
-    has_ended: bool,
+    end: Option<End>,
 }
 
 #[derive(Debug, Default)]
@@ -22,7 +28,7 @@
     changed: Notify,
 }
 
-/// Sending half. Dropping it ends the body.
+/// Sending half. Dropping it before [`UploadTx::complete`] cuts the body off.
 #[derive(Debug)]
 pub(super) struct UploadTx {
     shared: Arc<Shared>,
@@ -50,21 +56,21 @@
         self.shared.changed.notify_one();
     }
 
-    /// Ends the body before it is complete.
-    pub(super) fn cut_off(self) {
-        lock(&self.shared.state).is_cut_off = true;
+    /// Reports that the body is complete.
+    pub(super) fn complete(self) {
+        lock(&self.shared.state).end = Some(End::Complete);
     }
 }
 
 impl Drop for UploadTx {
     fn drop(&mut self) {
-        lock(&self.shared.state).has_ended = true;
+        lock(&self.shared.state).end.get_or_insert(End::CutOff);
         self.shared.changed.notify_one();
     }
 }
 
 impl UploadRx {
-    /// Returns the next piece, or `None` at the end.
+    /// Returns the next piece, `None` at the end, or an error if the body is cut off.
     pub(super) async fn recv(&mut self) -> Option<UploadPiece> {
         loop {
             {
@@ -72,11 +78,12 @@
                 if let Some(piece) = state.pieces.pop() {
                     return Some(Ok(piece));
                 }
-                if state.is_cut_off {
-                    return Some(Err(io::ErrorKind::ConnectionAborted.into()));
-                }
-                if state.has_ended {
-                    return None;
+                match state.end {
+                    Some(End::Complete) => return None,
+                    Some(End::CutOff) => {
+                        return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                    }
+                    None => {}
                 }
             }
             self.shared.changed.notified().await;
