Tell a late announcement from a clock set back by the age of the start

Cause: a start with a lower number counted once the known one had been silent for 5 s; that stood for 'the time of day was set back', and a start that has left is always silent. The same stood in the rule by which an upstream that had the address before takes it back.

Change: the start that began later, by the age it states and the time since the boot of the VM, is the later one; and a start that another one of its upstream has followed here never counts again. Where no ages are stated, silence still decides, for a leaving start 60 s in place of 5. A daemon that has started again gets the id and the number of the last deregistered start from control: an earlier start of that upstream counts as leaving. The order of starts has a module of its own.

--- a/crates/fleet/src/departures.rs
+++ b/crates/fleet/src/departures.rs
@@ -2,7 +2,7 @@
 //! told of them.
 
 use std::collections::VecDeque;
-use wire::Departure;
+use wire::{Announcement, Departure};
 
 /// Log time for which a departure is kept, in milliseconds: far longer than an announcement
 /// is delayed.
@@ -10,6 +10,36 @@
 /// Maximum number of departures kept.
 const MAX_DEPARTURES: usize = 2_048;
 
+/// A start of an upstream that has deregistered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DeregisteredStart {
+    /// Value that differs for each start.
+    pub boot: String,
+    /// Name by which the upstream checks that a request is addressed to it, or empty.
+    pub target: String,
+    /// Number of the start; 0 if the upstream does not number them.
+    pub incarnation: u64,
+}
+
+impl DeregisteredStart {
+    /// Returns whether an announcement is of an earlier start of the upstream.
+    ///
+    /// Starts are numbered by the time of day of their VM. If this one lies in the future by
+    /// the time at which the announcement arrived, that time was set back since, and a lower
+    /// number is no earlier start.
+    #[must_use]
+    pub fn follows(&self, announcement: &Announcement) -> bool {
+        let incarnation = announcement.incarnation;
+        let arrived_ms = announcement
+            .age_ms
+            .map(|age| incarnation.saturating_add(age));
+        !self.target.is_empty()
+            && announcement.target == self.target
+            && (1..self.incarnation).contains(&incarnation)
+            && arrived_ms.is_some_and(|arrived| arrived >= self.incarnation)
+    }
+}
+
 /// The recorded departures, the oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Departures {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,7 @@
 mod rollout;
 mod view;
 
-pub use departures::Departures;
+pub use departures::{Departures, DeregisteredStart};
 pub use freshness::Freshness;
 pub use homes::{MAX_HOMES, homes_hash};
 pub use registry::{HomeOptions, RegisteredUpstream, Registry};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -4,7 +4,7 @@
 mod service;
 
 use crate::checksums::{bucket_of, checksums};
-use crate::departures::Departures;
+use crate::departures::{Departures, DeregisteredStart};
 use crate::homes::{Candidate, Homes};
 use reported_starts::ReportedStarts;
 use service::{FIRST_VERSION, ServiceLog};
@@ -311,11 +311,11 @@
             && registration.is_some_and(|r| r.superseded.is_empty())
     }
 
-    /// Returns the boot of the start beside a daemon that has deregistered, the one that was
-    /// reported last, if any is remembered.
+    /// Returns the start beside a daemon that has deregistered, the one that was reported
+    /// last, if any is remembered.
     #[must_use]
-    pub fn deregistered_boot(&self, daemon: &str) -> Option<&str> {
-        self.daemons.get(daemon)?.reported.deregistered_boot()
+    pub fn deregistered_start(&self, daemon: &str) -> Option<DeregisteredStart> {
+        self.daemons.get(daemon)?.reported.deregistered()
     }
 
     /// Takes over a departure that the replicated log records, from this term or an earlier
--- a/crates/fleet/src/registry/reported_starts.rs
+++ b/crates/fleet/src/registry/reported_starts.rs
@@ -1,5 +1,6 @@
 //! The announcements of upstreams that the daemon beside them has reported.
 
+use crate::departures::DeregisteredStart;
 use std::collections::VecDeque;
 use wire::{Announcement, Departure};
 
@@ -68,10 +69,14 @@
         self.starts.back()
     }
 
-    /// Returns the boot of the start that has deregistered and was reported last.
-    pub(super) fn deregistered_boot(&self) -> Option<&str> {
-        let mut deregistered = self.starts.iter().rev().filter(|s| s.deregistered);
-        deregistered.next().map(|s| s.boot.as_str())
+    /// Returns the start that has deregistered and was reported last.
+    pub(super) fn deregistered(&self) -> Option<DeregisteredStart> {
+        let start = self.starts.iter().rev().find(|s| s.deregistered)?;
+        Some(DeregisteredStart {
+            boot: start.boot.clone(),
+            target: start.target.clone(),
+            incarnation: start.incarnation,
+        })
     }
 
     /// Returns the position of the start that an announcement is of.
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -180,7 +180,8 @@
     assert!(!registry.services()[0].upstreams[0].leaving);
     registry.record_departure(&departure("a"));
     assert!(registry.services()[0].upstreams[0].leaving);
-    assert_eq!(registry.deregistered_boot("a"), Some("b"));
+    let start = registry.deregistered_start("a").unwrap();
+    assert_eq!(start.boot, "b");
 }
 
 #[test]
@@ -511,7 +512,8 @@
     registry.handle_heartbeat(secs(1), &announced(1, "b1", 7, true));
     registry.handle_heartbeat(secs(2), &announced(2, "other", 1, false));
     let known = deregistered.then_some("b1");
-    assert_eq!(registry.deregistered_boot("a"), known);
+    let start = registry.deregistered_start("a");
+    assert_eq!(start.as_ref().map(|s| s.boot.as_str()), known);
     registry.handle_heartbeat(secs(3), &announced(3, "b1", late, false));
     assert!(registry.services()[0].upstreams[0].leaving);
 }
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -18,6 +18,7 @@
 mod message;
 mod recent_entries;
 mod rollout;
+mod starts;
 mod statements;
 mod suspects;
 mod waiting;
@@ -41,6 +42,7 @@
 use jobs::{Job, Jobs, Stage};
 use pick::MeasuringBudget;
 use recent_entries::RecentEntries;
+use starts::SupersededStarts;
 use std::collections::BTreeSet;
 use std::time::Duration;
 use suspects::{Permit, Suspects, eligible_upstreams};
@@ -80,6 +82,11 @@
     unconfirmed_reported_at: Option<Duration>,
     /// Time of the latest announcement.
     announced_at: Duration,
+    /// When the upstream that holds the address started, if it states its age.
+    started: Option<Duration>,
+    /// When that start was first announced here.
+    start_seen_at: Duration,
+    superseded: SupersededStarts,
     address: Address,
     was_out: bool,
     stopping: bool,
@@ -123,6 +130,9 @@
             last_break_at: None,
             unconfirmed_reported_at: None,
             announced_at: Duration::ZERO,
+            started: None,
+            start_seen_at: Duration::ZERO,
+            superseded: SupersededStarts::default(),
             address: Address::default(),
             was_out: false,
             stopping: false,
--- a/crates/node/src/admission/address.rs
+++ b/crates/node/src/admission/address.rs
@@ -2,6 +2,7 @@
 //! it: one that answers there under its own id, and else one that goes on announcing itself.
 
 use super::Admission;
+use super::starts::{Known, is_earlier_start, is_older};
 use gate::Statement;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 pub(super) struct Former {
     pub(super) announcement: Announcement,
     pub(super) announced_at: Duration,
+    pub(super) started: Option<Duration>,
     pub(super) statement: Statement,
 }
 
@@ -79,14 +81,10 @@
         is_fresh.then_some(answer.sent_at)
     }
 
-    /// Returns whether an upstream may take the address from `holder`, whose latest
-    /// announcement arrived at `announced_at`.
-    fn may_take(
-        &self,
-        now: Duration,
-        (holder, announced_at): (&Announcement, Duration),
-        announcement: &Announcement,
-    ) -> bool {
+    /// Returns whether an upstream may take the address from `known`. One that is silent
+    /// because it leaves still has it.
+    fn may_take(&self, now: Duration, known: Known<'_>, announcement: &Announcement) -> bool {
+        let holder = known.announcement;
         let answered = self.answered_at(now, &announcement.target);
         if answered.is_some_and(|at| at >= self.held_since) {
             return true;
@@ -97,9 +95,13 @@
         if holder_answered.is_some_and(|at| started.is_none_or(|started| started < at)) {
             return false;
         }
-        holder.incarnation == 0
-            || announcement.incarnation > holder.incarnation
-            || now.saturating_sub(announced_at) >= HOLDER_SILENCE
+        if holder.incarnation == 0 || announcement.incarnation > holder.incarnation {
+            return true;
+        }
+        match holder.leaving {
+            true => !is_earlier_start(now, known, announcement),
+            false => now.saturating_sub(known.at) >= HOLDER_SILENCE,
+        }
     }
 }
 
@@ -125,13 +127,11 @@
     pub(super) fn is_displaced(
         &self,
         now: Duration,
-        holder: &Announcement,
+        holder: Known<'_>,
         announcement: &Announcement,
     ) -> bool {
         let former = self.address.former(&announcement.target);
-        let is_older =
-            former.is_some_and(|f| super::announcements::is_older(now, f.into(), announcement));
-        let holder = (holder, self.announced_at);
+        let is_older = former.is_some_and(|f| is_older(now, f.into(), announcement));
         is_older || !self.address.may_take(now, holder, announcement)
     }
 }
--- a/crates/node/src/admission/announcements.rs
+++ b/crates/node/src/admission/announcements.rs
@@ -1,77 +1,15 @@
 //! Announcements of the upstream beside this daemon: which of them count, and what follows.
 
 use super::Admission;
-use super::address::{Former, HOLDER_SILENCE};
+use super::address::Former;
 use super::jobs::Job;
 use super::message::UpstreamStart;
+use super::starts::{Known, MAX_ANNOUNCEMENT_DELAY, is_older, started_at};
 use crate::context::Cx;
 use gate::Outcome;
-use std::cmp::Ordering;
 use std::time::Duration;
 use wire::Announcement;
 
-/// Time without an announcement after which an upstream may announce a start with a
-/// lower number than the known one.
-const INCARNATION_SILENCE: Duration = HOLDER_SILENCE;
-/// Time for which an upstream that has deregistered without the number of its start is not
-/// taken back: longer than an announcement is delayed.
-const UNNUMBERED_START_MEMORY: Duration = Duration::from_secs(60);
-
-/// The latest announcement of an upstream, and when it arrived.
-#[derive(Clone, Copy)]
-pub(super) struct Known<'a> {
-    announcement: &'a Announcement,
-    at: Duration,
-}
-
-impl<'a> From<&'a Former> for Known<'a> {
-    fn from(former: &'a Former) -> Self {
-        Self {
-            announcement: &former.announcement,
-            at: former.announced_at,
-        }
-    }
-}
-
-/// Returns whether an announcement is older than another one of its upstream: from an
-/// earlier start, or overtaken in transit. After a deregistration each other announcement
-/// of the same start is.
-///
-/// Upstreams number their starts by the time of day, which may be set back. So a
-/// start with a lower number is accepted once the known one has been silent for
-/// [`INCARNATION_SILENCE`].
-pub(super) fn is_older(now: Duration, known: Known<'_>, announcement: &Announcement) -> bool {
-    let Known {
-        announcement: latest,
-        at,
-    } = known;
-    if latest.deregistered && is_deregistered_start(now, known, announcement) {
-        return !announcement.deregistered;
-    }
-    // Deregistrations may have no number of their own.
-    let deregisters = announcement.deregistered && announcement.boot == latest.boot;
-    if latest.incarnation == 0 || deregisters {
-        return false;
-    }
-    match announcement.incarnation.cmp(&latest.incarnation) {
-        Ordering::Greater => false,
-        Ordering::Equal => announcement.sequence <= latest.sequence,
-        Ordering::Less => now.saturating_sub(at) < INCARNATION_SILENCE,
-    }
-}
-
-/// Returns whether an announcement is of the start that has deregistered. Where one of
-/// the two does not number its start, they are of one if the upstream is not known to have
-/// started since.
-fn is_deregistered_start(now: Duration, known: Known<'_>, announcement: &Announcement) -> bool {
-    if known.announcement.incarnation > 0 && announcement.incarnation > 0 {
-        return known.announcement.boot == announcement.boot;
-    }
-    let since = now.saturating_sub(known.at);
-    let age = announcement.age_ms.map(Duration::from_millis);
-    since < UNNUMBERED_START_MEMORY && age.is_none_or(|age| age >= since)
-}
-
 impl Admission {
     /// Returns the upstream's latest announcement.
     #[must_use]
@@ -99,24 +37,36 @@
     /// or of an upstream that does not hold the address.
     #[must_use]
     pub fn is_outdated(&self, now: Duration, announcement: &Announcement) -> bool {
-        let Some(known) = self.gate.announced() else {
+        let Some(holder) = self.holder() else {
             return false;
         };
-        if known.target != announcement.target {
-            return self.is_displaced(now, known, announcement);
+        if announcement.incarnation > 0 && self.superseded.contains(&announcement.boot) {
+            return true;
         }
-        let known = Known {
-            announcement: known,
+        if holder.announcement.target != announcement.target {
+            return self.is_displaced(now, holder, announcement);
+        }
+        is_older(now, holder, announcement)
+    }
+
+    /// Returns the latest announcement of the upstream that holds the address.
+    fn holder(&self) -> Option<Known<'_>> {
+        let announcement = self.gate.announced()?;
+        Some(Known {
+            announcement,
             at: self.announced_at,
-        };
-        is_older(now, known, announcement)
+            started: self.started,
+        })
     }
 
     /// Applies what control knows of a deregistration that was acknowledged before this
     /// daemon started.
     pub(super) fn adopt_deregistration(&mut self, cx: &mut Cx<'_>) {
         let announced = self.gate.announced();
-        let missed = announced.filter(|a| !a.deregistered && cx.agent.has_deregistered(&a.boot));
+        let missed = announced.filter(|a| {
+            let has_deregistered = !a.deregistered && cx.agent.has_deregistered(&a.boot);
+            has_deregistered || !a.leaving && self.precedes_deregistered(a, cx)
+        });
         if let Some(announcement) = missed.cloned() {
             self.apply_announcement(announcement, cx);
         }
@@ -127,6 +77,7 @@
             return;
         }
         let returning = self.update_holder(cx.now, &announcement.target);
+        self.record_start(cx.now, returning.as_ref(), &announcement);
         self.announced_at = cx.now;
         let boot = announcement.boot.clone();
         self.apply_announcement(announcement, cx);
@@ -147,14 +98,53 @@
         let former = holder.cloned().map(|announcement| Former {
             announcement,
             announced_at: self.announced_at,
+            started: self.started,
             statement: self.gate.statement(),
         });
         self.address.change_holder(now, former, target)
     }
 
+    /// Returns whether an announcement may be a late one of a start before that which has
+    /// deregistered, according to control: this daemon has started again since, and
+    /// does not know the order of the two. An upstream that goes on announcing itself for
+    /// longer than announcements are delayed is a later start.
+    fn precedes_deregistered(&self, announcement: &Announcement, cx: &Cx<'_>) -> bool {
+        let deregistered = cx.agent.deregistered();
+        let is_new_here = cx.now.saturating_sub(self.start_seen_at) < MAX_ANNOUNCEMENT_DELAY;
+        is_new_here
+            && !self.superseded.contains(&deregistered.boot)
+            && deregistered.follows(announcement)
+    }
+
+    /// Records the start of the upstream that holds the address, which may be `returning`.
+    fn record_start(
+        &mut self,
+        now: Duration,
+        returning: Option<&Former>,
+        announcement: &Announcement,
+    ) {
+        let holder = self.gate.announced();
+        let holder = holder.filter(|holder| holder.target == announcement.target);
+        let known = returning.map(|f| (&f.announcement, f.started));
+        let known = known.or(holder.map(|holder| (holder, self.started)));
+        let known_start = known.filter(|(known, _)| known.boot == announcement.boot);
+        self.started = match known_start {
+            Some((_, started)) => started,
+            None => started_at(now, announcement),
+        };
+        if known_start.is_none() {
+            self.start_seen_at = now;
+        }
+        if let Some((known, _)) = known {
+            self.superseded.record(known, announcement);
+        }
+    }
+
     fn apply_announcement(&mut self, mut announcement: Announcement, cx: &mut Cx<'_>) {
         announcement.deregistered |= cx.agent.has_deregistered(&announcement.boot);
-        announcement.leaving |= self.stopping || announcement.deregistered;
+        announcement.leaving |= self.stopping
+            || announcement.deregistered
+            || self.precedes_deregistered(&announcement, cx);
         let previous = self.gate.announced().map(|a| a.leaving);
         match self.gate.announce(cx.now, announcement) {
             Some(lost) => {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,7 +17,7 @@
 use conf::{Settings, TransferReceiver};
 use confirmation::Confirmation;
 use credential_lease::CredentialLease;
-use fleet::{FleetView, ServiceView, homes_hash};
+use fleet::{DeregisteredStart, FleetView, ServiceView, homes_hash};
 use heartbeats::{Heartbeats, SentHeartbeat};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -108,8 +108,8 @@
     upstream: Option<Announcement>,
     /// Boot of the upstream that control has last confirmed to have recorded as leaving.
     reported_leaving: Option<String>,
-    /// Boot of the upstream's start that has deregistered, as far as control knows.
-    deregistered_boot: String,
+    /// Start of the upstream that has deregistered, as far as control knows.
+    deregistered: DeregisteredStart,
     in_progress: u32,
     unconfirmed_crashes: Vec<SuspectState>,
     evidence: Option<VersionEvidence>,
@@ -175,7 +175,7 @@
             received: 0,
             upstream: None,
             reported_leaving: None,
-            deregistered_boot: String::new(),
+            deregistered: DeregisteredStart::default(),
             in_progress: 0,
             unconfirmed_crashes: Vec::new(),
             evidence: None,
@@ -391,7 +391,12 @@
     /// Returns whether this start of the upstream has deregistered, as far as control
     /// knows. After a restart, this daemon has not heard of it.
     pub(crate) fn has_deregistered(&self, boot: &str) -> bool {
-        !boot.is_empty() && self.deregistered_boot == boot
+        !boot.is_empty() && self.deregistered.boot == boot
+    }
+
+    /// Returns the start of the upstream that has deregistered, as far as control knows.
+    pub(crate) fn deregistered(&self) -> &DeregisteredStart {
+        &self.deregistered
     }
 
     /// Sends a request to the control leader. [`Agent::control_reply`] or
--- a/crates/node/src/agent/updates.rs
+++ b/crates/node/src/agent/updates.rs
@@ -6,6 +6,7 @@
 use crate::effect::{Effect, LogLine};
 use crate::millis::millis;
 use conf::{Configuration, PageOutcome, RouteTable};
+use fleet::DeregisteredStart;
 use log::Level;
 use prost::Message;
 use std::collections::BTreeMap;
@@ -77,7 +78,11 @@
         if reply.term >= self.term {
             self.term = reply.term;
             if !reply.deregistered_boot.is_empty() {
-                self.deregistered_boot = reply.deregistered_boot;
+                self.deregistered = DeregisteredStart {
+                    boot: reply.deregistered_boot,
+                    target: reply.deregistered_target,
+                    incarnation: reply.deregistered_incarnation,
+                };
             }
             self.apply_verdicts(now, sent.at, &reply.convicted);
             if !reply.homes.is_empty() {
--- a/crates/node/src/control/replies.rs
+++ b/crates/node/src/control/replies.rs
@@ -173,6 +173,8 @@
         self.registry
             .record_limits(|| states_limits(config.current()));
         let subscriptions = heartbeat.subscriptions.iter();
+        let deregistered = self.registry.deregistered_start(&heartbeat.daemon);
+        let deregistered = deregistered.unwrap_or_default();
         HeartbeatReply {
             sequence: heartbeat.sequence,
             confirmed: true,
@@ -188,11 +190,9 @@
             initial_homes: self.registry.has_initial_homes(&heartbeat.daemon),
             convicted: self.suspects.published(now),
             term: self.replica.term(),
-            deregistered_boot: self
-                .registry
-                .deregistered_boot(&heartbeat.daemon)
-                .unwrap_or_default()
-                .to_owned(),
+            deregistered_boot: deregistered.boot,
+            deregistered_target: deregistered.target,
+            deregistered_incarnation: deregistered.incarnation,
             leave_pending: self.is_leave_pending(heartbeat),
         }
     }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -85,6 +85,19 @@
         self.sim.run(Duration::from_millis(200));
     }
 
+    /// Returns the time of day.
+    fn unix_ms(&self) -> u64 {
+        BORN + u64::try_from(self.sim.now.as_millis()).unwrap()
+    }
+
+    /// Passes on an announcement of a start, with its age.
+    fn announce_aged(&mut self, start: u64, sequence: u64) {
+        self.announce(Announcement {
+            age_ms: Some(self.unix_ms() - start),
+            ..announcement(start, sequence)
+        });
+    }
+
     /// Passes on that the upstream leaves, until it is acknowledged as the platform does:
     /// once control knows it.
     fn leave(&mut self, announcement: Announcement) {
@@ -218,6 +231,45 @@
     assert!(view.upstreams.values().all(|u| u.leaving));
 }
 
+/// Guards against the same by a late announcement of the start before: the daemon that has
+/// started again knows neither of the two (issue 76, review/13).
+#[test]
+fn late_announcement_of_an_earlier_start_at_restarted_daemon_does_not_bring_it_back() {
+    let mut cluster = Cluster::new(8);
+    cluster.announce(announcement(BORN, 5));
+    cluster.announce(announcement(BORN + 1_000, 1));
+    cluster.leave(deregistration(BORN + 1_000, 2));
+    cluster.restart(GATE);
+    let late = Announcement {
+        age_ms: Some(7_000),
+        ..announcement(BORN, 7)
+    };
+    cluster.announce(late);
+    cluster.settle();
+    assert!(!cluster.is_used());
+}
+
+/// The time of day was set back between two starts of an upstream, and the daemon has
+/// started again in between.
+#[test_case(100, Duration::ZERO; "the start before lies in the future")]
+#[test_case(5_000, Duration::from_secs(61); "announced for longer than announcements are delayed")]
+fn later_start_with_a_lower_number_is_used_at_restarted_daemon(age_ms: u64, after: Duration) {
+    let mut cluster = Cluster::new(9);
+    cluster.announce(announcement(BORN + 1_000, 1));
+    cluster.leave(deregistration(BORN + 1_000, 2));
+    cluster.restart(GATE);
+    cluster.settle();
+    let start = |sequence| Announcement {
+        age_ms: Some(age_ms),
+        ..announcement(BORN, sequence)
+    };
+    cluster.announce(start(1));
+    cluster.sim.run(after);
+    cluster.announce(start(2));
+    cluster.sim.run(Duration::from_secs(3));
+    assert!(cluster.is_used());
+}
+
 /// Guards against the same by the gate itself, and when the leader that knew it has gone
 /// too, once it has told the daemon (review/4).
 #[test]
@@ -337,17 +389,20 @@
 fn shuffle(seed: u64) {
     let mut cluster = Cluster::new(seed);
     cluster.sim.duplicate_ratio = 0.05;
-    for start in (1..12).map(|n| BORN + n * 10_000) {
+    let mut starts = Vec::new();
+    for _ in 1..12 {
+        let start = cluster.unix_ms();
+        starts.push(start);
         let last = cluster.sim.rng.random_range(2..6);
         for sequence in 1..=last {
-            cluster.announce(announcement(start, sequence));
+            cluster.announce_aged(start, sequence);
         }
         assert!(cluster.is_used(), "seed {seed}: start {start} is not used");
         // Some of the announcements have not arrived when the upstream deregisters.
         let sent = last + cluster.sim.rng.random_range(0..4);
         cluster.leave(deregistration(start, last + 1));
         for _ in 0..cluster.sim.rng.random_range(2..8) {
-            match cluster.sim.rng.random_range(0..5) {
+            match cluster.sim.rng.random_range(0..6) {
                 0 => cluster.restart(GATE),
                 1 => cluster.restart(ENTRY),
                 2 => {
@@ -356,9 +411,13 @@
                     cluster.sim.run(Duration::from_millis(700));
                     cluster.sim.thaw(frozen);
                 }
+                3 => {
+                    let earlier = starts[cluster.sim.rng.random_range(0..starts.len())];
+                    cluster.announce_aged(earlier, 20);
+                }
                 _ => {
                     let late = cluster.sim.rng.random_range(1..=sent);
-                    cluster.announce(announcement(start, late));
+                    cluster.announce_aged(start, late);
                 }
             }
         }
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -172,6 +172,13 @@
     /// Replaces `config` unless empty: the same, encoded and compressed with zlib.
     #[prost(bytes = "bytes", tag = "14")]
     pub compressed_config: Bytes,
+    /// Name of the upstream with `deregistered_boot`. Leaders of earlier versions do not
+    /// state it, nor the number.
+    #[prost(string, tag = "15")]
+    pub deregistered_target: String,
+    /// Number of that start; 0 if the upstream does not number them.
+    #[prost(uint64, tag = "16")]
+    pub deregistered_incarnation: u64,
 }
 
 /// A start of an upstream that leaves or has left, as recorded in the replicated log.
