Hold a request while a response ahead of it may close the connection

Cause: pipelined requests run side by side, and a response that is not buffered whole is passed on before it is complete. Nothing asked what may still close the connection before the next request was sent.

Change: entry_http/pipeline.rs keeps the unfinished requests of a connection and which of them may close it: those whose response is passed on before it is complete, and those of a class of which the entry has seen such a response in the last ten minutes. A request waits until none is ahead. If the one ahead breaks off, it was not passed on. Requests with short responses run side by side as before. Ruled out: holding every pipelined request until the one ahead is complete, which would make short ones wait.

Partial: the first long response of a route at an entry is not known to be long.

--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -11,6 +11,7 @@
 mod driver;
 mod identity_headers;
 mod inbound;
+mod pipeline;
 mod record;
 mod refusal;
 mod request;
@@ -18,6 +19,8 @@
 mod unanswered;
 mod upload;
 
+pub(crate) use pipeline::LongResponses;
+
 use crate::listeners::{Accepted, Acceptor};
 use crate::runtime::Daemon;
 use node::entry::Effect;
