Check and keep a service that a route names beside a weighted list

Cause: the adapter dropped the field where a weighted list is given, before anything checked it.

Change: it is kept with the route (unused_service). One that does not exist is refused; one that does receives no requests, as before, and is given back as sent.

--- a/crates/conf/src/routes.rs
+++ b/crates/conf/src/routes.rs
@@ -201,9 +201,10 @@
     if route.destinations.iter().all(|d| d.weight == 0) {
         problems.push("no service has a weight".to_owned());
     }
-    for destination in &route.destinations {
-        if !services.contains(destination.service.as_str()) {
-            problems.push(format!("service {:?} is not known", destination.service));
+    let named = route.destinations.iter().map(|d| &d.service);
+    for service in named.chain(&route.unused_service) {
+        if !services.contains(service.as_str()) {
+            problems.push(format!("service {service:?} is not known"));
         }
     }
     problems
--- a/crates/conf/tests/routes.rs
+++ b/crates/conf/tests/routes.rs
@@ -161,6 +161,7 @@
 #[test_case(|c| c.routes[0].host.clear(); "no host")]
 #[test_case(|c| c.routes[0].kind = 0; "unknown kind")]
 #[test_case(|c| c.routes[0].destinations[0].service = "none".into(); "unknown service")]
+#[test_case(|c| c.routes[0].unused_service = Some("none".into()); "unknown service beside a list")]
 #[test_case(|c| c.routes[0].destinations[0].weight = 0; "no weight")]
 #[test_case(|c| c.routes[0].prefix = "/x".into(); "prefix without a slash")]
 #[test_case(|c| c.routes.push(route("r1", "b.example", "/")); "duplicate name")]
--- a/crates/wire/src/routing.rs
+++ b/crates/wire/src/routing.rs
@@ -68,6 +68,10 @@
     /// Whether the operator stated `open`, so that it can be shown in the same form.
     #[prost(bool, tag = "12")]
     pub open_stated: bool,
+    /// Single service that the operator named beside a weighted list. It receives no
+    /// requests, but has to exist, and is shown.
+    #[prost(string, optional, tag = "13")]
+    pub unused_service: Option<String>,
 }
 
 /// A customer with its credentials and limits. Its debug output does not contain the
