Share the set-up of tests with one daemon

The tests of admission and of reused addresses set up a daemon and passed events to its gate by the same lines; these stand in one_daemon now, and the gate's tests of starts use the request of their support module. No assertion changed. Tests of node, gate and conf passed.

--- a/crates/gate/tests/starts.rs
+++ b/crates/gate/tests/starts.rs
@@ -1,8 +1,11 @@
 //! What a gate keeps when the address of its upstream passes to another start or service.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use gate::{Gate, GateLimits, LoadReport, Outcome, SlotRequest};
+mod support;
+
+use gate::{Gate, GateLimits, LoadReport, Outcome};
 use std::time::Duration;
+use support::slot_request;
 use test_case::test_case;
 use wire::Announcement;
 
@@ -39,17 +42,7 @@
 }
 
 fn run(gate: &mut Gate, ticket: u64, from: Duration, to: Duration) {
-    let request = SlotRequest {
-        ticket,
-        service: "booking".into(),
-        customer: "".into(),
-        share: 1,
-        class: "page".into(),
-        weight: 1,
-        objective: None,
-        is_call: false,
-    };
-    gate.admit(from, &request).unwrap();
+    gate.admit(from, &slot_request(ticket)).unwrap();
     gate.finish(to, ticket, Outcome::Whole(200));
 }
 
--- a/crates/node/tests/address_reuse.rs
+++ b/crates/node/tests/address_reuse.rs
@@ -7,14 +7,14 @@
 use gate::{Outcome, Ticket};
 use node::admission::{self, Arrival};
 use node::{Effect, Event, Node};
-use one_daemon::run;
+use one_daemon::{admit, configured, run};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use test_case::{test_case, test_matrix};
-use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason};
+use wire::{Announcement, RefuseReason};
 
 const SLOTS: u32 = 2;
 const SERVICES: [&str; 2] = ["booking", "club"];
@@ -44,49 +44,12 @@
     Exclusive,
 }
 
-fn admit(node: &mut Node, at_ms: u64, event: admission::Event) -> Vec<admission::Effect> {
-    let effects = run(node, at_ms, Event::Admission(event)).into_iter();
-    let admissions = effects.filter_map(|effect| match effect {
-        Effect::Admission(effect) => Some(effect),
-        _ => None,
-    });
-    admissions.collect()
-}
-
 /// Returns a daemon with a configuration that knows no upstream yet.
 fn daemon() -> Node {
     let mut settings = one_daemon::settings("booking-1");
     settings.gate.cold_slots = SLOTS;
     settings.gate.queue_ratio = 2.0;
-    let mut node = one_daemon::node(settings);
-    for effect in run(&mut node, 0, Event::Tick { unix_ms: 0 }) {
-        let Effect::Send {
-            body: Body::Heartbeat(heartbeat),
-            ..
-        } = effect
-        else {
-            continue;
-        };
-        let reply = HeartbeatReply {
-            sequence: heartbeat.sequence,
-            confirmed: true,
-            config_version: 1,
-            config: Some(ConfigDelta {
-                to: 1,
-                last: true,
-                ..ConfigDelta::default()
-            }),
-            term: 1,
-            ..HeartbeatReply::default()
-        };
-        let received = Event::Received {
-            link: None,
-            daemon: "control-1".into(),
-            body: Body::HeartbeatReply(reply),
-        };
-        run(&mut node, 1, received);
-    }
-    node
+    configured(settings)
 }
 
 fn announce(node: &mut Node, at_ms: u64, service: &str, boot: &str) -> Vec<admission::Effect> {
--- a/crates/node/tests/admission.rs
+++ b/crates/node/tests/admission.rs
@@ -4,23 +4,14 @@
 mod one_daemon;
 
 use node::admission::{self, Arrival};
-use node::{Effect, Event, Node};
-use one_daemon::run;
+use node::{Event, Node};
+use one_daemon::{admit, configured, run};
 use std::time::Duration;
 use test_case::test_case;
-use wire::{Announcement, Body, ConfigDelta, HeartbeatReply, RefuseReason, Restriction};
+use wire::{Announcement, RefuseReason, Restriction};
 
 const SLOTS: u32 = 2;
 
-fn admit(node: &mut Node, at_ms: u64, event: admission::Event) -> Vec<admission::Effect> {
-    let effects = run(node, at_ms, Event::Admission(event)).into_iter();
-    let admissions = effects.filter_map(|effect| match effect {
-        Effect::Admission(effect) => Some(effect),
-        _ => None,
-    });
-    admissions.collect()
-}
-
 /// Returns a daemon beside an upstream with [`SLOTS`] slots and no queue.
 fn gate() -> Node {
     gate_with_queue(0.0)
@@ -31,35 +22,7 @@
     settings.gate.isolate_suspects = false;
     settings.gate.cold_slots = SLOTS;
     settings.gate.queue_ratio = queue_ratio;
-    let mut node = one_daemon::node(settings);
-    for effect in run(&mut node, 0, Event::Tick { unix_ms: 0 }) {
-        let Effect::Send {
-            body: Body::Heartbeat(heartbeat),
-            ..
-        } = effect
-        else {
-            continue;
-        };
-        let config = ConfigDelta {
-            to: 1,
-            last: true,
-            ..ConfigDelta::default()
-        };
-        let reply = HeartbeatReply {
-            sequence: heartbeat.sequence,
-            confirmed: true,
-            config_version: 1,
-            config: Some(config),
-            term: 1,
-            ..HeartbeatReply::default()
-        };
-        let received = Event::Received {
-            link: None,
-            daemon: "control-1".into(),
-            body: Body::HeartbeatReply(reply),
-        };
-        run(&mut node, 1, received);
-    }
+    let mut node = configured(settings);
     announce(&mut node, 2, 100, 1);
     node
 }
