Let the modules of addresses and starts depend one way

What the order of starts needs stands with it now: the silence after which an upstream may be replaced, which the address shares, and not the conversion from what the address remembers. So admission/address uses admission/starts and not the other way round. The time for which a health answer counts has a name of its own; both are 5 s as before. No decision changed; the tests of late starts, leaving, admission and reused addresses passed.

--- a/crates/node/src/admission/address.rs
+++ b/crates/node/src/admission/address.rs
@@ -2,15 +2,14 @@
 //! it: one that answers there under its own id, and else one that goes on announcing itself.
 
 use super::Admission;
-use super::starts::{Known, is_earlier_start, is_older};
+use super::starts::{HOLDER_SILENCE, Known, is_earlier_start, is_older};
 use gate::Statement;
 use std::collections::VecDeque;
 use std::time::Duration;
 use wire::Announcement;
 
-/// Time for which an answer shows which upstream listens at the address, and without an
-/// announcement after which another upstream may take it.
-pub(super) const HOLDER_SILENCE: Duration = Duration::from_secs(5);
+/// Time for which an answer shows which upstream listens at the address.
+const ANSWER_MEMORY: Duration = Duration::from_secs(5);
 /// Maximum number of upstreams remembered that held the address before.
 const MAX_FORMER: usize = 8;
 
@@ -23,6 +22,16 @@
     pub(super) statement: Statement,
 }
 
+impl<'a> From<&'a Former> for Known<'a> {
+    fn from(former: &'a Former) -> Self {
+        Self {
+            announcement: &former.announcement,
+            at: former.announced_at,
+            started: former.started,
+        }
+    }
+}
+
 /// A response to a health request that names the upstream.
 #[derive(Clone, Debug)]
 struct Answer {
@@ -77,7 +86,7 @@
     /// Returns when the request was sent to which an upstream gave the latest answer.
     fn answered_at(&self, now: Duration, target: &str) -> Option<Duration> {
         let answer = self.answer.as_ref().filter(|a| a.target == target)?;
-        let is_fresh = now.saturating_sub(answer.sent_at) < HOLDER_SILENCE;
+        let is_fresh = now.saturating_sub(answer.sent_at) < ANSWER_MEMORY;
         is_fresh.then_some(answer.sent_at)
     }
 
--- a/crates/node/src/admission/starts.rs
+++ b/crates/node/src/admission/starts.rs
@@ -5,15 +5,14 @@
 //! subtracted from the time since the boot of the VM, which is never set back. And a start that
 //! another one of the same upstream has followed here does not return, whatever its number.
 
-use super::address::{Former, HOLDER_SILENCE};
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::time::Duration;
 use wire::Announcement;
 
-/// Time without an announcement after which an upstream may announce a start with a
-/// lower number than the known one, where ages are not stated.
-const INCARNATION_SILENCE: Duration = HOLDER_SILENCE;
+/// Time without an announcement after which a start with a lower number counts, and another
+/// upstream may take the address, where nothing else tells which is the later one.
+pub(super) const HOLDER_SILENCE: Duration = Duration::from_secs(5);
 /// Time for which an upstream that has deregistered is not taken back where neither numbers
 /// nor ages tell its starts apart: longer than an announcement is delayed.
 pub(super) const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_secs(60);
@@ -54,16 +53,6 @@
     pub(super) started: Option<Duration>,
 }
 
-impl<'a> From<&'a Former> for Known<'a> {
-    fn from(former: &'a Former) -> Self {
-        Self {
-            announcement: &former.announcement,
-            at: former.announced_at,
-            started: former.started,
-        }
-    }
-}
-
 /// Returns when the upstream started, by the age that an announcement states on its arrival.
 pub(super) fn started_at(now: Duration, announcement: &Announcement) -> Option<Duration> {
     let age = announcement.age_ms.map(Duration::from_millis)?;
@@ -103,7 +92,7 @@
     }
     let limit = match known.announcement.leaving {
         true => MAX_ANNOUNCEMENT_DELAY,
-        false => INCARNATION_SILENCE,
+        false => HOLDER_SILENCE,
     };
     now.saturating_sub(known.at) < limit
 }
