--- a/crates/plumhitchd/src/entry_http.rs
+++ b/crates/plumhitchd/src/entry_http.rs
@@ -11,7 +11,6 @@
 mod driver;
 mod identity_headers;
 mod inbound;
-mod pipeline;
 mod record;
 mod refusal;
 mod request;
@@ -19,8 +18,6 @@
 mod unanswered;
 mod upload;
 
-pub(crate) use pipeline::LongResponses;
-
 use crate::listeners::{Accepted, Acceptor};
 use crate::runtime::Daemon;
 use node::entry::Effect;
--- a/crates/plumhitchd/src/entry_http/connection.rs
+++ b/crates/plumhitchd/src/entry_http/connection.rs
@@ -2,7 +2,6 @@
 //! are written in the order of the requests.
 
 use super::body::{BodyTx, channel};
-use super::pipeline::Pipeline;
 use super::request;
 use super::response::{Response, ResponseBody};
 use super::unanswered::{CutReason, Unanswered};
@@ -105,7 +104,6 @@
         read: &mut read,
         buf: BytesMut::new(),
         unanswered: &unanswered,
-        pipeline: Pipeline::default(),
         tx: Some(tx),
     };
     let reading = async {
@@ -145,7 +143,6 @@
     read: &'a mut OwnedReadHalf,
     buf: BytesMut,
     unanswered: &'a Unanswered,
-    pipeline: Pipeline,
     tx: Option<mpsc::Sender<QueuedWrite>>,
 }
 
@@ -236,7 +233,7 @@
         let method = head.method.clone();
         let expects_continue = head.expects_continue;
         self.unanswered.push(self.attempt_id(&head));
-        let handled = request::handle(self.daemon.clone(), head, body, self.pipeline.push());
+        let handled = request::handle(self.daemon.clone(), head, body);
         let task = tokio::spawn(async move {
             let _ = response_tx.send(handled.await);
         });
--- a/crates/plumhitchd/src/entry_http/driver.rs
+++ b/crates/plumhitchd/src/entry_http/driver.rs
@@ -3,7 +3,6 @@
 
 use super::attempt::{Attempt, OutgoingRequest};
 use super::body::BodyRx;
-use super::pipeline::Place;
 use super::record::RequestRecord;
 use super::upload::Upload;
 use crate::clock;
@@ -51,8 +50,6 @@
     relayed: Option<AttemptId>,
     refusal: Option<Refusal>,
     upload_error: Option<UploadError>,
-    /// Place on the connection while the response is passed on before it is complete.
-    place: Option<Place>,
     finished: bool,
 }
 
@@ -80,7 +77,6 @@
             relayed: None,
             refusal: None,
             upload_error: None,
-            place: None,
             finished: false,
         };
         Self { inner: Some(inner) }
@@ -122,15 +118,6 @@
         }
     }
 
-    /// Lets the requests behind on the connection wait until the response is complete.
-    pub(super) fn hold_requests_behind(&mut self, place: Place) {
-        if let Some(inner) = &mut self.inner {
-            inner.daemon.long_responses.record(&inner.record.class);
-            place.set_may_close(true);
-            inner.place = Some(place);
-        }
-    }
-
     /// Returns the response body, and the memory that is held for it, if it was received
     /// completely.
     pub(super) fn complete_body(&mut self) -> Option<(Bytes, Held)> {
@@ -161,15 +148,10 @@
                 inner.record.mark_broken();
                 return Err(io::ErrorKind::ConnectionAborted.into());
             };
-            let complete = attempt.complete;
-            let chunk = attempt.pop();
-            if complete && let Some(place) = inner.place.take() {
-                place.finish();
-            }
-            if chunk.is_some() {
-                return Ok(chunk);
+            if let Some(chunk) = attempt.pop() {
+                return Ok(Some(chunk));
             }
-            if complete {
+            if attempt.complete {
                 inner.record.mark_answered();
                 return Ok(None);
             }
--- a/crates/plumhitchd/src/entry_http/request.rs
+++ b/crates/plumhitchd/src/entry_http/request.rs
@@ -5,10 +5,9 @@
 use super::body_buffer::{BufferedBody, buffer_body};
 use super::driver::{Driver, FinalHead};
 use super::inbound::{self, Inbound};
-use super::pipeline::Place;
 use super::record::RequestRecord;
 use super::refusal;
-use super::response::{self, Response, ResponseBody};
+use super::response::{self, Response};
 use crate::runtime::{Daemon, lock};
 use http1::RequestHead;
 use node::entry::{Reason, Refusal, Request as NodeRequest, RunState};
@@ -16,28 +15,14 @@
 use tokio::sync::mpsc;
 
 /// Handles a request and returns its final response.
-pub(super) async fn handle(
-    daemon: Arc<Daemon>,
-    head: RequestHead,
-    body: BodyRx,
-    place: Place,
-) -> Response {
-    let mut response = respond(&daemon, head, body, &place).await;
-    match &mut response.body {
-        ResponseBody::Complete(..) => place.finish(),
-        ResponseBody::Stream(_, driver) => driver.hold_requests_behind(place),
-    }
-    response
-}
-
-async fn respond(daemon: &Arc<Daemon>, head: RequestHead, body: BodyRx, place: &Place) -> Response {
+pub(super) async fn handle(daemon: Arc<Daemon>, head: RequestHead, body: BodyRx) -> Response {
     let limits = &daemon.cfg.limits;
-    let mut record = RequestRecord::begin(daemon);
-    let inbound = match inbound::parse(head, daemon) {
+    let mut record = RequestRecord::begin(&daemon);
+    let inbound = match inbound::parse(head, &daemon) {
         Ok(inbound) => inbound,
         Err(bad) => {
             record.mark_rejected(bad.reason);
-            return refusal::bad_request(daemon, &bad);
+            return refusal::bad_request(&daemon, &bad);
         }
     };
     record.customer = inbound.customer.clone();
@@ -45,52 +30,30 @@
     record.class = inbound.class.clone().unwrap_or_default();
     record.attempt_id = inbound.attempt_id.clone();
     if daemon.read(|node| node.entry.is_stopping()) {
-        return refuse_stopping(daemon, &mut record);
+        return refuse_stopping(&daemon, &mut record);
     }
     let share = &daemon.memory.requests;
     let max_buffered = limits.buffered_body_bytes;
     let buffered = tokio::select! {
         biased;
         buffered = buffer_body(share, body, max_buffered, daemon.max_body_bytes()) => buffered,
-        () = daemon.wait_until_ending() => return refuse_stopping(daemon, &mut record),
+        () = daemon.wait_until_ending() => return refuse_stopping(&daemon, &mut record),
     };
     let body = match buffered {
         Ok(body) => body,
         Err(err) => {
             record.mark_upload_failed(err);
-            return refusal::upload_error(daemon, err, RunState::NotRun);
+            return refusal::upload_error(&daemon, err, RunState::NotRun);
         }
     };
-    tokio::select! {
-        biased;
-        () = place.wait() => {}
-        () = daemon.wait_until_ending() => return refuse_stopping(daemon, &mut record),
-    }
-    place.set_may_close(may_have_long_response(daemon, &inbound));
-    let mut driver = start(daemon, inbound, body, record);
+    let mut driver = start(&daemon, inbound, body, record);
     match driver.response_head().await {
         FinalHead::Response(head) => response::from_upstream(head, driver),
-        FinalHead::Refused(refusal) => refusal::from_refusal(daemon, &refusal),
-        FinalHead::UploadFailed(err) => refusal::upload_error(daemon, err, RunState::MayHaveRun),
+        FinalHead::Refused(refusal) => refusal::from_refusal(&daemon, &refusal),
+        FinalHead::UploadFailed(err) => refusal::upload_error(&daemon, err, RunState::MayHaveRun),
     }
 }
 
-/// Returns whether the response of a request may be too long to be buffered, as earlier ones
-/// of its class were.
-fn may_have_long_response(daemon: &Daemon, inbound: &Inbound) -> bool {
-    if daemon.long_responses.is_empty() {
-        return false;
-    }
-    let Some(key) = &inbound.route_key else {
-        let class = inbound.class.as_deref().unwrap_or_default();
-        return daemon.long_responses.contains(class);
-    };
-    daemon.read(|node| {
-        let route = node.agent.config.routing.find(&key.host, &key.path);
-        route.is_some_and(|route| daemon.long_responses.contains(&route.name))
-    })
-}
-
 /// Refuses a request during a stop without waiting for the rest of its body.
 fn refuse_stopping(daemon: &Daemon, record: &mut RequestRecord) -> Response {
     let refusal = Refusal {
--- a/crates/plumhitchd/src/runtime.rs
+++ b/crates/plumhitchd/src/runtime.rs
@@ -3,7 +3,7 @@
 
 use crate::clock;
 use crate::disk::DiskTx;
-use crate::entry_http::{self, LongResponses};
+use crate::entry_http;
 use crate::gate_http::{self, BodyIntake, Pool};
 use crate::integration::Integration;
 use crate::links::{self, Links};
@@ -49,8 +49,6 @@
     pub(crate) links: Links,
     /// Message senders of the tasks of callers' requests.
     pub(crate) entry_tasks: Mutex<HashMap<RequestId, TaskTx>>,
-    /// Classes whose responses were too long to be buffered.
-    pub(crate) long_responses: LongResponses,
     /// Message senders of the tasks of requests at the gate.
     pub(crate) gate_tasks: Mutex<HashMap<Ticket, TaskTx>>,
     /// Requests to control that wait for a reply.
@@ -132,7 +130,6 @@
             cfg,
             links: Links::default(),
             entry_tasks: Mutex::default(),
-            long_responses: LongResponses::default(),
             gate_tasks: Mutex::default(),
             pending_requests: Mutex::default(),
             incarnation,
